--- /dev/null
+++ b/crates/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, admission, slots and retries of calls, as pure decisions.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The folder of small files: parse, merge, check.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, ownership, journal, configuration versions and penalties, as pure decisions.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Identifiers, sizes, rates, the clock and the declared model.
+//!
+//! Everything here is plain data without I/O. The decision crates take a
+//! [`clock::Time`] with each event and never read a clock of their own.
+
+mod macros;
+
+pub mod clock;
+pub mod id;
+pub mod model;
+pub mod money;
+pub mod rate;
+pub mod size;
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, its workers and its endpoints.
--- /dev/null
+++ b/crates/schema/examples/generate.rs
@@ -0,0 +1,19 @@
+//! Generates `src/generated` from `schema/*.capnp`; needs the `capnp` compiler.
+
+use std::path::Path;
+
+/// Schema files without their extension.
+const FILES: &[&str] = &["peer"];
+
+fn main() -> Result<(), capnp::Error> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let schema = root.join("schema");
+    let mut command = capnpc::CompilerCommand::new();
+    command.src_prefix(&schema);
+    command.output_path(root.join("src/generated"));
+    command.default_parent_module(vec!["generated".to_owned()]);
+    for name in FILES {
+        command.file(schema.join(name).with_extension("capnp"));
+    }
+    command.run()
+}
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,8 @@
+//! Cap'n Proto schema and the code generated from it.
+//!
+//! `cargo run -p sycamorerill-schema --example generate` writes the generated
+//! modules anew after a change of `schema/*.capnp`.
+
+mod generated;
+
+pub use generated::peer_capnp as peer;
--- /dev/null
+++ b/crates/tasks/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, interference, eviction and leases of tasks, as pure decisions.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! Scheduler for latency-critical services and batch work that share instances.
+//!
+//! This crate only re-exports the crates that make up the scheduler, so that an
+//! embedder needs one dependency.
+
+pub use sycamorerill_calls as calls;
+pub use sycamorerill_config as config;
+pub use sycamorerill_control as control;
+pub use sycamorerill_core as core;
+pub use sycamorerill_daemon as daemon;
+pub use sycamorerill_platform as platform;
+pub use sycamorerill_tasks as tasks;
