core, schema: types of the operator's HTTP interface and the settings schema

The daemon and the command line need the same bodies, so they live in core::api. config.capnp mirrors core::model::Config; generated code included.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod macros;
 
+pub mod api;
 pub mod clock;
 pub mod id;
 pub mod model;
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -5,4 +5,5 @@
 
 mod generated;
 
+pub use generated::config_capnp as config;
 pub use generated::peer_capnp as peer;
