--- /dev/null
+++ b/crates/platform/src/table/mod.rs
@@ -0,0 +1,9 @@
+//! The transactional table service.
+
+mod client;
+mod row;
+mod transaction;
+
+pub use client::{Client, RowRequest, ScanPage, ScanRequest};
+pub use row::{Key, Row, RowVersion};
+pub use transaction::{Committed, Condition, Conflict, Expect, Identity, Transaction, Write};
--- /dev/null
+++ b/crates/platform/src/wire/number.rs
@@ -0,0 +1,51 @@
+//! Numeric identifiers as JSON numbers.
+
+use serde::{Deserialize, Deserializer, Serializer};
+use sycamorerill_core::id::{Attempt, Epoch};
+
+/// An identifier that is one number.
+pub trait Number: Copy {
+    /// Returns the identifier of `number`.
+    fn from_number(number: u64) -> Self;
+
+    /// Returns the number of the identifier.
+    fn number(self) -> u64;
+}
+
+impl Number for Epoch {
+    fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    fn number(self) -> u64 {
+        self.0
+    }
+}
+
+impl Number for Attempt {
+    fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    fn number(self) -> u64 {
+        self.0
+    }
+}
+
+/// Writes an identifier as a number.
+///
+/// # Errors
+///
+/// Returns the serializer's error.
+pub fn serialize<N: Number, S: Serializer>(id: &N, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_u64(id.number())
+}
+
+/// Reads an identifier from a number.
+///
+/// # Errors
+///
+/// Returns the deserializer's error.
+pub fn deserialize<'de, N: Number, D: Deserializer<'de>>(from: D) -> Result<N, D::Error> {
+    u64::deserialize(from).map(N::from_number)
+}
--- /dev/null
+++ b/crates/platform/src/worker/mod.rs
@@ -0,0 +1,9 @@
+//! Workers, which run tasks under leases.
+
+mod client;
+mod command;
+mod report;
+
+pub use client::{Answer, Client, Exchange};
+pub use command::{Checkpoint, Command, Outcome, Refusal, Start, Token};
+pub use report::{Guard, Held, Report, State, Usage};
