fakes: table, objects, instance list, workers and executors over HTTP

Served with hyper on a few threads: a stand-in has to close a connection in the middle of an answer and to count the connections of an executor, and tiny_http lets a server do neither.

--- /dev/null
+++ b/crates/fakes/src/server/connection.rs
@@ -0,0 +1,49 @@
+//! One connection and the requests that come over it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+
+/// A connection, and the executor that its requests go to.
+#[derive(Debug, Default)]
+pub(crate) struct Connection {
+    executor: Mutex<Option<String>>,
+}
+
+impl Connection {
+    /// Notes the executor that the connection serves and returns the one before.
+    pub(crate) fn assign(&self, executor: Option<&str>) -> Option<String> {
+        let mut held = self.executor.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *held, executor.map(str::to_owned))
+    }
+
+    /// Reports whether the connection serves `executor`.
+    pub(crate) fn serves(&self, executor: &str) -> bool {
+        let held = self.executor.lock().unwrap_or_else(PoisonError::into_inner);
+        held.as_deref() == Some(executor)
+    }
+}
+
+/// A whole request.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) connection: Arc<Connection>,
+}
+
+impl Incoming {
+    /// Returns the text of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns the value of a parameter of the query.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self.uri.query()?.split('&');
+        pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|p| p.1)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/server/listener.rs
@@ -0,0 +1,160 @@
+//! Accepts connections and serves their requests on a few threads.
+
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Weak};
+use std::thread::{self, JoinHandle};
+
+use async_channel::{Receiver, Sender};
+use async_executor::Executor;
+use async_io::{Async, block_on};
+use futures::channel::oneshot;
+use http_body_util::{BodyExt, Limited};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use super::connection::{Connection, Incoming};
+use super::reply::Reply;
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Answers requests.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: Incoming) -> impl Future<Output = Reply> + Send;
+
+    /// Notes that a connection has ended.
+    fn closed(&self, connection: &Connection);
+}
+
+/// A listening server; it runs until it is stopped or dropped.
+#[derive(Debug)]
+pub(crate) struct Server {
+    address: SocketAddr,
+    stop: Option<Sender<()>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Binds the address, which a handler may need before requests come.
+    pub(crate) fn bind(listen: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    }
+
+    /// Serves requests with `handler` on `threads` threads.
+    pub(crate) fn start<H: Handler>(
+        listener: TcpListener,
+        threads: usize,
+        handler: Arc<H>,
+    ) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let listener = Async::new(listener)?;
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        executor.spawn(accept(listener, Arc::clone(&executor), handler)).detach();
+        let threads = (0..threads.max(1))
+            .map(|_| spawn(Arc::clone(&executor), stopped.clone()))
+            .collect::<io::Result<_>>()?;
+        Ok(Self { address, stop: Some(stop), threads })
+    }
+
+    /// Returns the address that the server listens on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections.
+    pub(crate) fn stop(&mut self) {
+        self.stop = None;
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn spawn(executor: Arc<Executor<'static>>, stopped: Receiver<()>) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new().name("stand-in".to_owned()).spawn(move || {
+        let _ = block_on(executor.run(stopped.recv()));
+    })
+}
+
+async fn accept<H: Handler>(
+    listener: Async<TcpListener>,
+    executor: Arc<Executor<'static>>,
+    handler: Arc<H>,
+) {
+    // A reference cycle through the executor would keep it alive after stop.
+    let spawner = Arc::downgrade(&executor);
+    drop(executor);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        let Some(executor) = spawner.upgrade() else {
+            return;
+        };
+        let serving = serve(stream, spawner.clone(), Arc::clone(&handler));
+        executor.spawn(serving).detach();
+    }
+}
+
+async fn serve<H: Handler>(
+    stream: Async<TcpStream>,
+    spawner: Weak<Executor<'static>>,
+    handler: Arc<H>,
+) {
+    let connection = Arc::new(Connection::default());
+    let service = service_fn(|request| {
+        let handler = Arc::clone(&handler);
+        let connection = Arc::clone(&connection);
+        let spawner = spawner.clone();
+        async move { answer(handler, spawner, connection, request).await.into_response() }
+    });
+    let mut server = http1::Builder::new();
+    server.timer(SmolTimer::new()).header_read_timeout(None);
+    let _ = server.serve_connection(FuturesIo::new(stream), service).await;
+    handler.closed(&connection);
+}
+
+/// Answers a request, whose handling goes on when its client gives up.
+async fn answer<H: Handler>(
+    handler: Arc<H>,
+    spawner: Weak<Executor<'static>>,
+    connection: Arc<Connection>,
+    request: Request<hyper::body::Incoming>,
+) -> Reply {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+        return Reply::status(StatusCode::PAYLOAD_TOO_LARGE);
+    };
+    let incoming = Incoming {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body: body.to_bytes(),
+        connection,
+    };
+    let (sender, receiver) = oneshot::channel();
+    let Some(executor) = spawner.upgrade() else {
+        return Reply::Close;
+    };
+    let handling = async move {
+        let _ = sender.send(handler.handle(incoming).await);
+    };
+    executor.spawn(handling).detach();
+    drop(executor);
+    receiver.await.unwrap_or(Reply::Close)
+}
--- /dev/null
+++ b/crates/fakes/tests/common/mod.rs
@@ -0,0 +1,53 @@
+//! What the tests share.
+
+#![allow(dead_code, unreachable_pub)]
+
+use sycamorerill_core::clock::{Clock, Span, Time};
+use sycamorerill_fakes::{Platform, Settings};
+use sycamorerill_platform::{endpoint, table, worker};
+
+/// Long enough that a loaded machine answers within it.
+pub const PATIENCE: Span = Span::from_secs(30);
+
+/// Settings without any lag or latency.
+pub fn quick() -> Settings {
+    Settings {
+        list_lag: Span::ZERO,
+        report_lag: Span::ZERO,
+        store_latency: Span::ZERO,
+        checkpoint_time: Span::ZERO,
+        size_error: 1.0,
+        time_error: 1.0,
+        interference: 0.0,
+        ..Settings::default()
+    }
+}
+
+pub fn platform(settings: Settings) -> Platform {
+    Platform::start(settings).expect("the stand-ins start on a free port")
+}
+
+pub fn patient() -> sycamorerill_platform::Settings {
+    sycamorerill_platform::Settings { timeout: PATIENCE, ..Default::default() }
+}
+
+pub fn executor(platform: &Platform, name: &str) -> endpoint::Client {
+    endpoint::Client::new(platform.address(), &format!("/executors/{name}"), patient())
+}
+
+pub fn worker(platform: &Platform, name: &str) -> worker::Client {
+    worker::Client::new(platform.address(), &format!("/workers/{name}"), patient())
+}
+
+pub fn table(platform: &Platform) -> table::Client {
+    table::Client::new(platform.address(), patient())
+}
+
+/// Waits until `reached` holds, for at most [`PATIENCE`].
+pub fn wait_until(reached: impl Fn() -> bool) {
+    let clock = Clock::start();
+    while !reached() {
+        assert!(clock.now().since(Time::ZERO) < PATIENCE, "nothing happened in {PATIENCE}");
+        std::thread::sleep(Span::from_ms(1).into());
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/executors.rs
@@ -0,0 +1,165 @@
+//! Executors answer, count what they are given, and fail as they are told.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod common;
+
+use std::thread;
+
+use bytes::Bytes;
+use common::{executor, platform, quick, wait_until};
+use sycamorerill_core::clock::Span;
+use sycamorerill_fakes::faults::{Execute, Select};
+use sycamorerill_fakes::{Fault, Ran};
+use sycamorerill_platform::Doubt;
+use sycamorerill_platform::endpoint::{Answer, Call};
+
+/// Longer than any test.
+const ENDLESS_MS: u64 = 600_000;
+const NAME: &str = "x-vejle-a-01";
+
+fn call(identity: &str, run_ms: u64) -> Call {
+    Call {
+        path: format!("/cut-list?run_ms={run_ms}"),
+        body: Bytes::from(format!("body of {identity}")),
+        content_type: Some("text/plain".to_owned()),
+        identity: identity.to_owned(),
+        budget: Span::from_secs(10),
+        ..Call::default()
+    }
+}
+
+fn set(faults: Execute) -> Fault {
+    Fault::Executors { select: Select::Name(NAME.to_owned()), faults }
+}
+
+#[test]
+fn an_answer_is_whole_and_echoes_its_own_request() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    let answer = client.call(&call("one", 0));
+    let Answer::Whole { status, body, content_type } = answer else {
+        panic!("expected a whole answer, found {answer:?}");
+    };
+    assert_eq!((status, &body[..]), (200, &b"body of one"[..]));
+    assert_eq!(content_type.as_deref(), Some("text/plain"));
+    assert_eq!(platform.runs(&Ran::Identity("one".to_owned())), 1);
+    assert_eq!(platform.runs(&Ran::Body("body of one".to_owned())), 1);
+    assert_eq!(platform.runs(&Ran::Identity("two".to_owned())), 0);
+}
+
+#[test]
+fn a_refused_call_did_not_run() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    for faults in [
+        Execute { refusing: true, ..Execute::default() },
+        Execute { leaving: true, ..Execute::default() },
+    ] {
+        platform.switch(set(faults));
+        assert_eq!(client.call(&call("refused", 0)), Answer::Refused);
+    }
+    assert_eq!(platform.runs(&Ran::Identity("refused".to_owned())), 0);
+    assert_eq!(platform.counts().executors.refused, 2);
+}
+
+#[test]
+fn a_call_that_fails_has_run() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    platform.switch(set(Execute { failing: 1.0, ..Execute::default() }));
+    assert!(matches!(client.call(&call("failed", 0)), Answer::Whole { status: 500, .. }));
+    assert_eq!(platform.runs(&Ran::Identity("failed".to_owned())), 1);
+}
+
+#[test]
+fn a_cut_answer_is_unknown_and_its_connection_is_not_used_again() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    platform.switch(set(Execute { cut: 1.0, ..Execute::default() }));
+    assert_eq!(client.call(&call("cut", 0)), Answer::Unknown(Doubt::Cut));
+    platform.switch(set(Execute::default()));
+    assert!(matches!(client.call(&call("next", 0)), Answer::Whole { status: 200, .. }));
+    assert_eq!(platform.runs(&Ran::Identity("cut".to_owned())), 1);
+}
+
+#[test]
+fn an_answer_to_another_request_is_unknown() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    platform.switch(set(Execute { misdirect: 1.0, ..Execute::default() }));
+    let expected = "mine".to_owned();
+    assert_eq!(client.call(&call("mine", 0)), Answer::Unknown(Doubt::Identity { expected }));
+}
+
+#[test]
+fn an_answer_after_the_deadline_is_unknown_and_never_the_next_ones() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    platform.switch(set(Execute { late: Span::from_ms(50), ..Execute::default() }));
+    let late = Call { budget: Span::from_ms(100), ..call("late", 0) };
+    assert_eq!(client.call(&late), Answer::Unknown(Doubt::Timeout));
+    platform.switch(set(Execute::default()));
+    let answer = client.call(&call("next", 0));
+    assert!(matches!(&answer, Answer::Whole { body, .. } if &body[..] == b"body of next"));
+}
+
+#[test]
+fn an_executor_that_is_gone_runs_nothing() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    platform.switch(set(Execute { gone: true, ..Execute::default() }));
+    assert_eq!(client.call(&call("gone", 0)), Answer::Unknown(Doubt::Cut));
+    assert_eq!(platform.runs(&Ran::Identity("gone".to_owned())), 0);
+}
+
+#[test]
+fn a_ninth_call_at_once_is_counted() {
+    let platform = platform(quick());
+    let begin = |identity: String| {
+        let client = executor(&platform, NAME);
+        thread::spawn(move || client.call(&call(&identity, ENDLESS_MS)));
+    };
+    (0..8).for_each(|index| begin(format!("call-{index}")));
+    wait_until(|| platform.counts().executors.running == 8);
+    assert_eq!(platform.counts().executors.overcommitted, 0);
+    begin("call-8".to_owned());
+    wait_until(|| platform.counts().executors.running == 9);
+    let counts = platform.counts().executors;
+    assert_eq!((counts.overcommitted, counts.peak_running), (1, 9));
+}
+
+#[test]
+fn connections_above_the_limit_are_counted() {
+    let platform = platform(quick());
+    let clients: Vec<_> = (0..61).map(|_| executor(&platform, NAME)).collect();
+    for (index, client) in clients.iter().take(60).enumerate() {
+        client.call(&call(&format!("c{index}"), 0));
+    }
+    assert_eq!(platform.counts().executors.overconnected, 0);
+    clients[60].call(&call("c60", 0));
+    let counts = platform.counts().executors;
+    assert_eq!((counts.overconnected, counts.peak_connections), (1, 61));
+}
+
+#[test]
+fn a_run_goes_on_when_its_caller_gives_up() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    let short = Call { budget: Span::from_ms(500), ..call("long", ENDLESS_MS) };
+    assert_eq!(client.call(&short), Answer::Unknown(Doubt::Timeout));
+    wait_until(|| platform.counts().executors.running == 1);
+}
+
+#[test]
+fn a_second_run_of_an_identity_or_key_is_counted() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    let keyed = Call { key: Some("booking-7".to_owned()), ..call("first", 0) };
+    client.call(&keyed);
+    client.call(&Call { identity: "second".to_owned(), ..keyed.clone() });
+    client.call(&keyed);
+    let counts = platform.counts().executors;
+    assert_eq!((counts.ran_twice, counts.keys_ran_twice), (1, 2));
+    assert_eq!(platform.runs(&Ran::Key("booking-7".to_owned())), 3);
+}
--- a/crates/platform/src/worker/command.rs
+++ b/crates/platform/src/worker/command.rs
@@ -61,6 +61,9 @@
     pub lease: Span,
     /// Class of the task's job.
     pub class: ClassName,
+    /// Size as the job declared it, which may differ from what is set aside.
+    #[serde(with = "crate::wire::size")]
+    pub declared: Size,
     /// Run time as declared.
     #[serde(rename = "run_time_ms", with = "crate::wire::span")]
     pub run_time: Span,
