--- /dev/null
+++ b/crates/config/src/folder.rs
@@ -0,0 +1,169 @@
+//! Reading a folder of files.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use sycamorerill_core::model::Config;
+
+use crate::document::{self, Document};
+use crate::merge::Merged;
+use crate::problem::{Fault, Problem, Report};
+use crate::source::{Place, Source};
+
+/// Largest file in bytes.
+pub const MAX_FILE_BYTES: u64 = 4 << 20;
+/// Largest number of files in a folder.
+pub const MAX_FILES: usize = 10_000;
+/// Extension of the files that are read.
+const EXTENSION: &str = "toml";
+
+/// The ways in which a folder as a whole cannot be read.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The folder cannot be listed.
+    #[error("the folder `{path}` cannot be read: {reason}")]
+    #[diagnostic(code(folder), help("name a folder that holds .toml files"))]
+    Unreadable {
+        /// Path as given.
+        path: PathBuf,
+        /// Failure of the operating system.
+        reason: io::Error,
+    },
+    /// The folder holds no `.toml` file.
+    #[error("the folder `{path}` holds no .toml file")]
+    #[diagnostic(code(empty), help("start from one of the folders in examples/"))]
+    Empty {
+        /// Path as given.
+        path: PathBuf,
+    },
+    /// The folder holds more than [`MAX_FILES`] files.
+    #[error("the folder `{path}` holds {files} .toml files, expected at most {MAX_FILES}")]
+    #[diagnostic(code(too_many_files), help("join files that belong together"))]
+    TooMany {
+        /// Path as given.
+        path: PathBuf,
+        /// Number of files.
+        files: usize,
+    },
+}
+
+/// Files of a folder in the order of their names.
+#[derive(Clone, Debug, Default)]
+pub struct Folder {
+    sources: Vec<Arc<Source>>,
+    /// Files that could not be read as text.
+    problems: Vec<Problem>,
+}
+
+impl Folder {
+    /// Reads the `.toml` files of a folder; folders inside it are not read.
+    ///
+    /// A file that cannot be read or is not UTF-8 does not fail the whole
+    /// folder: [`Folder::check`] reports it with everything else.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when the folder cannot be listed, has no file or too many.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, Error> {
+        let path = path.as_ref();
+        let names = list(path)?;
+        if names.is_empty() {
+            return Err(Error::Empty { path: path.to_owned() });
+        }
+        if names.len() > MAX_FILES {
+            return Err(Error::TooMany { path: path.to_owned(), files: names.len() });
+        }
+        let mut folder = Self::default();
+        for name in names {
+            folder.read_file(path, name);
+        }
+        Ok(folder)
+    }
+
+    /// Takes files as pairs of name and text and orders them by name.
+    pub fn from_files(files: Vec<(String, String)>) -> Self {
+        let mut folder = Self::default();
+        for (name, text) in files {
+            folder.sources.push(Arc::new(Source::new(name, text)));
+        }
+        folder.sources.sort_by(|left, right| left.name().cmp(right.name()));
+        folder
+    }
+
+    /// Returns the files in the order in which they merge.
+    pub fn sources(&self) -> impl Iterator<Item = &Source> {
+        self.sources.iter().map(AsRef::as_ref)
+    }
+
+    /// Merges the files: a later one refines an earlier one by key.
+    pub fn merge(&self) -> Merged {
+        let mut merged = Merged::new(self.problems.clone());
+        for source in &self.sources {
+            let document: Document = document::parse(source);
+            merged.add(document);
+        }
+        merged
+    }
+
+    /// Merges and checks the files.
+    ///
+    /// # Errors
+    ///
+    /// [`Report`] with every problem of every file.
+    pub fn check(&self) -> Result<Config, Report> {
+        self.merge().check()
+    }
+
+    fn read_file(&mut self, folder: &Path, name: String) {
+        let (text, fault) = match read_bytes(&folder.join(&name)) {
+            Ok(bytes) => into_text(bytes),
+            Err(fault) => (String::new(), Some((fault, 0))),
+        };
+        let source = Arc::new(Source::new(name, text));
+        match fault {
+            None => self.sources.push(source),
+            Some((fault, offset)) => {
+                let place = Place::new(&source, offset..offset + 1);
+                self.problems.push(Problem::new(fault, place));
+            }
+        }
+    }
+}
+
+fn list(path: &Path) -> Result<Vec<String>, Error> {
+    let unreadable = |reason| Error::Unreadable { path: path.to_owned(), reason };
+    let mut names = Vec::new();
+    for entry in fs::read_dir(path).map_err(unreadable)? {
+        let entry = entry.map_err(unreadable)?;
+        let file = PathBuf::from(entry.file_name());
+        let is_setting = file.extension().is_some_and(|found| found == EXTENSION);
+        if is_setting && !entry.path().is_dir() {
+            names.push(file.to_string_lossy().into_owned());
+        }
+    }
+    names.sort();
+    Ok(names)
+}
+
+fn read_bytes(path: &Path) -> Result<Vec<u8>, Fault> {
+    let unreadable = |error: io::Error| Fault::Unreadable(error.kind());
+    let bytes = fs::metadata(path).map_err(unreadable)?.len();
+    if bytes > MAX_FILE_BYTES {
+        return Err(Fault::TooLong { bytes });
+    }
+    fs::read(path).map_err(unreadable)
+}
+
+/// Returns the text, and for bytes that are not text the offset of the first.
+fn into_text(bytes: Vec<u8>) -> (String, Option<(Fault, usize)>) {
+    match String::from_utf8(bytes) {
+        Ok(text) => (text, None),
+        Err(error) => {
+            let offset = error.utf8_error().valid_up_to();
+            let text = String::from_utf8_lossy(error.as_bytes()).into_owned();
+            (text, Some((Fault::Encoding, offset)))
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/key.rs
@@ -0,0 +1,92 @@
+//! Keys of settings and the sections that hold them.
+
+use std::fmt;
+
+use crate::similar;
+
+/// Part of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Section {
+    /// Services that answer calls.
+    Service,
+    /// Classes of jobs.
+    Class,
+    /// Teams with their quotas.
+    Team,
+    /// Targets with their penalties.
+    Target,
+    /// Failure domains with their capacity.
+    Domain,
+    /// Settings of the decisions.
+    Policy,
+}
+
+impl Section {
+    /// Every section.
+    pub const ALL: [Self; 6] =
+        [Self::Service, Self::Class, Self::Team, Self::Target, Self::Domain, Self::Policy];
+
+    /// Returns the word used in files.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Class => "class",
+            Self::Team => "team",
+            Self::Target => "target",
+            Self::Domain => "domain",
+            Self::Policy => "policy",
+        }
+    }
+
+    /// Reports whether the section holds named entries.
+    pub(crate) const fn is_named(self) -> bool {
+        !matches!(self, Self::Policy)
+    }
+
+    pub(crate) fn find(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|section| section.as_str() == word)
+    }
+
+    pub(crate) fn suggest(word: &str) -> Option<&'static str> {
+        similar::closest(word, Self::ALL.map(Self::as_str))
+    }
+}
+
+impl fmt::Display for Section {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// Key of an entry or of one of its fields, printed as `service.orders.deadline`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// Section of the entry.
+    pub section: Section,
+    /// Name of the entry, empty in a section without names.
+    pub name: String,
+    /// Field with its table, such as `size.cpu`; empty for the whole entry.
+    pub field: String,
+}
+
+impl Key {
+    pub(crate) fn entry(section: Section, name: &str) -> Self {
+        Self { section, name: name.to_owned(), field: String::new() }
+    }
+
+    pub(crate) fn field(section: Section, name: &str, field: &str) -> Self {
+        Self { section, name: name.to_owned(), field: field.to_owned() }
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.section.as_str())?;
+        for part in [&self.name, &self.field] {
+            if !part.is_empty() {
+                write!(f, ".{part}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,41 @@
-//! The folder of small files: parse, merge, check.
+//! The folder of small files: parse, merge, check, encode.
+//!
+//! A configuration is a folder of TOML files. [`Folder::read`] reads them,
+//! [`Folder::merge`] merges them in the order of their names, and
+//! [`Merged::check`] turns the result into a [`model::Config`] or into a
+//! [`Report`] with every problem that it found, each with its file, line and
+//! column. [`encode`] and [`decode`] carry a checked configuration between
+//! processes, and [`difference`] names the keys in which two of them differ.
+//!
+//! # Examples
+//!
+//! ```
+//! use sycamorerill_config::Folder;
+//!
+//! let text = "[team.kits]\nwieght = 2\nquota = { cpu = 0, memory = \"0B\" }\n";
+//! let file = ("10-team.toml".to_owned(), text.to_owned());
+//! let report = Folder::from_files(vec![file]).check().unwrap_err();
+//! let problem = &report.problems()[0];
+//! assert_eq!((problem.file(), problem.line(), problem.column()), ("10-team.toml", 2, 1));
+//! ```
+//!
+//! [`model::Config`]: sycamorerill_core::model::Config
+
+mod check;
+mod codec;
+mod difference;
+mod document;
+mod folder;
+mod key;
+mod merge;
+mod problem;
+mod similar;
+mod source;
+
+pub use codec::{CodecError, MAX_ENCODED_BYTES, decode, decode_text, encode, encode_text};
+pub use difference::difference;
+pub use folder::{Error, Folder, MAX_FILE_BYTES, MAX_FILES};
+pub use key::{Key, Section};
+pub use merge::{Merged, Setting};
+pub use problem::{Fault, Problem, Report, ValueError};
+pub use source::Source;
--- /dev/null
+++ b/crates/config/src/problem/mod.rs
@@ -0,0 +1,7 @@
+//! Problems of a configuration, with their places.
+
+mod fault;
+mod report;
+
+pub use fault::{Fault, ValueError};
+pub use report::{Problem, Report};
--- /dev/null
+++ b/crates/config/src/problem/report.rs
@@ -0,0 +1,107 @@
+//! One problem with its place, and the report of all of them.
+
+use std::fmt;
+
+use miette::{Diagnostic, LabeledSpan, SourceCode};
+
+use super::fault::Fault;
+use crate::source::Place;
+
+/// A fault with its file, line and column.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    fault: Fault,
+    place: Place,
+}
+
+impl Problem {
+    pub(crate) fn new(fault: Fault, place: Place) -> Self {
+        Self { fault, place }
+    }
+
+    /// Returns what is wrong.
+    pub fn fault(&self) -> &Fault {
+        &self.fault
+    }
+
+    /// Returns the name of the file.
+    pub fn file(&self) -> &str {
+        self.place.source.name()
+    }
+
+    /// Returns the line, counted from 1.
+    pub fn line(&self) -> usize {
+        self.place.source.position(self.place.span.start).0
+    }
+
+    /// Returns the column in characters, counted from 1.
+    pub fn column(&self) -> usize {
+        self.place.source.position(self.place.span.start).1
+    }
+
+    fn order(&self) -> (&str, usize) {
+        (self.file(), self.place.span.start)
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.fault.fmt(f)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+impl Diagnostic for Problem {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.fault.code()))
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        self.fault.hint().map(|hint| Box::new(hint) as Box<dyn fmt::Display>)
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&*self.place.source)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let span = self.place.span.clone();
+        Some(Box::new(std::iter::once(LabeledSpan::underline(span))))
+    }
+}
+
+/// Every problem of a configuration, in the order of files and lines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    problems: Vec<Problem>,
+}
+
+impl Report {
+    pub(crate) fn new(mut problems: Vec<Problem>) -> Self {
+        problems.sort_by(|left, right| left.order().cmp(&right.order()));
+        Self { problems }
+    }
+
+    /// Returns the problems, at least one.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.problems.len() {
+            1 => f.write_str("the configuration has 1 error"),
+            count => write!(f, "the configuration has {count} errors"),
+        }
+    }
+}
+
+impl std::error::Error for Report {}
+
+impl Diagnostic for Report {
+    fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
+        Some(Box::new(self.problems.iter().map(|problem| problem as &dyn Diagnostic)))
+    }
+}
