--- a/crates/config/src/check/entry.rs
+++ b/crates/config/src/check/entry.rs
@@ -51,6 +51,11 @@
         self.read(field).unwrap_or(default)
     }
 
+    /// Returns a setting as written.
+    pub(super) fn text(&self, field: &str) -> Option<String> {
+        self.read(field)
+    }
+
     /// Returns the size in the table `field`.
     pub(super) fn size(&self, field: &str) -> Option<Size> {
         let cpu: Cpu = self.read(&format!("{field}.cpu"))?;
@@ -59,10 +64,18 @@
         Some(Size::new(cpu, memory, accel))
     }
 
+    /// Reports whether a key of the same table is set.
+    fn has_table_of(&self, field: &str) -> bool {
+        let Some((table, _)) = field.split_once('.') else { return false };
+        let mut fields = fields::of(self.section).iter().map(|field| field.name);
+        fields.any(|other| other.starts_with(&format!("{table}.")) && self.has(other))
+    }
+
     fn lacks(&self, field: &Field) -> bool {
         let is_needed = match field.need {
             Need::Always => true,
             Need::Ending => !self.read_or("service", false),
+            Need::Whole => self.has_table_of(field.name),
             Need::Never => false,
         };
         is_needed && !self.has(field.name)
--- a/crates/config/src/check/fields.rs
+++ b/crates/config/src/check/fields.rs
@@ -7,6 +7,8 @@
 pub(super) enum Kind {
     /// Name of an entry of the section.
     Reference(Section),
+    /// Name of the entry itself.
+    Name,
     /// Span of time longer than zero.
     Span,
     /// Whole number, zero included.
@@ -27,7 +29,7 @@
     /// Returns what the key takes, in words.
     pub(super) const fn expected(self) -> &'static str {
         match self {
-            Self::Reference(_) => "a name in quotes",
+            Self::Reference(_) | Self::Name => "a name in quotes",
             Self::Span => "a span of time such as \"250ms\" or \"24h\"",
             Self::Count => "a whole number",
             Self::Positive => "a whole number larger than zero",
@@ -49,6 +51,8 @@
     Always,
     /// In a class whose tasks end.
     Ending,
+    /// When another key of its table is set.
+    Whole,
     Never,
 }
 
@@ -72,6 +76,10 @@
     Field { name, kind, need: Need::Ending }
 }
 
+const fn whole(name: &'static str, kind: Kind) -> Field {
+    Field { name, kind, need: Need::Whole }
+}
+
 const SERVICE: &[Field] = &[
     needed("team", Kind::Reference(Section::Team)),
     optional("urgency", Kind::Urgency),
@@ -129,6 +137,19 @@
     optional("max_queue", Kind::Positive),
 ];
 
+const JOB: &[Field] = &[
+    optional("name", Kind::Name),
+    needed("class", Kind::Reference(Section::Class)),
+    needed("team", Kind::Reference(Section::Team)),
+    optional("urgency", Kind::Urgency),
+    needed("tasks", Kind::Positive),
+    optional("deadline", Kind::Span),
+    whole("size.cpu", Kind::Cpu),
+    whole("size.memory", Kind::Memory),
+    optional("size.accel", Kind::Accel),
+    optional("run_time", Kind::Span),
+];
+
 /// Returns the keys of a section.
 pub(super) const fn of(section: Section) -> &'static [Field] {
     match section {
@@ -138,6 +159,7 @@
         Section::Target => TARGET,
         Section::Domain => DOMAIN,
         Section::Policy => POLICY,
+        Section::Job => JOB,
     }
 }
 
--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod entry;
 mod fields;
+mod jobs;
 mod references;
 mod value;
 
@@ -24,10 +25,7 @@
     ///
     /// [`Report`] with every problem that was found.
     pub fn check(&self) -> Result<Config, Report> {
-        let mut check = Check { merged: self, problems: self.problems.clone() };
-        for leaf in self.replaced.iter().chain(self.settings.values()) {
-            check.problems.extend(value::check(leaf));
-        }
+        let mut check = Check::start(self);
         let config = check.build();
         // What a broken file declares is not known, so nothing is called missing.
         if !check.problems.iter().any(|problem| problem.fault().hides_declarations()) {
@@ -49,7 +47,15 @@
     problems: Vec<Problem>,
 }
 
-impl Check<'_> {
+impl<'a> Check<'a> {
+    /// Starts a check with what is wrong with single settings.
+    fn start(merged: &'a Merged) -> Self {
+        let leaves = merged.replaced.iter().chain(merged.settings.values());
+        let mut problems = merged.problems.clone();
+        problems.extend(leaves.filter_map(value::check));
+        Self { merged, problems }
+    }
+
     fn problem(&mut self, fault: Fault, place: Place) {
         self.problems.push(Problem::new(fault, place));
     }
--- a/crates/config/src/check/value.rs
+++ b/crates/config/src/check/value.rs
@@ -53,8 +53,8 @@
         (Kind::Flag, _) => None,
         (Kind::Count | Kind::Positive, Value::Number(text)) => Some(text),
         (Kind::Count | Kind::Positive, _) => None,
-        (Kind::Reference(_) | Kind::Urgency, Value::Text(text)) => Some(text),
-        (Kind::Reference(_) | Kind::Urgency, _) => None,
+        (Kind::Reference(_) | Kind::Name | Kind::Urgency, Value::Text(text)) => Some(text),
+        (Kind::Reference(_) | Kind::Name | Kind::Urgency, _) => None,
         (_, Value::Text(text) | Value::Number(text)) => Some(text),
         _ => None,
     }
@@ -67,7 +67,8 @@
     };
     match kind {
         Kind::Flag => Ok(()),
-        Kind::Reference(_) => Ok(text.parse::<id::ServiceName>().map(drop)?),
+        Kind::Reference(section) => Ok(section.check_name(text)?),
+        Kind::Name => Ok(text.parse::<id::JobName>().map(drop)?),
         Kind::Span => zero(text.parse::<Span>()? == Span::ZERO),
         Kind::Count => count(text).map(drop),
         Kind::Positive => zero(count(text)? == 0),
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -3,7 +3,6 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-use sycamorerill_core::id;
 use toml::Spanned;
 use toml::de::{DeString, DeTable, DeValue};
 
@@ -54,15 +53,26 @@
     pub(crate) problems: Vec<Problem>,
 }
 
-/// Parses a file; what cannot be read is a problem, the rest is kept.
+/// Parses a file of a folder; what cannot be read is a problem, the rest is kept.
 pub(crate) fn parse(source: &Arc<Source>) -> Document {
+    read(source, Reader::section)
+}
+
+/// Parses a file of jobs; they are named by their number, counted from 1.
+pub(crate) fn parse_jobs(source: &Arc<Source>) -> Document {
+    read(source, Reader::jobs)
+}
+
+type ReadTop<'a> = fn(&mut Reader<'a>, &Spanned<DeString<'_>>, &Spanned<DeValue<'_>>);
+
+fn read<'a>(source: &'a Arc<Source>, read_top: ReadTop<'a>) -> Document {
     let (root, errors) = DeTable::parse_recoverable(source.text());
     let mut reader = Reader { source, document: Document::default() };
     for error in errors {
         reader.syntax(&error);
     }
     for (word, value) in root.get_ref() {
-        reader.section(word, value);
+        read_top(&mut reader, word, value);
     }
     reader.document
 }
@@ -108,6 +118,25 @@
         }
     }
 
+    fn jobs(&mut self, word: &Spanned<DeString<'_>>, value: &Spanned<DeValue<'_>>) {
+        if word.get_ref() != Section::Job.as_str() {
+            let word_text = word.get_ref().to_string();
+            let meant = Some(Section::Job.as_str());
+            return self.problem(Fault::UnknownSection { word: word_text, meant }, word.span());
+        }
+        let DeValue::Array(jobs) = value.get_ref() else {
+            let found = value.get_ref().type_str();
+            return self.problem(Fault::NotArray { found }, word.span());
+        };
+        for (number, job) in (1..).zip(jobs.iter()) {
+            let Some(table) = self.table(word, job) else { continue };
+            let name = format!("{number}");
+            let place = self.place(job.span());
+            self.document.entries.push((Key::entry(Section::Job, &name), place));
+            self.fields(Section::Job, &name, "", table);
+        }
+    }
+
     fn entry(
         &mut self,
         section: Section,
@@ -115,7 +144,7 @@
         value: &Spanned<DeValue<'_>>,
     ) {
         let Some(table) = self.table(name, value) else { return };
-        if let Err(error) = check_name(section, name.get_ref()) {
+        if let Err(error) = section.check_name(name.get_ref()) {
             self.problem(Fault::Name(error), name.span());
         }
         let key = Key::entry(section, name.get_ref());
@@ -160,17 +189,6 @@
     }
 }
 
-fn check_name(section: Section, name: &str) -> Result<(), id::Error> {
-    match section {
-        Section::Service => name.parse::<id::ServiceName>().map(drop),
-        Section::Class => name.parse::<id::ClassName>().map(drop),
-        Section::Team => name.parse::<id::TeamName>().map(drop),
-        Section::Target => name.parse::<id::TargetName>().map(drop),
-        Section::Domain => name.parse::<id::DomainName>().map(drop),
-        Section::Policy => Ok(()),
-    }
-}
-
 /// Reports whether the parser gave up on a value, for which it has an error of its own.
 fn is_broken(value: &DeValue<'_>) -> bool {
     match value {
--- a/crates/config/src/folder.rs
+++ b/crates/config/src/folder.rs
@@ -7,7 +7,7 @@
 
 use sycamorerill_core::model::Config;
 
-use crate::document::{self, Document};
+use crate::document;
 use crate::merge::Merged;
 use crate::problem::{Fault, Problem, Report};
 use crate::source::{Place, Source};
@@ -101,8 +101,7 @@
     pub fn merge(&self) -> Merged {
         let mut merged = Merged::new(self.problems.clone());
         for source in &self.sources {
-            let document: Document = document::parse(source);
-            merged.add(document);
+            merged.add(document::parse(source));
         }
         merged
     }
@@ -117,17 +116,25 @@
     }
 
     fn read_file(&mut self, folder: &Path, name: String) {
-        let (text, fault) = match read_bytes(&folder.join(&name)) {
-            Ok(bytes) => into_text(bytes),
-            Err(fault) => (String::new(), Some((fault, 0))),
-        };
-        let source = Arc::new(Source::new(name, text));
-        match fault {
-            None => self.sources.push(source),
-            Some((fault, offset)) => {
-                let place = Place::new(&source, offset..offset + 1);
-                self.problems.push(Problem::new(fault, place));
-            }
+        match read_source(&folder.join(&name), name) {
+            Ok(source) => self.sources.push(source),
+            Err(report) => self.problems.extend(report.problems().iter().cloned()),
+        }
+    }
+}
+
+/// Reads a file as text under the given name.
+pub(crate) fn read_source(path: &Path, name: String) -> Result<Arc<Source>, Report> {
+    let (text, fault) = match read_bytes(path) {
+        Ok(bytes) => into_text(bytes),
+        Err(fault) => (String::new(), Some((fault, 0))),
+    };
+    let source = Arc::new(Source::new(name, text));
+    match fault {
+        None => Ok(source),
+        Some((fault, offset)) => {
+            let place = Place::new(&source, offset..offset + 1);
+            Err(Report::new(vec![Problem::new(fault, place)]))
         }
     }
 }
--- /dev/null
+++ b/crates/config/src/jobs.rs
@@ -0,0 +1,50 @@
+//! Files of jobs for submission.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use sycamorerill_core::api::Submission;
+
+use crate::document;
+use crate::folder::read_source;
+use crate::merge::Merged;
+use crate::problem::{Fault, Problem, Report};
+use crate::source::{Place, Source};
+
+/// Reads a file with one `[[job]]` table for each job.
+///
+/// # Errors
+///
+/// [`Report`] with every problem of the file.
+pub fn read_jobs(path: impl AsRef<Path>) -> Result<Vec<Submission>, Report> {
+    let path = path.as_ref();
+    let name = path.to_string_lossy().into_owned();
+    check(&read_source(path, name)?)
+}
+
+/// Reads jobs from a text under the given name.
+///
+/// # Errors
+///
+/// [`Report`] with every problem of the text.
+///
+/// # Examples
+///
+/// ```
+/// let text = "[[job]]\nclass = \"cut-list\"\nteam = \"warehouse\"\ntasks = 40\n";
+/// let jobs = sycamorerill_config::parse_jobs("jobs.toml", text).unwrap();
+/// assert_eq!((jobs.len(), jobs[0].tasks), (1, 40));
+/// ```
+pub fn parse_jobs(name: &str, text: &str) -> Result<Vec<Submission>, Report> {
+    check(&Arc::new(Source::new(name.to_owned(), text.to_owned())))
+}
+
+fn check(source: &Arc<Source>) -> Result<Vec<Submission>, Report> {
+    let mut document = document::parse_jobs(source);
+    if document.entries.is_empty() && document.problems.is_empty() {
+        document.problems.push(Problem::new(Fault::NoJob, Place::new(source, 0..0)));
+    }
+    let mut merged = Merged::new(Vec::new());
+    merged.add(document);
+    merged.check_jobs()
+}
--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use sycamorerill_core::id;
+
 use crate::similar;
 
 /// Part of the configuration.
@@ -19,10 +21,12 @@
     Domain,
     /// Settings of the decisions.
     Policy,
+    /// Jobs of a file for submission, which no folder holds.
+    Job,
 }
 
 impl Section {
-    /// Every section.
+    /// Every section of a folder.
     pub const ALL: [Self; 6] =
         [Self::Service, Self::Class, Self::Team, Self::Target, Self::Domain, Self::Policy];
 
@@ -35,6 +39,7 @@
             Self::Target => "target",
             Self::Domain => "domain",
             Self::Policy => "policy",
+            Self::Job => "job",
         }
     }
 
@@ -43,6 +48,19 @@
         !matches!(self, Self::Policy)
     }
 
+    /// Checks the name of an entry of the section.
+    pub(crate) fn check_name(self, name: &str) -> Result<(), id::Error> {
+        match self {
+            Self::Service => name.parse::<id::ServiceName>().map(drop),
+            Self::Class => name.parse::<id::ClassName>().map(drop),
+            Self::Team => name.parse::<id::TeamName>().map(drop),
+            Self::Target => name.parse::<id::TargetName>().map(drop),
+            Self::Domain => name.parse::<id::DomainName>().map(drop),
+            Self::Job => name.parse::<id::JobName>().map(drop),
+            Self::Policy => Ok(()),
+        }
+    }
+
     pub(crate) fn find(word: &str) -> Option<Self> {
         Self::ALL.into_iter().find(|section| section.as_str() == word)
     }
--- a/crates/config/src/problem/fault.rs
+++ b/crates/config/src/problem/fault.rs
@@ -57,6 +57,15 @@
         /// Type that was found.
         found: &'static str,
     },
+    /// Jobs are not written as an array of tables.
+    #[error("`job` is of type {found}, expected one `[[job]]` for each job")]
+    NotArray {
+        /// Type that was found.
+        found: &'static str,
+    },
+    /// A file of jobs holds none.
+    #[error("the file holds no job, expected one `[[job]]` for each job")]
+    NoJob,
     /// The name of an entry is not a name.
     #[error("{0}")]
     Name(id::Error),
@@ -248,6 +257,8 @@
             Self::UnknownSection { .. } => "unknown_section",
             Self::UnknownKey { .. } => "unknown_key",
             Self::NotTable { .. } => "not_table",
+            Self::NotArray { .. } => "not_array",
+            Self::NoJob => "no_job",
             Self::Name(_) => "name",
             Self::Type { .. } => "type",
             Self::Value { .. } => "value",
--- a/crates/config/tests/scenarios.rs
+++ b/crates/config/tests/scenarios.rs
@@ -2,7 +2,7 @@
 //!
 //! `file NAME` adds a file with the lines below it, `check` prints the report
 //! or the size of the model, `merge` prints the merged settings, `render`
-//! prints the report as an operator sees it.
+//! prints the report as an operator sees it, `jobs` reads a file of jobs.
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
@@ -10,7 +10,7 @@
 
 use datadriven::{TestCase, walk};
 use miette::{GraphicalReportHandler, GraphicalTheme};
-use sycamorerill_config::{Folder, Report};
+use sycamorerill_config::{Folder, Report, parse_jobs};
 use sycamorerill_core::model::Config;
 
 #[test]
@@ -27,6 +27,10 @@
                 Ok(config) => summary(&config),
                 Err(report) => list(&report),
             },
+            "jobs" => match parse_jobs("jobs.toml", &case.input) {
+                Ok(jobs) => jobs.iter().map(|job| format!("{job:?}\n")).collect(),
+                Err(report) => list(&report),
+            },
             "render" => match Folder::from_files(std::mem::take(&mut files)).check() {
                 Ok(config) => summary(&config),
                 Err(report) => render(&report),
