calls: route, admit, queue, key and hand over calls

One state machine per entry instance: events and a time in, commands out. The slots of an executor are owned by one instance and counted until each request has ended or the longest run has passed. Keys are journaled before the send.

A property drives three routers over random pauses, crashes, lost and double answers, list lag, hand-overs and a failing store.

--- /dev/null
+++ b/crates/calls/src/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! Executors: whose slots are owned, how many are free, and how healthy they are.
+
+mod executor;
+mod health;
+mod settings;
+mod table;
+
+pub(crate) use executor::{Holding, Index};
+pub(crate) use health::Evidence;
+pub use settings::Settings;
+pub(crate) use table::Table;
--- /dev/null
+++ b/crates/calls/src/keys/settings.rs
@@ -0,0 +1,18 @@
+//! Settings of a ledger.
+
+/// Bounds of a ledger of keys.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Number of shards that keys are split into; the same in every entry instance.
+    pub shards: u16,
+    /// Largest number of keys that are kept.
+    pub max_keys: usize,
+    /// Largest number of answers that are kept for repeats.
+    pub max_answers: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { shards: 64, max_keys: 200_000, max_answers: 5_000 }
+    }
+}
--- /dev/null
+++ b/crates/calls/src/router/mod.rs
@@ -0,0 +1,139 @@
+//! The router of one entry instance.
+//!
+//! Each executor's slots belong to one entry instance at a time, and only the
+//! owner sends to it. A call that arrives elsewhere is forwarded to an owner
+//! with a free slot. The router counts every slot that is or may be occupied,
+//! and takes one for free only when its request has ended or the longest run of
+//! the service has passed.
+
+mod answer;
+mod arrive;
+mod command;
+mod end;
+mod entry;
+mod event;
+mod forward;
+mod keyed;
+mod own;
+mod service;
+mod settings;
+mod status;
+mod wake;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::{Attempt, CallId, InstanceName, ServiceName};
+use sycamorerill_core::model::Config;
+
+pub use command::{Choice, Command, Decision, Outcome, Reason, Why};
+pub use event::{Answer, Call, Event, Executor, InProgress, PeerAnswer};
+pub use settings::Settings;
+pub use status::{Load, Status};
+
+use crate::{fleet, keys, peers};
+use entry::{Entry, Flight};
+use service::Service;
+use wake::Timer;
+
+/// Decides where each call of one entry instance goes and what its caller is told.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    rng: fastrand::Rng,
+    config: Arc<Config>,
+    fleet: fleet::Table,
+    services: BTreeMap<ServiceName, Service>,
+    calls: BTreeMap<CallId, Entry>,
+    flights: BTreeMap<(CallId, Attempt), Flight>,
+    peers: peers::Table,
+    ledger: keys::Ledger,
+    key_owners: BTreeMap<keys::Shard, InstanceName>,
+    timers: BTreeSet<(Time, Timer)>,
+    serial: u64,
+    draining: bool,
+    finished: bool,
+}
+
+impl Router {
+    /// Returns a router that owns nothing and knows no service.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let fleet =
+            fleet::Table::new(settings.health, settings.domain.clone(), settings.far.as_ms_f64());
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            config: Arc::new(Config::default()),
+            fleet,
+            services: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            peers: peers::Table::new(settings.domain.clone()),
+            ledger: keys::Ledger::new(settings.keys),
+            key_owners: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            serial: 0,
+            draining: false,
+            finished: false,
+            settings,
+        }
+    }
+
+    /// Takes one event in and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Command>) {
+        self.wake(now, out);
+        match event {
+            Event::Configured(config) => self.configured(config),
+            Event::Listed(executors) => self.listed(now, executors, out),
+            Event::Owned { executor, epoch, in_progress } => {
+                self.owned(now, &executor, epoch, in_progress, out);
+            }
+            Event::Released { executor } => self.released(now, &executor, out),
+            Event::KeysOwned { shard, records } => self.keys_owned(now, shard, records),
+            Event::KeysMoved { shard, owner } => self.keys_moved(shard, owner, out),
+            Event::Arrived(call) => self.arrived(now, call, out),
+            Event::Answered { call, attempt, answer } => {
+                self.answered(now, call, attempt, answer, out);
+            }
+            Event::PeerAnswered { call, attempt, answer } => {
+                self.peer_answered(now, call, attempt, answer, out);
+            }
+            Event::Peer { name, domain, status } => {
+                self.peers.heard(name, domain, status);
+                self.forward_waiting(now, out);
+            }
+            Event::PeerGone { name } => self.peers.gone(&name),
+            Event::KeyDurable { call } => self.key_durable(now, call, out),
+            Event::KeyRefused { call } => self.key_refused(now, call, out),
+            Event::Probed { executor, healthy, .. } => self.probed(now, &executor, healthy, out),
+            Event::Abandoned { call } => self.abandoned(now, call, out),
+            Event::Tick => {}
+            Event::Drain => self.draining = true,
+        }
+        if self.draining {
+            self.drain(now, out);
+        }
+    }
+
+    /// Returns the load for heartbeats to peers and for metrics.
+    pub fn status(&self) -> Status {
+        let loads = self.fleet.services().map(|name| (name.clone(), self.load(name)));
+        Status { draining: self.draining, services: loads.collect() }
+    }
+
+    fn load(&self, name: &ServiceName) -> Load {
+        let total = self.fleet.total(name);
+        Load {
+            free: total.free,
+            usable: total.usable,
+            waiting: self.services.get(name).map_or(0, |service| service.queue.len()),
+            in_flight: total.in_flight,
+            ejected: total.ejected,
+        }
+    }
+
+    /// Returns the number of calls that have not come to an end.
+    pub fn in_progress(&self) -> usize {
+        self.calls.len()
+    }
+}
--- /dev/null
+++ b/crates/calls/src/router/service.rs
@@ -0,0 +1,98 @@
+//! What is kept of each service.
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{ServiceName, TeamName};
+use sycamorerill_core::model;
+
+use super::Router;
+use crate::latency::Estimate;
+use crate::queue::{Offer, Profile, Queue};
+use crate::retry::Budget;
+
+/// Milliseconds in a second.
+const MS_PER_SECOND: f64 = 1_000.0;
+
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) queue: Queue,
+    pub(crate) latency: Estimate,
+    pub(crate) retries: Budget,
+    pub(crate) hedges: Budget,
+}
+
+impl Router {
+    pub(crate) fn configured(&mut self, config: std::sync::Arc<model::Config>) {
+        self.config = config;
+        let instances = self.peers.len() + 1;
+        for (name, service) in &mut self.services {
+            let config = &self.config;
+            service.queue.declare(|team| profile(config, name, team, instances));
+        }
+    }
+
+    /// Returns what is kept of a declared service.
+    pub(crate) fn service(&mut self, now: Time, name: &ServiceName) -> Option<&mut Service> {
+        if !self.services.contains_key(name) {
+            self.config.services.get(name)?;
+            let service = Service {
+                queue: Queue::new(self.settings.queue, now),
+                latency: Estimate::default(),
+                retries: Budget::default(),
+                hedges: Budget::default(),
+            };
+            self.services.insert(name.clone(), service);
+        }
+        self.services.get_mut(name)
+    }
+
+    /// Returns the team whose share counts: undeclared ones share that of the service's owner.
+    pub(crate) fn counted_team(&self, service: &ServiceName, team: &TeamName) -> TeamName {
+        if self.config.teams.contains_key(team) {
+            return team.clone();
+        }
+        let declared = self.config.services.get(service);
+        declared.map_or_else(|| team.clone(), |service| service.team.clone())
+    }
+
+    pub(crate) fn profile(&self, service: &ServiceName, team: &TeamName) -> Profile {
+        profile(&self.config, service, team, self.peers.len() + 1)
+    }
+
+    /// Returns the mean time that a call takes, zero while it is not known.
+    pub(crate) fn mean(&self, service: &ServiceName) -> Span {
+        self.services.get(service).map_or(Span::ZERO, |service| service.latency.mean())
+    }
+
+    /// Returns the rate at which owned slots come free, in calls per millisecond.
+    pub(crate) fn slot_rate(&self, service: &ServiceName) -> f64 {
+        let usable = f64::from(self.fleet.total(service).usable);
+        let mean_ms = self.mean(service).as_ms_f64();
+        if mean_ms > 0.0 { usable / mean_ms } else { usable }
+    }
+
+    /// Returns what a call with this deadline would find in the queue.
+    pub(crate) fn offer(&self, now: Time, service: &ServiceName, deadline: Time) -> Offer {
+        let high = self.services.get(service).map_or(Span::ZERO, |s| s.latency.high());
+        Offer {
+            max_wait: deadline.since(now).less(high),
+            rate: self.slot_rate(service),
+            max_queue: self.config.policy.max_queue,
+        }
+    }
+}
+
+/// Returns the declared part of a team's flow of one urgency at one entry instance.
+fn profile(
+    config: &model::Config,
+    service: &ServiceName,
+    team: &TeamName,
+    instances: u32,
+) -> Profile {
+    let weight = config.teams.get(team).map_or(1, |team| team.weight.max(1));
+    let total: u32 = config.teams.values().map(|team| team.weight).sum();
+    let rate = config.services.get(service).map_or(0.0, |service| service.rate.0);
+    let share = f64::from(weight) / f64::from(total.max(weight));
+    let urgencies = model::Urgency::ALL.len() as f64;
+    let declared = rate * share / urgencies / f64::from(instances) / MS_PER_SECOND;
+    Profile { weight, declared }
+}
--- /dev/null
+++ b/crates/calls/tests/interleavings.rs
@@ -0,0 +1,71 @@
+//! What must always hold, over random interleavings of calls and faults.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod world;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use sycamorerill_calls::router::Event;
+use sycamorerill_core::clock::Span;
+use world::World;
+
+const NODES: usize = 3;
+const EXECUTORS: usize = 4;
+const SLOTS: u32 = 2;
+const KEYS: u8 = 4;
+
+fn step(world: &mut World, u: &mut Unstructured<'_>) -> Result<()> {
+    let node = u.choose_index(NODES)?;
+    let executor = u.choose_index(EXECUTORS)?;
+    match u.int_in_range(0..=23u8)? {
+        0..=6 => {
+            let idempotent = u.arbitrary()?;
+            let key = if u.arbitrary()? { Some(u.int_in_range(0..=KEYS - 1)?) } else { None };
+            world.issue(node, idempotent, key);
+        }
+        7 => world.pause(node),
+        8 => world.resume(node),
+        9 => world.crash(node),
+        10 => world.restart(node),
+        11 => world.release(executor),
+        12 => world.faults.lose_answers = u.arbitrary()?,
+        13 => world.faults.refuse = u.arbitrary()?,
+        14 => world.faults.store_down = u.arbitrary()?,
+        15 => world.faults.store_answers_lost = u.arbitrary()?,
+        16 => world.faults.duplicate_answers = u.arbitrary()?,
+        17 => world.faults.slow = u.arbitrary()?,
+        18 => world.cut(node),
+        19 => {
+            let leaving = if u.arbitrary()? { Some(executor) } else { None };
+            let list = world.list(leaving);
+            world.event(node, Event::Listed(list));
+        }
+        20 => world.move_keys(u16::from(u.int_in_range(0..=1u8)?), node),
+        21 => {
+            let issued: Vec<u64> = world.issued.keys().copied().collect();
+            if !issued.is_empty() {
+                world.abandon(*u.choose(&issued)?);
+            }
+        }
+        22 => world.heartbeats(),
+        _ => world.drain(node),
+    }
+    world.pass(Span::from_ms(u.int_in_range(0..=30u64)?));
+    Ok(())
+}
+
+#[test]
+fn calls_keep_their_promises_whatever_happens() {
+    arbtest(|u| {
+        let mut world = World::new(NODES, EXECUTORS, SLOTS, u.arbitrary()?);
+        while !u.is_empty() {
+            step(&mut world, u)?;
+        }
+        world.settle();
+        Ok(())
+    })
+    .size_min(64)
+    .size_max(4_096)
+    .budget_ms(5_000);
+}
