--- /dev/null
+++ b/crates/tasks/src/cell/key.rs
@@ -0,0 +1,78 @@
+//! Short keys by which a cell refers to what has a name.
+
+use std::collections::BTreeMap;
+
+use sycamorerill_core::value;
+
+value! {
+    /// A job.
+    pub(crate) struct Job(pub(crate) u64);
+}
+value! {
+    /// A task: its job and its index.
+    pub(crate) struct Task((Job, u32));
+}
+value! {
+    /// A class.
+    pub(crate) struct Class(pub(crate) u32);
+}
+value! {
+    /// A team.
+    pub(crate) struct Team(pub(crate) u32);
+}
+value! {
+    /// A worker.
+    pub(crate) struct Worker(pub(crate) u32);
+}
+value! {
+    /// A rack.
+    pub(crate) struct Rack(pub(crate) u32);
+}
+
+impl Task {
+    pub(crate) const fn new(job: Job, index: u32) -> Self {
+        Self((job, index))
+    }
+
+    pub(crate) const fn job(self) -> Job {
+        self.0.0
+    }
+
+    pub(crate) const fn index(self) -> u32 {
+        self.0.1
+    }
+}
+
+/// Gives each name a number, counted from 0.
+#[derive(Clone, Debug)]
+pub(crate) struct Names<N> {
+    numbers: BTreeMap<N, u32>,
+}
+
+impl<N> Default for Names<N> {
+    fn default() -> Self {
+        Self { numbers: BTreeMap::new() }
+    }
+}
+
+impl<N: Clone + Ord> Names<N> {
+    /// Returns the number of `name`, a new one when it has none.
+    pub(crate) fn number(&mut self, name: &N) -> u32 {
+        if let Some(found) = self.numbers.get(name) {
+            return *found;
+        }
+        let next = self.numbers.len() as u32;
+        self.numbers.insert(name.clone(), next);
+        next
+    }
+
+    /// Returns the number of `name`.
+    pub(crate) fn find(&self, name: &N) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    /// Returns how many names have a number.
+    pub(crate) fn len(&self) -> usize {
+        self.numbers.len()
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/cell/mod.rs
@@ -0,0 +1,242 @@
+//! The owner of the workers and jobs of one failure domain.
+//!
+//! What must last goes out as journal records and takes effect when the records
+//! are durable: a job is accepted, a worker forgets a finished task. Placements
+//! are not recorded. A successor takes the records, asks every worker that may
+//! hold a task what it holds, under its own higher epoch, and places a task again
+//! only when no worker can be running it.
+
+mod drive;
+mod fleet;
+mod interfere;
+mod jobs;
+pub(crate) mod key;
+mod message;
+mod place;
+mod reclaim;
+mod restore;
+mod settings;
+mod status;
+mod step;
+mod submit;
+mod timer;
+mod transfer;
+mod word;
+mod write;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use fastrand::Rng;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{ClassName, DomainName, Epoch, JobName, TeamName};
+use sycamorerill_core::model::{Class, Config};
+use sycamorerill_core::size::Size;
+
+pub use self::message::{Cause, Command, Decision, Event, Miss, Reply};
+pub use self::settings::{Interference, Placement, Settings};
+pub use self::status::{Counts, Status};
+
+use self::timer::{Timer, Wake};
+use self::write::Writer;
+use crate::job::Outcome;
+use crate::learn::{Faults, Mixes, Pairs, Sizes};
+use crate::queue::{Position, Queue};
+use crate::worker::Table;
+
+/// A job that has ended.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    outcome: Outcome,
+    /// When it is forgotten.
+    until: Time,
+    /// Number of hand-overs that it had.
+    hops: u32,
+}
+
+/// The owner of one failure domain under one epoch.
+#[derive(Clone, Debug)]
+pub struct Cell {
+    settings: Settings,
+    domain: DomainName,
+    epoch: Epoch,
+    rng: Rng,
+    config: Arc<Config>,
+    workers: Table,
+    jobs: jobs::Table,
+    ended: BTreeMap<JobName, Ended>,
+    queue: Queue,
+    /// Jobs that found no room, in the order in which they are tried again.
+    blocked: BTreeSet<Position>,
+    /// Whether room was freed since jobs were last found to have none.
+    freed: bool,
+    /// Last blocked job that was tried.
+    cursor: Option<Position>,
+    retry_at: Time,
+    writer: Writer,
+    timer: Timer,
+    /// Workers with commands to send.
+    dirty: BTreeSet<key::Worker>,
+    class_names: key::Names<ClassName>,
+    team_names: key::Names<TeamName>,
+    /// Declared classes by key.
+    classes: BTreeMap<key::Class, Class>,
+    /// What each team holds.
+    held: BTreeMap<key::Team, Size>,
+    /// Workers by size.
+    shapes: BTreeMap<Size, u32>,
+    /// Quota in this cell of each team, and whether it may borrow.
+    quotas: BTreeMap<key::Team, (Size, bool)>,
+    capacity: Size,
+    used: Size,
+    sizes: Sizes,
+    pairs: Pairs,
+    mixes: BTreeMap<key::Worker, Mixes>,
+    faults: Faults,
+    /// Evictions that may still be made now.
+    eviction_tokens: f64,
+    eviction_filled: Time,
+    tokens: u64,
+    exchanges: u64,
+    /// Workers that have not answered under this epoch and may hold tasks.
+    unfenced: BTreeSet<key::Worker>,
+    counts: Counts,
+    /// Whether the jobs of former owners may be placed.
+    all_settled: bool,
+    superseded: bool,
+    scratch: Vec<key::Worker>,
+}
+
+impl Cell {
+    /// Returns the cell of `domain`, owned under `epoch`, without workers and jobs.
+    ///
+    /// Equal seeds and equal events give equal commands.
+    pub fn new(settings: Settings, domain: DomainName, epoch: Epoch, seed: u64) -> Self {
+        Self {
+            settings,
+            domain,
+            epoch,
+            rng: Rng::with_seed(seed),
+            config: Arc::default(),
+            workers: Table::default(),
+            jobs: jobs::Table::default(),
+            ended: BTreeMap::new(),
+            queue: Queue::default(),
+            blocked: BTreeSet::new(),
+            freed: false,
+            cursor: None,
+            retry_at: Time::ZERO,
+            writer: Writer::default(),
+            timer: Timer::default(),
+            dirty: BTreeSet::new(),
+            class_names: key::Names::default(),
+            team_names: key::Names::default(),
+            classes: BTreeMap::new(),
+            held: BTreeMap::new(),
+            shapes: BTreeMap::new(),
+            quotas: BTreeMap::new(),
+            capacity: Size::ZERO,
+            used: Size::ZERO,
+            sizes: Sizes::default(),
+            pairs: Pairs::default(),
+            mixes: BTreeMap::new(),
+            faults: Faults::default(),
+            eviction_tokens: 1.0,
+            eviction_filled: Time::ZERO,
+            tokens: 0,
+            exchanges: 0,
+            unfenced: BTreeSet::new(),
+            counts: Counts::default(),
+            all_settled: false,
+            superseded: false,
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Returns the failure domain of the cell.
+    pub const fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+
+    /// Returns the epoch under which the cell is owned.
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Reports whether a worker has seen a higher epoch; the cell is then to be dropped.
+    pub const fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Returns when the cell wants an [`Event::Tick`] if nothing else happens before.
+    pub fn next_wake(&self) -> Option<Time> {
+        if self.superseded { None } else { self.timer.next() }
+    }
+
+    /// Takes an event that happens at `now` and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Command>) {
+        if self.superseded {
+            self.refuse(event, out);
+            return;
+        }
+        match event {
+            Event::Configured(config) => self.configure(now, config, out),
+            Event::Workers(list) => self.list_workers(now, &list, out),
+            Event::Submit { job, request } => self.submit(now, job, request, out),
+            Event::Cancel { job, request } => self.cancel(&job, request, out),
+            Event::Durable(sequence) => self.durable(now, sequence, out),
+            Event::NotDurable(sequence) => self.not_durable(now, sequence, out),
+            Event::Reported { worker, report } => self.reported(now, &worker, report, out),
+            Event::Unreachable(worker) => self.unreachable(now, &worker),
+            Event::Gone(worker) => self.gone(now, &worker, out),
+            Event::PredecessorGone => self.predecessor_gone(now),
+            Event::Move { job, to } => self.move_job(&job, &to, out),
+            Event::Offered { from, transfer } => self.offered(from, *transfer, out),
+            Event::Taken { job } => self.taken(now, &job, out),
+            Event::StoreDown => self.writer.set_up(false),
+            Event::StoreUp => self.writer.set_up(true),
+            Event::Tick => {}
+        }
+        self.wake(now, out);
+        self.place_waiting(now, out);
+        self.send(now, out);
+    }
+
+    fn wake(&mut self, now: Time, out: &mut Vec<Command>) {
+        while let Some(wake) = self.timer.pop(now) {
+            match wake {
+                Wake::Worker(worker) => self.attend(now, worker, out),
+                Wake::Deadline(job) => self.deadline_passed(now, job, out),
+                Wake::Ready(task) => self.make_ready(now, task),
+                Wake::Retry => self.freed = true,
+                Wake::Offer(job) => self.offer_again(now, job, out),
+                Wake::Forget => self.forget_ended(now),
+            }
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        self.unfenced.is_empty()
+    }
+
+    /// Returns the term of a lease as the owner reckons with it.
+    fn lease(&self) -> Span {
+        self.config.policy.task_lease
+    }
+
+    fn class_of(&mut self, name: &ClassName) -> key::Class {
+        key::Class(self.class_names.number(name))
+    }
+
+    fn team_of(&mut self, name: &TeamName) -> key::Team {
+        key::Team(self.team_names.number(name))
+    }
+
+    fn is_service(&self, class: key::Class) -> bool {
+        self.classes.get(&class).is_some_and(|class| class.service)
+    }
+
+    fn can_checkpoint(&self, class: key::Class) -> bool {
+        self.classes.get(&class).is_some_and(|class| class.checkpoint)
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -0,0 +1,111 @@
+//! Room for urgent tasks and for teams below their quota, made by moving others.
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::model::Urgency;
+use sycamorerill_core::size::Size;
+
+use super::step::share_of;
+use super::{Cause, Cell, Command, key};
+use crate::queue::Position;
+use crate::worker::{Hold, Intent, Token};
+
+/// Time between two searches for room for one job.
+const RECLAIM_EVERY: Span = Span::from_ms(500);
+/// Workers that are looked at in one search.
+const RECLAIM_CANDIDATES: usize = 32;
+
+/// Tasks of one worker whose eviction makes enough room.
+struct Plan {
+    worker: key::Worker,
+    tokens: Vec<(Token, bool)>,
+}
+
+impl Cell {
+    /// Moves tasks off one worker, so that a task of size `need` fits there.
+    pub(super) fn reclaim(
+        &mut self,
+        now: Time,
+        position: Position,
+        need: Size,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(job) = self.jobs.entry_mut(position.job) else { return };
+        let lately = job.reclaimed_at.is_some_and(|at| now.since(at) < RECLAIM_EVERY);
+        if !self.settings.reclaim || lately {
+            return;
+        }
+        job.reclaimed_at = Some(now);
+        let Some(cause) = self.reclaim_cause(position, need) else { return };
+        let Some(plan) = self.plan(position, need, cause) else { return };
+        if position.urgency < Urgency::Urgent && !self.take_eviction(now) {
+            return;
+        }
+        for (token, checkpoint) in plan.tokens {
+            self.evict(now, plan.worker, token, checkpoint, cause, out);
+        }
+    }
+
+    fn reclaim_cause(&self, position: Position, need: Size) -> Option<Cause> {
+        if position.urgency >= Urgency::High {
+            return Some(Cause::Urgency);
+        }
+        let held = self.held.get(&position.team).copied().unwrap_or_default();
+        let within = share_of(held + need, self.quota(position.team)) <= 1.0;
+        within.then_some(Cause::Quota)
+    }
+
+    fn plan(&mut self, position: Position, need: Size, cause: Cause) -> Option<Plan> {
+        let drawn = self.workers.draw(RECLAIM_CANDIDATES, &mut self.rng);
+        let plans = drawn.into_iter().filter_map(|key| self.plan_on(key, position, need, cause));
+        plans.min_by_key(|plan| (plan.tokens.len(), plan.worker))
+    }
+
+    fn plan_on(
+        &self,
+        worker: key::Worker,
+        position: Position,
+        need: Size,
+        cause: Cause,
+    ) -> Option<Plan> {
+        let entry = self.workers.entry(worker).filter(|entry| entry.is_indexed())?;
+        let mut room = entry.free();
+        let mut movable = Vec::new();
+        for (token, hold) in entry.holds.iter().filter(|(_, hold)| hold.counted) {
+            if !matches!(hold.intent, Intent::Run(_)) {
+                // Room that is being made already counts for whoever waits for it.
+                return None;
+            }
+            if self.yields(hold, position, cause) {
+                movable.push((self.urgency_of(hold.task.job()), *token));
+            }
+        }
+        movable.sort_unstable();
+        let mut tokens = Vec::new();
+        for (_, token) in movable {
+            if need.fits(room) {
+                break;
+            }
+            let hold = entry.holds.get(&token)?;
+            room += hold.size;
+            tokens.push((token, self.can_checkpoint(hold.class)));
+        }
+        (need.fits(room) && !tokens.is_empty()).then_some(Plan { worker, tokens })
+    }
+
+    /// Reports whether a task is moved for the sake of the job at `position`.
+    fn yields(&self, hold: &Hold, position: Position, cause: Cause) -> bool {
+        let urgency = self.urgency_of(hold.task.job());
+        if self.is_service(hold.class) {
+            return false;
+        }
+        let may_stop = self.can_checkpoint(hold.class) || position.urgency == Urgency::Urgent;
+        let below = urgency < position.urgency;
+        let held = self.held.get(&hold.team).copied().unwrap_or_default();
+        let over = hold.team != position.team && share_of(held, self.quota(hold.team)) > 1.0;
+        let yields = match cause {
+            Cause::Urgency => below,
+            _ => over && urgency <= position.urgency,
+        };
+        yields && may_stop
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/cell/restore.rs
@@ -0,0 +1,200 @@
+//! Snapshot, journal and the first steps of a successor.
+
+use std::collections::BTreeMap;
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::JobName;
+
+use super::jobs::{self, Moving};
+use super::timer::Wake;
+use super::{Cell, Command, Ended, key};
+use crate::job::Outcome;
+use crate::journal::{self, Entry, Record, Snapshot, Transfer};
+use crate::life::{Input, State};
+use crate::worker::Admission;
+
+impl Cell {
+    /// Takes over what former owners made durable; the configuration must be in force.
+    ///
+    /// Records that the snapshot contains are skipped.
+    pub fn restore(
+        &mut self,
+        now: Time,
+        snapshot: Snapshot,
+        records: impl IntoIterator<Item = Record>,
+        out: &mut Vec<Command>,
+    ) {
+        let mut sequence = snapshot.sequence;
+        for worker in &snapshot.workers {
+            self.expect_worker(now, worker);
+        }
+        for (name, ended) in snapshot.ended {
+            let until = Time::from_ms(ended.until_ms);
+            self.ended.insert(name, Ended { outcome: ended.outcome, until, hops: ended.hops });
+        }
+        for transfer in snapshot.jobs {
+            self.restore_job(transfer);
+        }
+        for record in records.into_iter().filter(|record| record.sequence > snapshot.sequence) {
+            sequence = sequence.max(record.sequence);
+            self.replay(now, record.entry);
+        }
+        self.writer.start_after(sequence);
+        self.timer.set(now + self.settings.keep_ended.scale(0.1), Wake::Forget);
+        self.resume(now, out);
+    }
+
+    fn expect_worker(&mut self, now: Time, name: &sycamorerill_core::id::WorkerName) {
+        let key = self.workers.add(name, now);
+        if let Some(entry) = self.workers.entry_mut(key) {
+            entry.admission = Admission::Durable;
+        }
+        self.unfenced.insert(key);
+        self.dirty.insert(key);
+    }
+
+    fn restore_job(&mut self, transfer: Transfer) -> key::Job {
+        let mut entry = self.new_entry(transfer.at, transfer.job.clone(), State::Accepted);
+        entry.durable = true;
+        entry.settled = false;
+        entry.hops = transfer.hops;
+        entry.missed = transfer.missed;
+        entry.cancelled = transfer.cancelled;
+        entry.moving = transfer.moving.map_or(Moving::No, Moving::Offered);
+        entry.take_progress(&transfer.tasks);
+        self.jobs.insert(entry)
+    }
+
+    fn replay(&mut self, now: Time, entry: Entry) {
+        match entry {
+            Entry::Admitted(worker) => self.expect_worker(now, &worker),
+            Entry::Retired(worker) => {
+                if let Some(key) = self.workers.find(&worker) {
+                    self.workers.remove(key);
+                    self.unfenced.remove(&key);
+                    self.dirty.remove(&key);
+                }
+            }
+            Entry::Accepted { job, at } => {
+                self.restore_job(Transfer::new(job, at));
+            }
+            Entry::Received(transfer) => {
+                let transfer = Transfer { moving: None, ..*transfer };
+                self.ended.remove(&transfer.job.name);
+                self.restore_job(transfer);
+            }
+            Entry::Finished { job, task } => self.replay_task(&job, task, |task| {
+                task.state = State::Finished;
+            }),
+            Entry::Attempts { job, task, count, last } => self.replay_task(&job, task, |task| {
+                task.attempts = count;
+                if last {
+                    task.state = State::Failed;
+                }
+            }),
+            Entry::Checkpointed { job, task, checkpoint } => {
+                self.replay_task(&job, task, |task| task.checkpoint = Some(checkpoint));
+            }
+            Entry::Cancelled(job) => self.replay_job(&job, |entry| entry.cancelled = true),
+            Entry::Missed(job) => self.replay_job(&job, |entry| entry.missed = true),
+            Entry::Moving { job, to } => {
+                self.replay_job(&job, |entry| entry.moving = Moving::Offered(to));
+            }
+            Entry::Ended { job, outcome } => self.replay_end(now, job, outcome),
+        }
+    }
+
+    fn replay_job(&mut self, name: &JobName, act: impl FnOnce(&mut jobs::Entry)) {
+        let Some(key) = self.jobs.find(name) else { return };
+        if let Some(entry) = self.jobs.entry_mut(key) {
+            act(entry);
+        }
+    }
+
+    fn replay_task(&mut self, name: &JobName, index: u32, act: impl FnOnce(&mut jobs::Task)) {
+        self.replay_job(name, |entry| {
+            if let Some(task) = entry.tasks.get_mut(index as usize)
+                && !task.state.is_final()
+            {
+                act(task);
+                entry.open -= u32::from(task.state.is_final());
+            }
+        });
+    }
+
+    fn replay_end(&mut self, now: Time, job: JobName, outcome: Outcome) {
+        let entry = self.jobs.find(&job).and_then(|key| self.jobs.remove(key));
+        let hops = entry.map_or(0, |entry| entry.hops) + u32::from(outcome == Outcome::Moved);
+        self.remember_end(now, job, outcome, hops);
+    }
+
+    fn resume(&mut self, now: Time, out: &mut Vec<Command>) {
+        for key in self.jobs.keys() {
+            self.resume_job(now, key, out);
+        }
+        self.settle(now, out);
+        self.send(now, out);
+    }
+
+    fn resume_job(&mut self, now: Time, key: key::Job, out: &mut Vec<Command>) {
+        let Some(entry) = self.jobs.entry(key) else { return };
+        for task in &entry.tasks {
+            *self.counts.states.entry(task.state).or_default() += 1;
+        }
+        let (cancelled, moving) = (entry.cancelled, entry.moving.clone());
+        if cancelled {
+            self.each_task(key, |cell, task| cell.step(now, task, Input::Cancel));
+        }
+        if moving != Moving::No {
+            self.offer_again(now, key, out);
+        } else {
+            self.admit_job(now, key, out);
+        }
+        self.end_if_done(now, key, out);
+    }
+
+    /// Lets the jobs of former owners be placed once no worker can hold an unknown task.
+    pub(super) fn settle(&mut self, now: Time, out: &mut Vec<Command>) {
+        if !self.is_settled() || std::mem::replace(&mut self.all_settled, true) {
+            return;
+        }
+        for key in self.jobs.keys() {
+            if let Some(entry) = self.jobs.entry_mut(key) {
+                entry.settled = true;
+            }
+            self.park_or_queue(now, key, out);
+            self.each_task(key, |cell, task| cell.make_ready(now, task));
+        }
+    }
+
+    /// The process of the former owner is gone: leases that it granted lapse by themselves.
+    pub(super) fn predecessor_gone(&mut self, now: Time) {
+        let lapse = now + self.lease();
+        for key in self.unfenced.clone() {
+            let Some(entry) = self.workers.entry_mut(key) else { continue };
+            entry.link.set_lapse(lapse);
+            self.timer.set(lapse + self.settings.lease_margin, Wake::Worker(key));
+        }
+    }
+
+    /// Returns what must last, up to the last durable record.
+    ///
+    /// Returns nothing while a record is on its way, since its effect may be contained.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        if self.writer.durable < self.writer.sequence {
+            return None;
+        }
+        let admitted = self.workers.iter().filter(|(_, e)| e.admission == Admission::Durable);
+        let ended = self.ended.iter().map(|(name, ended)| {
+            let until_ms = ended.until.as_ms();
+            let Ended { outcome, hops, .. } = *ended;
+            (name.clone(), journal::Ended { outcome, until_ms, hops })
+        });
+        Some(Snapshot {
+            sequence: self.writer.sequence,
+            workers: admitted.map(|(_, entry)| entry.name.clone()).collect(),
+            jobs: self.jobs.iter().map(|(_, entry)| entry.transfer()).collect(),
+            ended: ended.collect::<BTreeMap<_, _>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/cell/word.rs
@@ -0,0 +1,375 @@
+//! Reports of workers and what they mean for tasks.
+
+use std::collections::BTreeSet;
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::WorkerName;
+use sycamorerill_core::rate::Share;
+use sycamorerill_core::size::Size;
+
+use super::timer::Wake;
+use super::write::Effect;
+use super::{Cell, Command, Decision, key};
+use crate::journal::Entry;
+use crate::life::{Input, State};
+use crate::worker::{self, Fault, Held, Hold, Intent, Phase, Report, Token, Worth};
+
+impl Cell {
+    pub(super) fn reported(
+        &mut self,
+        now: Time,
+        name: &WorkerName,
+        report: Report,
+        out: &mut Vec<Command>,
+    ) {
+        if report.epoch > self.epoch {
+            self.superseded = true;
+            out.push(Command::Superseded(report.epoch));
+            return;
+        }
+        let Some(key) = self.workers.find(name) else { return };
+        let Some(entry) = self.workers.entry_mut(key) else { return };
+        if report.epoch != self.epoch || entry.link.answer(&report, now) == Worth::Late {
+            return;
+        }
+        entry.fenced = true;
+        entry.lapsed = false;
+        entry.size = report.size;
+        entry.extras.clear();
+        let renew = now + self.settings.heartbeat;
+        entry.link.set_renew_at(entry.link.renew_at().min(renew));
+        self.take_held(now, key, &report, out);
+        self.unfenced.remove(&key);
+        self.after_change(now, key);
+        self.settle(now, out);
+        self.watch(now, key, out);
+        self.dirty.insert(key);
+        self.timer.set(now + self.settings.heartbeat, Wake::Worker(key));
+    }
+
+    fn take_held(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        report: &Report,
+        out: &mut Vec<Command>,
+    ) {
+        let mut listed = BTreeSet::new();
+        for held in &report.held {
+            listed.insert(held.token);
+            self.take_word(now, worker, held, out);
+        }
+        let Some(entry) = self.workers.entry(worker) else { return };
+        let answered = report.answers;
+        let missing = entry.holds.iter().filter(|(token, hold)| {
+            let sent = hold.sent != 0 && hold.sent <= answered;
+            !listed.contains(token) && (hold.phase.is_some() || sent)
+        });
+        let missing: Vec<Token> = missing.map(|(token, _)| *token).collect();
+        for token in missing {
+            self.drop_hold(now, worker, token, out);
+        }
+    }
+
+    /// A worker no longer lists a task.
+    fn drop_hold(&mut self, now: Time, worker: key::Worker, token: Token, out: &mut Vec<Command>) {
+        self.release(worker, token);
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        let Some(hold) = entry.holds.remove(&token) else { return };
+        if hold.is_off() {
+            return;
+        }
+        let input = if hold.phase.is_some() { Input::Lost } else { Input::Refused };
+        self.off(now, hold.task, token, input, out);
+    }
+
+    fn take_word(&mut self, now: Time, worker: key::Worker, held: &Held, out: &mut Vec<Command>) {
+        let known =
+            self.workers.entry(worker).is_some_and(|entry| entry.holds.contains_key(&held.token));
+        if !known && !self.adopt(now, worker, held) {
+            self.counts.stale += 1;
+            self.answer_stale(worker, held);
+            return;
+        }
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        let Some(hold) = entry.holds.get_mut(&held.token) else { return };
+        hold.usage.clone_from(&held.usage);
+        let before = hold.phase.replace(held.phase.clone());
+        let (task, was_on) = (hold.task, !before.as_ref().is_some_and(Phase::is_off));
+        if before.as_ref() != Some(&held.phase) && was_on {
+            hold.told = false;
+            self.apply_word(now, worker, task, held, out);
+        }
+    }
+
+    /// Makes a hold of a task of which only the worker knew; returns whether its word counts.
+    fn adopt(&mut self, now: Time, worker: key::Worker, held: &Held) -> bool {
+        let Some(task_key) = self.jobs.find_task(&held.task) else { return false };
+        let Some(job) = self.jobs.entry(task_key.job()) else { return false };
+        let moving = job.moving != super::jobs::Moving::No;
+        let Some(task) = self.jobs.task(task_key) else { return false };
+        let newest = task.token.is_none_or(|token| held.token >= token);
+        if !newest || moving || task.state.is_final() || !job.durable {
+            return false;
+        }
+        let (before, team) = (task.worker.zip(task.token), job.team);
+        let size = if held.phase.is_off() { Size::ZERO } else { held.size };
+        let intent = match held.phase {
+            Phase::Throttled(share) => Intent::Run(share),
+            Phase::Checkpointing => Intent::Checkpoint,
+            _ => Intent::Run(Share::new(1.0)),
+        };
+        let hold = Hold {
+            task: task_key,
+            name: held.task.clone(),
+            class: self.class_of(&held.class),
+            team,
+            class_name: held.class.clone(),
+            attempt: held.attempt,
+            size,
+            cpu: size.cpu(),
+            resume_from: None,
+            sent: 1,
+            adopted: true,
+            counted: false,
+            phase: None,
+            intent,
+            told: false,
+            since: now,
+            usage: None,
+            may_forget: false,
+        };
+        if let Some((other, token)) = before {
+            self.supersede(other, token);
+        }
+        self.unqueue_task(task_key);
+        if let Some(task) = self.jobs.task_mut(task_key) {
+            task.token = Some(held.token);
+            task.worker = Some(worker);
+        }
+        self.hold(now, worker, held.token, hold);
+        true
+    }
+
+    /// Takes a placement off that a newer one on another worker has replaced.
+    fn supersede(&mut self, worker: key::Worker, token: Token) {
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        if let Some(hold) = entry.holds.get_mut(&token) {
+            hold.intent = Intent::Stop;
+            hold.may_forget = true;
+            hold.told = false;
+            self.dirty.insert(worker);
+        }
+    }
+
+    /// Stops a task whose token doesn't count, or lets the worker forget it.
+    fn answer_stale(&mut self, worker: key::Worker, held: &Held) {
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        let (task, token) = (held.task.clone(), held.token);
+        entry.extras.push(if held.phase.is_off() {
+            worker::Command::Ack { task, token }
+        } else {
+            worker::Command::Stop { task, token, checkpoint: false }
+        });
+    }
+
+    fn apply_word(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        task: key::Task,
+        held: &Held,
+        out: &mut Vec<Command>,
+    ) {
+        if held.phase.is_off() {
+            self.release(worker, held.token);
+        }
+        let current = self.jobs.task(task).is_some_and(|task| task.token == Some(held.token));
+        if !current {
+            self.let_go(worker, held.token);
+            return;
+        }
+        match &held.phase {
+            Phase::Running => self.step(now, task, Input::Running),
+            Phase::Throttled(_) => self.step(now, task, Input::Throttled),
+            Phase::Checkpointing => self.step(now, task, Input::Checkpointing),
+            Phase::Stopped => self.off_and_forget(now, worker, held, task, Input::Stopped, out),
+            Phase::Lapsed => self.off_and_forget(now, worker, held, task, Input::Lapsed, out),
+            Phase::Checkpointed(_) | Phase::Finished | Phase::Failed(_) => {
+                self.ended_word(now, worker, task, held, out);
+            }
+        }
+    }
+
+    fn off_and_forget(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        held: &Held,
+        task: key::Task,
+        input: Input,
+        out: &mut Vec<Command>,
+    ) {
+        self.let_go(worker, held.token);
+        self.off(now, task, held.token, input, out);
+    }
+
+    fn let_go(&mut self, worker: key::Worker, token: Token) {
+        if let Some(entry) = self.workers.entry_mut(worker)
+            && let Some(hold) = entry.holds.get_mut(&token)
+        {
+            hold.may_forget = true;
+            hold.told = false;
+        }
+    }
+
+    /// Takes a word that must last before the worker may forget it.
+    fn ended_word(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        key: key::Task,
+        held: &Held,
+        out: &mut Vec<Command>,
+    ) {
+        let is_final = self.jobs.task(key).is_none_or(|task| task.state.is_final());
+        if is_final {
+            self.let_go(worker, held.token);
+            return self.off(now, key, held.token, Input::Stopped, out);
+        }
+        let input = match &held.phase {
+            Phase::Checkpointed(checkpoint) => {
+                if let Some(task) = self.jobs.task_mut(key) {
+                    task.checkpoint = Some(checkpoint.clone());
+                }
+                Input::Checkpointed
+            }
+            Phase::Failed(fault) => self.failed(now, worker, key, held, *fault, out),
+            _ => self.finished(now, worker, key, held, out),
+        };
+        self.write_word(worker, key, held.token, &held.phase, input, out);
+        self.off(now, key, held.token, input, out);
+    }
+
+    fn write_word(
+        &mut self,
+        worker: key::Worker,
+        key: key::Task,
+        token: Token,
+        phase: &Phase,
+        input: Input,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(job) = self.jobs.entry(key.job()) else { return };
+        let (job, task) = (job.job.name.clone(), key.index());
+        let count = self.jobs.task(key).map_or(0, |task| task.attempts);
+        let entry = match phase {
+            Phase::Checkpointed(checkpoint) => {
+                Entry::Checkpointed { job, task, checkpoint: checkpoint.clone() }
+            }
+            Phase::Failed(_) => {
+                Entry::Attempts { job, task, count, last: input == Input::Exhausted }
+            }
+            _ => Entry::Finished { job, task },
+        };
+        self.journal(entry, Effect::Forget(worker, token), out);
+    }
+
+    /// Journals the word of a worker again.
+    pub(super) fn write_again(
+        &mut self,
+        _now: Time,
+        worker: key::Worker,
+        token: Token,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(entry) = self.workers.entry(worker) else { return };
+        let Some(hold) = entry.holds.get(&token) else { return };
+        let (key, Some(phase)) = (hold.task, hold.phase.clone()) else { return };
+        let failed = self.jobs.task(key).is_some_and(|task| task.state == State::Failed);
+        let input = if failed { Input::Exhausted } else { Input::Fault };
+        self.write_word(worker, key, token, &phase, input, out);
+    }
+
+    fn finished(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        key: key::Task,
+        held: &Held,
+        out: &mut Vec<Command>,
+    ) -> Input {
+        let (task, token) = (held.task.clone(), held.token);
+        out.push(Command::Decision(Decision::Finished { task, token }));
+        let Some(job) = self.jobs.entry(key.job()) else { return Input::Finished };
+        let (class, declared) = (job.class, job.run_time);
+        let Some(entry) = self.workers.entry_mut(worker) else { return Input::Finished };
+        self.faults.finished(class, &mut entry.standing);
+        if let Some(hold) = entry.holds.get(&held.token)
+            && hold.resume_from.is_none()
+            && !hold.adopted
+        {
+            self.sizes.observe_run(class, declared, now.since(hold.since));
+        }
+        Input::Finished
+    }
+
+    fn failed(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        key: key::Task,
+        held: &Held,
+        fault: Fault,
+        out: &mut Vec<Command>,
+    ) -> Input {
+        self.counts.failed += 1;
+        let Some(job) = self.jobs.entry(key.job()) else { return Input::Fault };
+        let class = job.class;
+        let most = self.classes.get(&class).map_or(1, |class| class.attempts.max(1));
+        let Some(entry) = self.workers.entry_mut(worker) else { return Input::Fault };
+        let name = entry.name.clone();
+        let absolved = self.faults.failed(class, key, &mut entry.standing, now);
+        let until = entry.standing.until();
+        let Some(task) = self.jobs.task_mut(key) else { return Input::Fault };
+        task.attempts += 1;
+        task.avoid = Some(worker);
+        if absolved.is_some() {
+            self.counts.quarantined += 1;
+            self.timer.set(until, Wake::Worker(worker));
+            let worker = name.clone();
+            out.push(Command::Decision(Decision::Quarantined { worker, until }));
+        }
+        for task in absolved.into_iter().flatten() {
+            if let Some(task) = self.jobs.task_mut(task) {
+                task.attempts = task.attempts.saturating_sub(1);
+            }
+        }
+        let attempts = self.jobs.task(key).map_or(most, |task| task.attempts);
+        let last = attempts >= most;
+        let task = held.task.clone();
+        out.push(Command::Decision(Decision::Failed { task, worker: name, fault, last }));
+        if last { Input::Exhausted } else { Input::Fault }
+    }
+
+    /// A task is off its worker.
+    pub(super) fn off(
+        &mut self,
+        now: Time,
+        key: key::Task,
+        token: Token,
+        input: Input,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(task) = self.jobs.task_mut(key) else { return };
+        if task.token != Some(token) {
+            return;
+        }
+        task.worker = None;
+        if input == Input::Lost {
+            self.counts.lost += 1;
+        }
+        self.step(now, key, input);
+        self.end_if_done(now, key.job(), out);
+    }
+}
--- /dev/null
+++ b/crates/tasks/src/cell/write.rs
@@ -0,0 +1,138 @@
+//! Records on their way to the store, and what waits for them.
+
+use std::collections::BTreeMap;
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::DomainName;
+
+use super::{Cell, Command, Reply, key};
+use crate::job::{Reason, Request};
+use crate::journal::{Entry, Record};
+use crate::worker::{Admission, Token};
+
+/// What happens once a record is durable.
+#[derive(Clone, Debug)]
+pub(crate) enum Effect {
+    None,
+    Accept(key::Job),
+    Admit(key::Worker),
+    Forget(key::Worker, Token),
+    Cancel(key::Job, Request),
+    Drop(key::Job),
+    Offer(key::Job),
+    Receive(key::Job, DomainName),
+}
+
+/// Numbers records and keeps what waits for them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Writer {
+    pub(crate) sequence: u64,
+    pub(crate) durable: u64,
+    waiting: BTreeMap<u64, Effect>,
+    down: bool,
+}
+
+impl Writer {
+    pub(crate) const fn set_up(&mut self, up: bool) {
+        self.down = !up;
+    }
+
+    pub(crate) const fn is_down(&self) -> bool {
+        self.down
+    }
+
+    pub(crate) const fn start_after(&mut self, sequence: u64) {
+        self.sequence = sequence;
+        self.durable = sequence;
+    }
+
+    fn next(&mut self, effect: Effect) -> u64 {
+        self.sequence += 1;
+        self.waiting.insert(self.sequence, effect);
+        self.sequence
+    }
+
+    fn pop_durable(&mut self) -> Option<Effect> {
+        let ready = self.waiting.first_key_value().is_some_and(|(at, _)| *at <= self.durable);
+        if !ready {
+            return None;
+        }
+        self.waiting.pop_first().map(|(_, effect)| effect)
+    }
+}
+
+impl Cell {
+    pub(super) fn journal(&mut self, entry: Entry, effect: Effect, out: &mut Vec<Command>) {
+        let sequence = self.writer.next(effect);
+        out.push(Command::Journal(Record { sequence, entry }));
+    }
+
+    pub(super) fn durable(&mut self, now: Time, sequence: u64, out: &mut Vec<Command>) {
+        self.writer.durable = self.writer.durable.max(sequence);
+        while let Some(effect) = self.writer.pop_durable() {
+            self.take_effect(now, effect, out);
+        }
+    }
+
+    fn take_effect(&mut self, now: Time, effect: Effect, out: &mut Vec<Command>) {
+        match effect {
+            Effect::None => {}
+            Effect::Accept(job) => self.accept(now, job, out),
+            Effect::Admit(worker) => self.admit(now, worker),
+            Effect::Forget(worker, token) => self.let_forget(worker, token),
+            Effect::Cancel(job, request) => self.cancel_now(now, job, request, out),
+            Effect::Drop(job) => self.drop_job(job),
+            Effect::Offer(job) => self.offer(now, job, out),
+            Effect::Receive(job, from) => self.received(now, job, from, out),
+        }
+    }
+
+    pub(super) fn not_durable(&mut self, now: Time, sequence: u64, out: &mut Vec<Command>) {
+        let Some(effect) = self.writer.waiting.remove(&sequence) else { return };
+        match effect {
+            Effect::Accept(job) => self.reject(job, &Reason::NotWritten, out),
+            Effect::Cancel(job, request) => self.not_cancelled(job, request, out),
+            Effect::Receive(job, _) => {
+                self.jobs.remove(job);
+            }
+            // The other records are facts that have to be written again.
+            Effect::Admit(worker) => self.ask_admission(worker, out),
+            Effect::Forget(worker, token) => self.write_again(now, worker, token, out),
+            Effect::Drop(job) => self.end_job(now, job, out),
+            Effect::Offer(job) => self.stay(now, job),
+            Effect::None => {}
+        }
+    }
+
+    fn admit(&mut self, now: Time, worker: key::Worker) {
+        if let Some(entry) = self.workers.entry_mut(worker) {
+            entry.admission = Admission::Durable;
+        }
+        self.workers.reindex(worker, now, self.settings.silence);
+        self.freed = true;
+    }
+
+    pub(super) fn ask_admission(&mut self, worker: key::Worker, out: &mut Vec<Command>) {
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        entry.admission = Admission::Asked;
+        let name = entry.name.clone();
+        self.journal(Entry::Admitted(name), Effect::Admit(worker), out);
+    }
+
+    fn let_forget(&mut self, worker: key::Worker, token: Token) {
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        if let Some(hold) = entry.holds.get_mut(&token) {
+            hold.may_forget = true;
+            hold.told = false;
+            self.dirty.insert(worker);
+        }
+    }
+
+    fn not_cancelled(&mut self, job: key::Job, request: Request, out: &mut Vec<Command>) {
+        if let Some(entry) = self.jobs.entry_mut(job) {
+            entry.cancelling = false;
+        }
+        let reply = Reply::NotCancelled(Reason::NotWritten);
+        out.push(Command::Reply { request, reply });
+    }
+}
--- a/crates/tasks/src/lib.rs
+++ b/crates/tasks/src/lib.rs
@@ -1,1 +1,16 @@
 //! Placement, interference, eviction and leases of tasks, as pure decisions.
+//!
+//! A [`cell::Cell`] owns the workers and jobs of one failure domain under an
+//! epoch. It takes events with the present time and answers with typed commands.
+//! It opens no sockets and reads no clock. The times that it is given must come
+//! from a clock that all entry instances share, since deadlines are journaled.
+
+pub mod cell;
+pub mod job;
+pub mod journal;
+pub mod life;
+pub mod worker;
+
+mod learn;
+mod queue;
+mod text;
--- /dev/null
+++ b/crates/tasks/src/worker/table.rs
@@ -0,0 +1,208 @@
+//! The workers of a cell.
+
+use std::collections::BTreeMap;
+
+use fastrand::Rng;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{RackName, WorkerName};
+use sycamorerill_core::size::Size;
+
+use super::{Command, Hold, Index, Intent, Link, Token};
+use crate::cell::key;
+use crate::learn::{self, Mix, Standing};
+
+/// Whether a successor would know that the worker may hold tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// Not yet asked for.
+    None,
+    /// The record is on its way.
+    Asked,
+    /// The record is durable.
+    Durable,
+}
+
+/// What is known of one worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) name: WorkerName,
+    pub(crate) rack: key::Rack,
+    pub(crate) size: Size,
+    pub(crate) leaving: bool,
+    pub(crate) listed: bool,
+    pub(crate) admission: Admission,
+    /// Whether the worker has answered under the epoch of the cell.
+    pub(crate) fenced: bool,
+    /// Whether all that the worker held is known to be off.
+    pub(crate) lapsed: bool,
+    pub(crate) link: Link,
+    pub(crate) holds: BTreeMap<Token, Hold>,
+    pub(crate) reserved: Size,
+    /// Commands for tasks that the cell doesn't know or that are superseded.
+    pub(crate) extras: Vec<Command>,
+    pub(crate) standing: Standing,
+    /// Free size under which the worker stands in the index.
+    indexed: Option<Size>,
+    /// Instant before which interference on the worker is not acted on again.
+    pub(crate) settle_at: Time,
+    /// Consecutive reports with a service slower than allowed.
+    pub(crate) slow_reports: u32,
+    /// When a service on the worker was last slower than allowed.
+    pub(crate) slow_at: Time,
+}
+
+impl Entry {
+    pub(crate) fn free(&self) -> Size {
+        self.size.less(self.reserved)
+    }
+
+    /// Reports whether the worker may be given a task at `now`.
+    pub(crate) fn is_open(&self, now: Time, silence: Span) -> bool {
+        let heard = self.link.heard().is_some_and(|at| now.since(at) <= silence);
+        let admitted = self.admission == Admission::Durable;
+        let wanted = self.listed && !self.leaving;
+        heard && admitted && wanted && self.fenced && !self.standing.is_quarantined(now)
+    }
+
+    /// Recomputes what is reserved from the holds.
+    pub(crate) fn sum_up(&mut self) {
+        let counted = self.holds.values().filter(|hold| hold.counted);
+        self.reserved = counted.fold(Size::ZERO, |sum, hold| sum + hold.size);
+    }
+
+    /// Returns the parts of the worker's cores that each class has, at the present shares.
+    pub(crate) fn mix(&self) -> Mix {
+        let mut mix = Mix::new();
+        for hold in self.holds.values().filter(|hold| hold.counted) {
+            let share = match hold.intent {
+                Intent::Run(share) => share.part(),
+                Intent::Checkpoint | Intent::Stop => 0.0,
+            };
+            learn::add(&mut mix, hold.class, share * learn::part(hold.cpu, self.size.cpu()));
+        }
+        mix
+    }
+
+    /// Reports whether the worker waits for commands other than renewals.
+    pub(crate) fn has_commands(&self) -> bool {
+        let waits = |(token, hold): (&Token, &Hold)| {
+            !hold.told && hold.command(*token, Span::ZERO).is_some()
+        };
+        self.holds.iter().any(waits)
+    }
+
+    /// Gives up the outstanding exchange, whose commands may have been lost.
+    pub(crate) fn give_up(&mut self, until: Time) {
+        self.link.give_up(until);
+        for hold in self.holds.values_mut() {
+            hold.told = false;
+        }
+    }
+
+    /// Reports whether the worker stands in the index of those that may be given tasks.
+    pub(crate) const fn is_indexed(&self) -> bool {
+        self.indexed.is_some()
+    }
+}
+
+/// The workers of a cell by key, with the index of those that may be given tasks.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Table {
+    names: key::Names<WorkerName>,
+    racks: key::Names<RackName>,
+    entries: BTreeMap<key::Worker, Entry>,
+    pub(crate) index: Index,
+}
+
+impl Table {
+    /// Returns the key of `name`, with a new entry when there is none.
+    pub(crate) fn add(&mut self, name: &WorkerName, now: Time) -> key::Worker {
+        let key = key::Worker(self.names.number(name));
+        self.entries.entry(key).or_insert_with(|| Entry {
+            name: name.clone(),
+            rack: key::Rack(u32::MAX),
+            size: Size::ZERO,
+            leaving: false,
+            listed: false,
+            admission: Admission::None,
+            fenced: false,
+            lapsed: false,
+            link: Link::new(now),
+            holds: BTreeMap::new(),
+            reserved: Size::ZERO,
+            extras: Vec::new(),
+            standing: Standing::default(),
+            indexed: None,
+            settle_at: Time::ZERO,
+            slow_reports: 0,
+            slow_at: Time::ZERO,
+        });
+        key
+    }
+
+    pub(crate) fn rack(&mut self, name: &RackName) -> key::Rack {
+        key::Rack(self.racks.number(name))
+    }
+
+    pub(crate) fn racks(&self) -> usize {
+        self.racks.len()
+    }
+
+    pub(crate) fn find(&self, name: &WorkerName) -> Option<key::Worker> {
+        let key = key::Worker(self.names.find(name)?);
+        self.entries.contains_key(&key).then_some(key)
+    }
+
+    pub(crate) fn entry(&self, key: key::Worker) -> Option<&Entry> {
+        self.entries.get(&key)
+    }
+
+    pub(crate) fn entry_mut(&mut self, key: key::Worker) -> Option<&mut Entry> {
+        self.entries.get_mut(&key)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (key::Worker, &Entry)> {
+        self.entries.iter().map(|(key, entry)| (*key, entry))
+    }
+
+    pub(crate) fn keys(&self) -> Vec<key::Worker> {
+        self.entries.keys().copied().collect()
+    }
+
+    /// Draws about `most` workers at random.
+    pub(crate) fn draw(&self, most: usize, rng: &mut Rng) -> Vec<key::Worker> {
+        let last = self.names.len() as u32;
+        if self.entries.len() <= most || last == 0 {
+            return self.keys();
+        }
+        let mut drawn: Vec<key::Worker> =
+            (0..most).map(|_| key::Worker(rng.u32(0..last))).collect();
+        drawn.sort_unstable();
+        drawn.dedup();
+        drawn
+    }
+
+    pub(crate) fn remove(&mut self, key: key::Worker) -> Option<Entry> {
+        let entry = self.entries.remove(&key)?;
+        if let Some(free) = entry.indexed {
+            self.index.remove(key, free);
+        }
+        Some(entry)
+    }
+
+    /// Brings the index up to date with the entry.
+    pub(crate) fn reindex(&mut self, key: key::Worker, now: Time, silence: Span) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let free = entry.is_open(now, silence).then(|| entry.free());
+        if free == entry.indexed {
+            return;
+        }
+        if let Some(before) = entry.indexed.take() {
+            self.index.remove(key, before);
+        }
+        if let Some(free) = free {
+            self.index.insert(key, free);
+        }
+        entry.indexed = free;
+    }
+}
--- /dev/null
+++ b/crates/tasks/tests/fake/worker.rs
@@ -0,0 +1,291 @@
+//! A worker that keeps to the protocol and runs tasks in virtual time.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{Attempt, ClassName, Epoch, Incarnation, TaskName, WorkerName};
+use sycamorerill_core::rate::Share;
+use sycamorerill_core::size::Size;
+use sycamorerill_tasks::worker::{
+    Checkpoint, Command, Exchange, Fault, Held, Instant, Phase, Report, Token, Usage,
+};
+
+use super::Truths;
+
+/// Time that writing a checkpoint takes.
+const CHECKPOINT_TIME: Span = Span::from_secs(2);
+/// Age of the measurements in a report.
+const USAGE_AGE: Span = Span::from_secs(3);
+/// Time after which a broken worker fails a task.
+const BROKEN_RUN: Span = Span::from_ms(300);
+
+/// One task on the worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub task: TaskName,
+    pub attempt: Attempt,
+    pub class: ClassName,
+    pub size: Size,
+    pub phase: Phase,
+    /// End of the lease on the worker's clock.
+    pub until: Time,
+    pub started: Time,
+    /// Work done, as time alone on a worker.
+    pub done: Span,
+    checkpoint_at: Option<Time>,
+    /// Slowdowns with the instants from which they held.
+    slowdowns: Vec<(Time, f64)>,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    pub name: WorkerName,
+    pub rack: String,
+    pub size: Size,
+    pub runs: BTreeMap<Token, Run>,
+    pub incarnation: Incarnation,
+    /// What its clock is ahead of that of the world.
+    pub ahead: Span,
+    /// Whether it fails all that it starts.
+    pub broken: bool,
+    epoch: Epoch,
+    number: u64,
+    now: Time,
+}
+
+impl Worker {
+    pub fn new(name: &str, rack: &str, size: Size) -> Self {
+        Self {
+            name: name.parse().unwrap(),
+            rack: rack.to_owned(),
+            size,
+            runs: BTreeMap::new(),
+            incarnation: Incarnation(1),
+            ahead: Span::ZERO,
+            broken: false,
+            epoch: Epoch(0),
+            number: 0,
+            now: Time::ZERO,
+        }
+    }
+
+    /// Starts again with nothing.
+    pub fn restart(&mut self) {
+        self.runs.clear();
+        self.incarnation = Incarnation(self.incarnation.0 + 1);
+        (self.epoch, self.number) = (Epoch(0), 0);
+    }
+
+    fn clock(&self) -> Time {
+        self.now + self.ahead
+    }
+
+    /// Returns the runs that use the worker.
+    pub fn active(&self) -> impl Iterator<Item = (&Token, &Run)> {
+        self.runs.iter().filter(|(_, run)| !run.phase.is_off())
+    }
+
+    /// Returns what is reserved by running tasks.
+    pub fn reserved(&self) -> Size {
+        self.active().fold(Size::ZERO, |sum, (_, run)| sum + run.size)
+    }
+
+    /// Lets time pass up to `now`.
+    pub fn advance(&mut self, now: Time, truths: &Truths) {
+        let passed = now.since(self.now);
+        let clock = now + self.ahead;
+        let mix = self.mix(truths);
+        self.now = now.max(self.now);
+        for (token, run) in &mut self.runs {
+            if run.phase.is_off() {
+                continue;
+            }
+            run.advance(*token, now, clock, passed, &mix, self.broken, truths);
+        }
+    }
+
+    /// Returns the part of the worker's cores and the noise of each class.
+    fn mix(&self, truths: &Truths) -> BTreeMap<ClassName, (f64, f64)> {
+        let mut mix: BTreeMap<ClassName, (f64, f64)> = BTreeMap::new();
+        for (_, run) in self.active() {
+            let truth = truths.of(&run.class);
+            let share = match run.phase {
+                Phase::Throttled(share) => share.part(),
+                _ => 1.0,
+            };
+            let declared = truths.declared.get(&run.class).copied().unwrap_or(run.size);
+            let part = truth.uses(declared).cpu().0 as f64 / self.size.cpu().0 as f64;
+            let entry = mix.entry(run.class.clone()).or_default();
+            entry.0 += part * share;
+            entry.1 = truth.noise_at(self.now);
+        }
+        mix
+    }
+
+    /// Takes an exchange and answers it.
+    pub fn exchange(&mut self, exchange: &Exchange, truths: &Truths) -> Report {
+        let newer = (exchange.epoch, exchange.number) > (self.epoch, self.number);
+        if newer {
+            (self.epoch, self.number) = (exchange.epoch, exchange.number);
+            for command in &exchange.commands {
+                self.command(exchange.as_of, command);
+            }
+        }
+        let held = self.runs.iter().map(|(token, run)| run.held(*token, self.now, truths));
+        Report {
+            epoch: self.epoch,
+            answers: self.number,
+            at: Instant::new(self.incarnation, self.clock()),
+            size: self.size,
+            held: held.collect(),
+        }
+    }
+
+    fn command(&mut self, as_of: Option<Instant>, command: &Command) {
+        let based = as_of.filter(|at| at.incarnation() == self.incarnation);
+        match command {
+            Command::Start { token, lease, .. } => {
+                let until = based.map(|at| at.time() + *lease);
+                let late = until.is_none_or(|until| until <= self.clock());
+                if !late && !self.runs.contains_key(token) {
+                    self.start(command, until.unwrap_or(Time::ZERO));
+                }
+            }
+            Command::Renew { token, lease, .. } => {
+                if let (Some(at), Some(run)) = (based, self.runs.get_mut(token)) {
+                    run.until = run.until.max(at.time() + *lease);
+                }
+            }
+            Command::Throttle { token, share, .. } => self.throttle(*token, *share),
+            Command::Checkpoint { token, .. } | Command::Stop { token, checkpoint: true, .. } => {
+                let at = self.now + CHECKPOINT_TIME;
+                if let Some(run) = self.runs.get_mut(token).filter(|run| !run.phase.is_off()) {
+                    run.phase = Phase::Checkpointing;
+                    run.checkpoint_at.get_or_insert(at);
+                }
+            }
+            Command::Stop { token, .. } => {
+                if let Some(run) = self.runs.get_mut(token).filter(|run| !run.phase.is_off()) {
+                    run.phase = Phase::Stopped;
+                }
+            }
+            Command::Ack { token, .. } => {
+                if self.runs.get(token).is_some_and(|run| run.phase.is_off()) {
+                    self.runs.remove(token);
+                }
+            }
+        }
+    }
+
+    fn throttle(&mut self, token: Token, share: Share) {
+        let Some(run) = self.runs.get_mut(&token) else { return };
+        if matches!(run.phase, Phase::Running | Phase::Throttled(_)) {
+            let full = share.part() >= 1.0;
+            run.phase = if full { Phase::Running } else { Phase::Throttled(share) };
+        }
+    }
+
+    fn start(&mut self, command: &Command, until: Time) {
+        let Command::Start { task, token, attempt, size, class, resume_from, .. } = command else {
+            return;
+        };
+        let done = resume_from.as_ref().map_or(Span::ZERO, done_of);
+        let run = Run {
+            task: task.clone(),
+            attempt: *attempt,
+            class: class.clone(),
+            size: *size,
+            phase: Phase::Running,
+            until,
+            started: self.now,
+            done,
+            checkpoint_at: None,
+            slowdowns: Vec::new(),
+        };
+        self.runs.insert(*token, run);
+    }
+
+    /// Returns the slowdown of each running task of `class` at present.
+    pub fn slowdown_of(&self, class: &ClassName, truths: &Truths) -> f64 {
+        slowdown(class, &self.mix(truths))
+    }
+}
+
+/// Returns the slowdown of a class beside a mix.
+fn slowdown(class: &ClassName, mix: &BTreeMap<ClassName, (f64, f64)>) -> f64 {
+    let others = mix.iter().filter(|(other, _)| *other != class);
+    let noise: f64 = others.map(|(_, (part, noise))| part * noise).sum();
+    let total: f64 = mix.values().map(|(part, _)| part).sum();
+    (1.0 + noise) * total.max(1.0)
+}
+
+impl Run {
+    #[allow(clippy::too_many_arguments)]
+    fn advance(
+        &mut self,
+        token: Token,
+        now: Time,
+        clock: Time,
+        passed: Span,
+        mix: &BTreeMap<ClassName, (f64, f64)>,
+        broken: bool,
+        truths: &Truths,
+    ) {
+        let truth = truths.of(&self.class);
+        let slowdown = slowdown(&self.class, mix);
+        self.slowdowns.push((now, slowdown));
+        if self.slowdowns.len() > 64 {
+            self.slowdowns.drain(..32);
+        }
+        let share = match self.phase {
+            Phase::Throttled(share) => share.part(),
+            Phase::Checkpointing => 0.0,
+            _ => 1.0,
+        };
+        let ran = passed.less(self.started.since(now - passed));
+        self.done = self.done + ran.scale(share / slowdown);
+        let finished = truth.run.is_some_and(|run| self.done >= run);
+        let failed = broken && now.since(self.started) >= BROKEN_RUN;
+        if clock >= self.until {
+            self.phase = Phase::Lapsed;
+        } else if failed || (finished && truth.fails) {
+            self.phase = Phase::Failed(Fault::Exit);
+        } else if finished {
+            self.phase = Phase::Finished;
+        } else if self.checkpoint_at.is_some_and(|at| now >= at) {
+            let text = format!("{}:{}:{}", self.task, token, self.done.as_ms());
+            self.phase = Phase::Checkpointed(Checkpoint(Bytes::from(text)));
+        }
+    }
+
+    fn held(&self, token: Token, now: Time, truths: &Truths) -> Held {
+        let at = now - USAGE_AGE;
+        let past = self.slowdowns.iter().rev().find(|(since, _)| *since <= at);
+        let declared = truths.declared.get(&self.class).copied().unwrap_or(self.size);
+        let uses = truths.of(&self.class).uses(declared);
+        let usage = past.map(|(_, slowdown)| Usage {
+            cpu: uses.cpu(),
+            memory: uses.memory(),
+            slowdown: *slowdown,
+            age: USAGE_AGE,
+        });
+        Held {
+            task: self.task.clone(),
+            token,
+            attempt: self.attempt,
+            size: self.size,
+            class: self.class.clone(),
+            phase: self.phase.clone(),
+            usage,
+        }
+    }
+}
+
+/// Returns the work that a checkpoint contains.
+pub fn done_of(checkpoint: &Checkpoint) -> Span {
+    let text = std::str::from_utf8(&checkpoint.0).unwrap();
+    let (_, done) = text.rsplit_once(':').unwrap();
+    Span::from_ms(done.parse().unwrap())
+}
