--- /dev/null
+++ b/crates/schema/schema/journal.capnp
@@ -0,0 +1,168 @@
+# Rows, objects and messages of the control plane.
+#
+# Every value is stored in an envelope of format version, checksum and payload.
+@0xb8e1d27c5a90f463;
+
+struct Session {
+  # Row `session/<instance>`: the right of one incarnation to write.
+  incarnation @0 :UInt64;
+  # Drawn at random by the incarnation, tells two starts apart.
+  nonce @1 :UInt64;
+  fencedBy @2 :Text;
+  challenge @3 :UInt64;
+  answer @4 :UInt64;
+}
+
+struct Shard {
+  # Row `shard/<kind>/<number>`.
+  owner @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;
+  snapshot @3 :Snapshot;
+  # Sessions whose journals hold records that no snapshot covers.
+  journals @4 :List(SessionName);
+}
+
+struct SessionName {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Snapshot {
+  object @0 :Text;
+  # Epoch of the owner that made the snapshot.
+  epoch @1 :UInt64;
+  # Last sequence number of that owner that the snapshot contains.
+  upTo @2 :UInt64;
+  checksum @3 :UInt32;
+}
+
+struct Batch {
+  # Row `journal/<instance>/<incarnation>/<number>`.
+  by @0 :SessionName;
+  number @1 :UInt64;
+  records @2 :List(Record);
+  # Lowest number of a row of the session that recoveries still need.
+  floor @3 :UInt64;
+}
+
+struct Record {
+  sequence @0 :UInt64;
+  shardKind @1 :UInt8;
+  shardNumber @2 :UInt32;
+  kind @3 :UInt16;
+  bytes @4 :Data;
+  # Epoch under which the writer owned the shard.
+  epoch @5 :UInt64;
+}
+
+struct ConfigRow {
+  # Row `config/current`.
+  version @0 :UInt64;
+  # Checksum of the object of the newest version.
+  checksum @1 :UInt32;
+  # The last accepted versions with the identity of each acceptance, newest first.
+  recent @2 :List(Accepted);
+}
+
+struct Accepted {
+  version @0 :UInt64;
+  identity @1 :UInt64;
+  object @2 :Text;
+}
+
+struct Content {
+  # Object `config/<version>-<identity>`.
+  version @0 :UInt64;
+  author @1 :Text;
+  keys @2 :List(KeyDigest);
+  bytes @3 :Data;
+}
+
+struct KeyDigest {
+  key @0 :Text;
+  digest @1 :UInt64;
+}
+
+struct Penalties {
+  # Row `penalty/<hour>/<instance>/<incarnation>/<number>` and object of an hour.
+  entries @0 :List(Penalty);
+}
+
+struct Penalty {
+  target @0 :Text;
+  subject @1 :UInt64;
+  minute @2 :UInt64;
+  team @3 :Text;
+  service @4 :Text;
+  amount @5 :UInt64;
+}
+
+struct Counts {
+  # Row `count/<hour>`: the closed entries of an hour.
+  object @0 :Text;
+  checksum @1 :UInt32;
+  counts @2 :List(Count);
+}
+
+struct Count {
+  minute @0 :UInt64;
+  target @1 :Text;
+  team @2 :Text;
+  service @3 :Text;
+  misses @4 :UInt64;
+  amount @5 :UInt64;
+}
+
+struct Message {
+  incarnation @0 :UInt64;
+  union {
+    beat @1 :Beat;
+    handed @2 :Handed;
+    received @3 :Owners;
+    owners @4 :Owners;
+    ownersWanted @5 :Void;
+    notify @6 :UInt64;
+    # Wants the newest content when it is above this version.
+    contentWanted @7 :UInt64;
+    content @8 :Data;
+    pending @9 :Penalties;
+    # Entries of this sender that now last.
+    lasting @10 :Penalties;
+  }
+}
+
+struct Beat {
+  standing @0 :UInt8;
+  life @1 :UInt64;
+  version @2 :UInt64;
+  owners @3 :UInt64;
+  domain @4 :Text;
+  news @5 :List(News);
+}
+
+struct News {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  standing @2 :UInt8;
+  domain @3 :Text;
+  # Grows each time that the instance contradicts a suspicion.
+  life @4 :UInt64;
+}
+
+struct Owners {
+  entries @0 :List(Owner);
+}
+
+struct Owner {
+  shardKind @0 :UInt8;
+  shardNumber @1 :UInt32;
+  owner @2 :Text;
+  incarnation @3 :UInt64;
+  epoch @4 :UInt64;
+}
+
+struct Handed {
+  entries @0 :List(Owner);
+  carries @1 :List(Data);
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -5,4 +5,5 @@
 
 mod generated;
 
+pub use generated::journal_capnp as journal;
 pub use generated::peer_capnp as peer;
