--- /dev/null
+++ b/crates/control/src/agent/out.rs
@@ -0,0 +1,63 @@
+//! Where the machines put their requests, messages and effects.
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::InstanceName;
+
+use super::{Body, Command, Decision, Message, Purpose};
+use crate::session;
+use crate::store::{Budget, Gate, Priority, Request, State};
+
+/// Outlet of one event.
+pub(crate) struct Out<'a> {
+    pub(super) gate: &'a mut Gate<Purpose>,
+    pub(super) commands: &'a mut Vec<Command>,
+    pub(super) session: session::Name,
+}
+
+impl Out<'_> {
+    /// Queues a request to the store.
+    pub(crate) fn store(
+        &mut self,
+        priority: Priority,
+        purpose: impl Into<Purpose>,
+        request: Request,
+    ) {
+        self.gate.push(priority, purpose.into(), request);
+    }
+
+    /// Returns the state of the store.
+    pub(crate) fn state(&self, now: Time) -> State {
+        self.gate.state(now)
+    }
+
+    /// Adjusts the budget to the present number of instances.
+    pub(crate) fn retune(&mut self, now: Time, budget: &Budget, writers: usize, readers: usize) {
+        self.gate.retune(now, budget, writers, readers);
+    }
+
+    /// Removes requests that have not been sent.
+    pub(crate) fn withdraw(&mut self, matches: impl Fn(&Purpose) -> bool) {
+        self.gate.withdraw(matches);
+    }
+
+    /// Sends a message to a peer.
+    pub(crate) fn send(&mut self, to: InstanceName, body: Body) {
+        let message = Message { incarnation: self.session.incarnation, body };
+        self.emit(Command::Send { to, message: message.encode() });
+    }
+
+    /// Emits an effect.
+    pub(crate) fn emit(&mut self, command: Command) {
+        self.commands.push(command);
+    }
+
+    /// Writes a decision to the log.
+    pub(crate) fn decide(&mut self, decision: Decision) {
+        self.emit(Command::Decision(decision));
+    }
+
+    /// Returns the session of this instance.
+    pub(crate) const fn session(&self) -> &session::Name {
+        &self.session
+    }
+}
--- /dev/null
+++ b/crates/control/src/config/content.rs
@@ -0,0 +1,73 @@
+//! The object of one version.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use capnp::message::Builder;
+use sycamorerill_core::data;
+use sycamorerill_core::id::Version;
+use sycamorerill_schema::journal;
+
+use crate::codec::{self, Error};
+
+/// Digest of the value of each key of a configuration.
+pub type Digests = BTreeMap<String, u64>;
+
+data! {
+    /// One version of the configuration.
+    pub struct Content {
+        /// The version.
+        pub version: Version,
+        /// Who had it accepted.
+        pub author: String,
+        /// Digest of the value of each key.
+        pub keys: Digests,
+        /// The configuration.
+        pub bytes: Bytes,
+    }
+}
+
+impl Content {
+    /// Returns the stored form.
+    pub fn encode(&self) -> Bytes {
+        let mut message = Builder::new_default();
+        let mut content = message.init_root::<journal::content::Builder<'_>>();
+        content.set_version(self.version.0);
+        content.set_author(self.author.as_str());
+        content.set_bytes(&self.bytes);
+        let mut keys = content.init_keys(self.keys.len() as u32);
+        for (at, (key, digest)) in self.keys.iter().enumerate() {
+            let mut to = keys.reborrow().get(at as u32);
+            to.set_key(key.as_str());
+            to.set_digest(*digest);
+        }
+        codec::seal(&message)
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the value is torn, corrupt or of another format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let message = codec::open(bytes)?;
+        let content = message.get_root::<journal::content::Reader<'_>>()?;
+        let mut keys = Digests::new();
+        for key in content.get_keys()? {
+            keys.insert(key.get_key()?.to_string()?, key.get_digest());
+        }
+        Ok(Self {
+            version: Version(content.get_version()),
+            author: content.get_author()?.to_string()?,
+            keys,
+            bytes: Bytes::copy_from_slice(content.get_bytes()?),
+        })
+    }
+}
+
+/// Returns the keys whose values differ between two configurations.
+pub(crate) fn difference(one: &Digests, other: &Digests) -> BTreeSet<String> {
+    let changed = one.iter().filter(|(key, digest)| other.get(*key) != Some(digest));
+    let added = other.keys().filter(|key| !one.contains_key(*key));
+    changed.map(|(key, _)| key).chain(added).cloned().collect()
+}
--- /dev/null
+++ b/crates/control/src/journal/batch.rs
@@ -0,0 +1,74 @@
+//! The row of a batch.
+
+use bytes::Bytes;
+use capnp::message::Builder;
+use sycamorerill_core::data;
+use sycamorerill_core::id::Epoch;
+use sycamorerill_schema::journal;
+
+use super::{Kind, Record, Sequence};
+use crate::codec::{self, Error};
+use crate::session;
+
+data! {
+    /// Records that were committed together.
+    pub struct Batch {
+        /// Session that wrote the batch.
+        pub by: session::Name,
+        /// Number of the batch in its session, from 1.
+        pub number: u64,
+        /// Lowest number of a batch that recoveries still need.
+        pub floor: u64,
+        /// Records in the order of their sequence.
+        pub records: Vec<Record>,
+    }
+}
+
+impl Batch {
+    /// Returns the stored form.
+    pub fn encode(&self) -> Bytes {
+        let mut message = Builder::new_default();
+        let mut batch = message.init_root::<journal::batch::Builder<'_>>();
+        codec::write_session(batch.reborrow().init_by(), &self.by);
+        batch.set_number(self.number);
+        batch.set_floor(self.floor);
+        let mut records = batch.init_records(self.records.len() as u32);
+        for (at, record) in self.records.iter().enumerate() {
+            let mut to = records.reborrow().get(at as u32);
+            to.set_sequence(record.sequence.0);
+            to.set_shard_kind(record.shard.kind.code());
+            to.set_shard_number(record.shard.number);
+            to.set_kind(record.kind.0);
+            to.set_epoch(record.epoch.0);
+            to.set_bytes(&record.bytes);
+        }
+        codec::seal(&message)
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the value is torn, corrupt or of another format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let message = codec::open(bytes)?;
+        let batch = message.get_root::<journal::batch::Reader<'_>>()?;
+        let records = batch.get_records()?;
+        Ok(Self {
+            by: codec::read_session(batch.get_by()?)?,
+            number: batch.get_number(),
+            floor: batch.get_floor(),
+            records: records.iter().map(read_record).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn read_record(from: journal::record::Reader<'_>) -> Result<Record, Error> {
+    Ok(Record {
+        sequence: Sequence(from.get_sequence()),
+        shard: codec::read_shard(from.get_shard_kind(), from.get_shard_number())?,
+        epoch: Epoch(from.get_epoch()),
+        kind: Kind(from.get_kind()),
+        bytes: Bytes::copy_from_slice(from.get_bytes()?),
+    })
+}
--- /dev/null
+++ b/crates/control/src/journal/coverage.rs
@@ -0,0 +1,50 @@
+//! Which batches of the own session recoveries still need.
+
+use std::collections::BTreeMap;
+
+use super::{Record, Sequence};
+use crate::ownership::Shard;
+
+/// Last sequence of each shard in each batch, and what snapshots cover.
+#[derive(Debug, Default)]
+pub(crate) struct Coverage {
+    batches: BTreeMap<u64, BTreeMap<Shard, Sequence>>,
+    covered: BTreeMap<Shard, Sequence>,
+    bytes: BTreeMap<Shard, usize>,
+}
+
+impl Coverage {
+    pub(crate) fn wrote(&mut self, number: u64, records: &[Record]) {
+        let batch = self.batches.entry(number).or_default();
+        for record in records {
+            batch.insert(record.shard, record.sequence);
+            *self.bytes.entry(record.shard).or_default() += record.bytes.len();
+        }
+    }
+
+    /// Takes note that a snapshot holds all records of `shard` up to `sequence`.
+    pub(crate) fn cover(&mut self, shard: Shard, sequence: Sequence) {
+        let covered = self.covered.entry(shard).or_default();
+        *covered = (*covered).max(sequence);
+        self.bytes.remove(&shard);
+    }
+
+    /// Returns the shards of which more than `limit` bytes were written since their snapshot.
+    pub(crate) fn above(&self, limit: usize) -> impl Iterator<Item = Shard> {
+        self.bytes.iter().filter(move |(_, bytes)| **bytes > limit).map(|(shard, _)| *shard)
+    }
+
+    /// Removes and returns the first batches, below `next`, that nobody needs.
+    pub(crate) fn drain(&mut self, next: u64) -> u64 {
+        while let Some(entry) = self.batches.first_entry() {
+            let needed = |(shard, last): (&Shard, &Sequence)| {
+                self.covered.get(shard).is_none_or(|covered| covered < last)
+            };
+            if entry.get().iter().any(needed) {
+                return *entry.key();
+            }
+            entry.remove();
+        }
+        next
+    }
+}
--- /dev/null
+++ b/crates/control/src/membership/ring.rs
@@ -0,0 +1,29 @@
+//! Hashes by which instances choose neighbours and owners without talking.
+
+use sycamorerill_core::id::InstanceName;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the score of an instance for a key; the highest wins.
+pub(crate) fn score(key: u64, instance: &InstanceName) -> u64 {
+    xxh3_64_with_seed(instance.as_str().as_bytes(), key)
+}
+
+/// Returns the neighbours of `own` on a ring of `all`, `count` on each side.
+pub(crate) fn neighbours<'a>(
+    own: &InstanceName,
+    all: impl Iterator<Item = &'a InstanceName>,
+    count: usize,
+) -> Vec<InstanceName> {
+    let mut ring: Vec<(u64, &InstanceName)> = all.map(|name| (score(0, name), name)).collect();
+    ring.sort();
+    ring.dedup();
+    let place = ring.partition_point(|(place, name)| (*place, *name) < (score(0, own), own));
+    let size = ring.len();
+    let steps = count.min(size);
+    let after = (0..steps).map(|step| (place + step) % size);
+    let before = (1..=steps).map(|step| (place + size - step) % size);
+    let mut chosen: Vec<usize> = after.chain(before).collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen.into_iter().filter(|at| ring[*at].1 != own).map(|at| ring[at].1.clone()).collect()
+}
--- /dev/null
+++ b/crates/control/src/ownership/orphans.rs
@@ -0,0 +1,79 @@
+//! Deletes the journals of sessions that are gone and that no shard needs.
+
+use std::collections::BTreeSet;
+
+use super::machine::{Machine, Purpose};
+use crate::agent::Out;
+use crate::journal::{Sequence, prefix};
+use crate::membership;
+use crate::session;
+use crate::store::{Check, Priority, Request, Response, Transaction};
+
+/// Rows deleted by one transaction.
+const ROWS_AT_ONCE: u32 = 64;
+
+/// Sessions that snapshots of this instance have made superfluous.
+#[derive(Debug, Default)]
+pub(super) struct Orphans {
+    sessions: BTreeSet<session::Name>,
+    busy: BTreeSet<session::Name>,
+}
+
+impl Orphans {
+    pub(super) fn dropped(&mut self, before: &[session::Name], after: &[session::Name]) {
+        let dropped = before.iter().filter(|session| !after.contains(session));
+        self.sessions.extend(dropped.cloned());
+    }
+
+    /// Deletes the rows that a scan of an orphaned journal has found.
+    pub(super) fn scanned(
+        &mut self,
+        session: &session::Name,
+        response: Response,
+        guard: Option<&Check>,
+        out: &mut Out<'_>,
+    ) {
+        self.busy.remove(session);
+        let (Response::Rows { rows, more }, Some(guard)) = (response, guard) else { return };
+        if !rows.is_empty() {
+            let start = Transaction::default().check(guard.key.clone(), guard.expected);
+            let deletes = rows.into_iter().fold(start, |all, row| all.delete(row.key));
+            out.store(Priority::Snapshots, Purpose::Forget, Request::Transact(deletes));
+        }
+        if !more {
+            self.sessions.remove(session);
+        }
+    }
+
+    fn scan(&mut self, session: &session::Name, out: &mut Out<'_>) {
+        if self.busy.insert(session.clone()) {
+            let prefix = prefix(session);
+            let request = Request::Scan { prefix, after: None, limit: ROWS_AT_ONCE };
+            out.store(Priority::Snapshots, Purpose::Orphan(session.clone()), request);
+        }
+    }
+}
+
+impl Machine {
+    /// Looks for journals that no row of a shard refers to, right after a scan.
+    pub(super) fn collect(&mut self, members: &membership::Machine, out: &mut Out<'_>) {
+        let needed: BTreeSet<&session::Name> =
+            self.rows.values().flat_map(|entry| &entry.row.journals).collect();
+        let orphaned = |session: &&session::Name| {
+            !needed.contains(session) && members.evidence(session).is_some()
+        };
+        let orphans: Vec<session::Name> =
+            self.orphans.sessions.iter().filter(orphaned).cloned().collect();
+        orphans.iter().for_each(|session| self.orphans.scan(session, out));
+    }
+
+    /// Takes note of own records that the snapshots of new owners contain.
+    pub(super) fn cover_given(&mut self) {
+        for (shard, entry) in &self.rows {
+            let needs_us = entry.row.journals.contains(&self.own);
+            if !needs_us && !self.held.contains_key(shard) {
+                self.covered.push((*shard, Sequence(u64::MAX)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/ownership/plan.rs
@@ -0,0 +1,247 @@
+//! What the ownership does next.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::{Epoch, InstanceName};
+
+use super::choice::{self, Candidates};
+use super::machine::{Context, Intent, Machine, Op};
+use super::succession::Verdict;
+use super::{Kind, Row, Shard, key};
+use crate::agent::Out;
+use crate::membership::{Evidence, Standing};
+use crate::session;
+use crate::store::{Check, Expected, Transaction};
+
+/// Instances for which the interval between scans is stated.
+pub(super) const SCAN_GROUP: u64 = 9;
+/// Shards claimed by one transaction.
+const CLAIMS_AT_ONCE: usize = 64;
+
+/// Shards to claim, by the session that owns them; nothing for nobody.
+type Claims = BTreeMap<Option<session::Name>, BTreeSet<Shard>>;
+
+impl Machine {
+    /// Takes the next step; at most one read or write of rows is on its way.
+    pub(crate) fn tick(&mut self, context: &mut Context<'_>, out: &mut Out<'_>) {
+        self.resend(context.now, out);
+        self.start_recoveries(out);
+        let (Some(guard), Some(_)) = (context.guard.clone(), self.started) else { return };
+        self.tick_snapshots(context, out);
+        if !matches!(self.op, Op::Idle) {
+            return;
+        }
+        if self.dirty || context.now >= self.next_scan {
+            return self.start_scan(out);
+        }
+        if let Some(intent) = self.redo.take() {
+            return self.write(intent, out);
+        }
+        if let Some(shard) = self.fetch.first().copied() {
+            return self.start_fetch(shard, out);
+        }
+        if self.hand_over(&guard, context, out) || self.point(&guard, out) {
+            return;
+        }
+        let candidates = self.candidates(context);
+        let writers = choice::writers(&self.settings, &candidates);
+        let claims = self.claims(&candidates, &writers, context);
+        if !self.claim(claims, &guard, context, out) {
+            self.rebalance(&candidates, &writers, context, out);
+        }
+    }
+
+    /// Returns the instant at which `tick` may have something to do.
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        self.started?;
+        let resend = self.unacknowledged.values().map(|(_, due)| *due).min();
+        let succession = self.successions.earliest(&self.settings);
+        [Some(self.next_scan), resend, succession].into_iter().flatten().min()
+    }
+
+    /// Follows up a full scan.
+    pub(super) fn after_scan(&mut self, context: &mut Context<'_>) {
+        self.cover_given();
+        let owners: BTreeSet<session::Name> =
+            self.rows.values().map(|entry| entry.row.owner.clone()).collect();
+        let members = &*context.members;
+        self.successions.retain(|session| owners.contains(session) && members.suspects(session));
+    }
+
+    fn candidates(&self, context: &Context<'_>) -> Candidates {
+        let serving = context
+            .members
+            .members()
+            .iter()
+            .filter(|(_, member)| member.standing == Standing::Serving)
+            .map(|(name, member)| (name.clone(), member.domain.clone()));
+        let mut candidates: Candidates = serving.collect();
+        if !context.draining {
+            candidates.insert(self.own.instance.clone(), context.members.domain().clone());
+        }
+        candidates
+    }
+
+    fn claims(
+        &mut self,
+        candidates: &Candidates,
+        writers: &Candidates,
+        context: &mut Context<'_>,
+    ) -> Claims {
+        let mut claims = Claims::new();
+        let shards: Vec<Shard> = self.settings.shards().collect();
+        for shard in shards {
+            let chosen = choice::choose(&self.settings, shard, candidates, writers);
+            if chosen != Some(&self.own.instance) || context.draining {
+                continue;
+            }
+            let owner = self.rows.get(&shard).map(|entry| entry.row.owner.clone());
+            if owner.as_ref() == Some(&self.own) {
+                continue;
+            }
+            let told = self.table.owner(shard).map_or(Epoch(0), |owner| owner.epoch);
+            let read = self.rows.get(&shard).map_or(Epoch(0), |entry| entry.row.epoch);
+            if told > read {
+                // Peers know more than the last scan; the row decides.
+                if context.members.suspects_owner(&self.table, shard) {
+                    self.fetch.insert(shard);
+                }
+                continue;
+            }
+            if self.may_claim(shard, owner.as_ref(), context) {
+                claims.entry(owner).or_default().insert(shard);
+            }
+        }
+        claims
+    }
+
+    /// Reports whether the rule of the shard's kind lets this instance go for it.
+    fn may_claim(
+        &self,
+        shard: Shard,
+        owner: Option<&session::Name>,
+        context: &Context<'_>,
+    ) -> bool {
+        let settled = self.started.is_some_and(|at| context.now.since(at) >= self.settings.settle);
+        let Some(owner) = owner else { return settled };
+        if owner.instance == self.own.instance {
+            return true;
+        }
+        match (context.members.evidence(owner), shard.kind) {
+            (Some(evidence), _) => settled && self.waited(owner, evidence, context),
+            (None, Kind::Slots) => false,
+            (None, Kind::Keys | Kind::Cell) => settled && context.members.suspects(owner),
+        }
+    }
+
+    /// Reports whether an owner that is gone has had the time to come back.
+    fn waited(&self, owner: &session::Name, evidence: Evidence, context: &Context<'_>) -> bool {
+        let member = context.members.members().get(&owner.instance);
+        let since = member.map_or(Time::ZERO, |member| member.since);
+        let back = evidence == Evidence::Newer;
+        let wait =
+            if back { self.settings.restart_wait.times(2) } else { self.settings.restart_wait };
+        context.now.since(since) >= wait
+    }
+
+    /// Goes for the shards of one owner and reports whether a request was sent.
+    fn claim(
+        &mut self,
+        claims: Claims,
+        guard: &Check,
+        context: &mut Context<'_>,
+        out: &mut Out<'_>,
+    ) -> bool {
+        for (owner, shards) in claims {
+            let fence = match &owner {
+                None => None,
+                Some(owner) if owner.instance == self.own.instance => None,
+                Some(owner) => match self.successions.verdict(context.now, owner, &self.settings) {
+                    Verdict::Wait => continue,
+                    Verdict::Look => {
+                        self.look(owner, out);
+                        return true;
+                    }
+                    Verdict::Take(fence) => fence,
+                },
+            };
+            if let (Some(owner), Some(_)) = (&owner, &fence) {
+                self.successions.look_again(owner);
+            }
+            let intent = self.claim_intent(owner.as_ref(), shards, fence, guard);
+            self.write(intent, out);
+            return true;
+        }
+        false
+    }
+
+    fn claim_intent(
+        &self,
+        owner: Option<&session::Name>,
+        shards: BTreeSet<Shard>,
+        fence: Option<(session::Row, crate::store::RowVersion)>,
+        guard: &Check,
+    ) -> Intent {
+        let mut transaction = Transaction::default().check(guard.key.clone(), guard.expected);
+        if let (Some(owner), Some((row, version))) = (owner, fence) {
+            let fenced = session::Row { fenced_by: Some(self.own.instance.clone()), ..row };
+            let target = session::key(&owner.instance);
+            transaction = transaction
+                .check(target.clone(), Expected::At(version))
+                .put(target, fenced.encode());
+        }
+        let mut rows = Vec::new();
+        for shard in shards.into_iter().take(CLAIMS_AT_ONCE) {
+            let before = self.rows.get(&shard);
+            let expected = before.map_or(Expected::Absent, |entry| Expected::At(entry.version));
+            let row = self.claimed(shard, before.map(|entry| &entry.row));
+            transaction = transaction.check(key(shard), expected).put(key(shard), row.encode());
+            rows.push((shard, row));
+        }
+        Intent { transaction, rows }
+    }
+
+    fn claimed(&self, shard: Shard, before: Option<&Row>) -> Row {
+        let journaled = shard.kind.is_journaled();
+        let nobody =
+            Row { owner: self.own.clone(), epoch: Epoch(0), snapshot: None, journals: Vec::new() };
+        before.unwrap_or(&nobody).passed_to(self.own.clone(), journaled)
+    }
+
+    /// Gives shards to instances that should own them and have been there for a while.
+    fn rebalance(
+        &mut self,
+        candidates: &Candidates,
+        writers: &Candidates,
+        context: &Context<'_>,
+        out: &mut Out<'_>,
+    ) {
+        let now = context.now;
+        let leaving = self.held.values().filter(|held| held.is_leaving()).count();
+        let mut room = self.settings.moves_at_once.saturating_sub(leaving);
+        let mut better: BTreeMap<Shard, (InstanceName, Time)> = BTreeMap::new();
+        let mut moves = Vec::new();
+        for shard in self.at_work() {
+            let chosen = choice::choose(&self.settings, shard, candidates, writers);
+            let Some(to) = chosen.filter(|to| **to != self.own.instance) else { continue };
+            let known = self.better.get(&shard).filter(|(name, _)| name == to);
+            let since = known.map_or(now, |(_, since)| *since);
+            let stable = now.since(since) >= self.settings.stable_after;
+            if room > 0 && (stable || context.draining) {
+                room -= 1;
+                moves.push((shard, to.clone()));
+            }
+            better.insert(shard, (to.clone(), since));
+        }
+        self.better = better;
+        self.release(moves, out);
+    }
+
+    fn start_fetch(&mut self, shard: Shard, out: &mut Out<'_>) {
+        self.op = Op::Reading;
+        let request = crate::store::Request::Row { key: key(shard) };
+        let purpose = super::Purpose::Fetch(shard);
+        out.store(crate::store::Priority::Ownership, purpose, request);
+    }
+}
--- /dev/null
+++ b/crates/control/src/penalties/stored.rs
@@ -0,0 +1,123 @@
+//! Stored forms of sets of misses and of compacted hours.
+
+use bytes::Bytes;
+use capnp::message::Builder;
+use sycamorerill_core::data;
+use sycamorerill_core::money::Amount;
+use sycamorerill_schema::journal;
+
+use super::entry::Cell;
+use super::{Counts, Entry, Id, Minute, Misses};
+use crate::codec::{self, Error};
+use crate::store::Key;
+
+data! {
+    /// Value of the row of a compacted hour.
+    pub(crate) struct Closed {
+        /// Object that holds the set of misses.
+        pub(crate) object: Key,
+        /// Checksum of the object.
+        pub(crate) checksum: u32,
+        /// Counts of the set.
+        pub(crate) counts: Counts,
+    }
+}
+
+/// Returns the stored form of a set of misses.
+pub fn encode(misses: &Misses) -> Bytes {
+    let mut message = Builder::new_default();
+    let root = message.init_root::<journal::penalties::Builder<'_>>();
+    write_misses(root, misses.values());
+    codec::seal(&message)
+}
+
+/// Reads the stored form of a set of misses.
+///
+/// # Errors
+///
+/// Fails where the value is torn, corrupt or of another format.
+pub fn decode(bytes: &[u8]) -> Result<Misses, Error> {
+    let message = codec::open(bytes)?;
+    read_misses(message.get_root::<journal::penalties::Reader<'_>>()?)
+}
+
+/// Writes a set of misses into a message.
+pub(crate) fn write_misses<'a>(
+    to: journal::penalties::Builder<'_>,
+    misses: impl ExactSizeIterator<Item = &'a Entry>,
+) {
+    let mut list = to.init_entries(misses.len() as u32);
+    for (at, entry) in misses.enumerate() {
+        let mut to = list.reborrow().get(at as u32);
+        to.set_target(entry.id.target.as_str());
+        to.set_subject(entry.id.subject);
+        to.set_minute(entry.id.minute.0);
+        to.set_team(entry.team.as_str());
+        to.set_service(entry.service.as_ref().map_or("", |service| service.as_str()));
+        to.set_amount(entry.amount.0);
+    }
+}
+
+/// Reads a set of misses from a message.
+pub(crate) fn read_misses(from: journal::penalties::Reader<'_>) -> Result<Misses, Error> {
+    let mut misses = Misses::new();
+    for entry in from.get_entries()? {
+        let id = Id {
+            minute: Minute(entry.get_minute()),
+            target: codec::name(entry.get_target()?)?,
+            subject: entry.get_subject(),
+        };
+        let service = entry.get_service()?;
+        let entry = Entry {
+            id: id.clone(),
+            team: codec::name(entry.get_team()?)?,
+            service: if service.is_empty() { None } else { Some(codec::name(service)?) },
+            amount: Amount(entry.get_amount()),
+        };
+        misses.insert(id, entry);
+    }
+    Ok(misses)
+}
+
+impl Closed {
+    pub(crate) fn encode(&self) -> Bytes {
+        let mut message = Builder::new_default();
+        let mut root = message.init_root::<journal::counts::Builder<'_>>();
+        root.set_object(self.object.as_str());
+        root.set_checksum(self.checksum);
+        let mut list = root.init_counts(self.counts.cells.len() as u32);
+        for (at, ((minute, target, team, service), (misses, amount))) in
+            self.counts.cells.iter().enumerate()
+        {
+            let mut to = list.reborrow().get(at as u32);
+            to.set_minute(minute.0);
+            to.set_target(target.as_str());
+            to.set_team(team.as_str());
+            to.set_service(service.as_ref().map_or("", |service| service.as_str()));
+            to.set_misses(*misses);
+            to.set_amount(amount.0);
+        }
+        codec::seal(&message)
+    }
+
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let message = codec::open(bytes)?;
+        let root = message.get_root::<journal::counts::Reader<'_>>()?;
+        let mut counts = Counts::default();
+        for count in root.get_counts()? {
+            let service = count.get_service()?;
+            let cell: Cell = (
+                Minute(count.get_minute()),
+                codec::name(count.get_target()?)?,
+                codec::name(count.get_team()?)?,
+                if service.is_empty() { None } else { Some(codec::name(service)?) },
+            );
+            counts.cells.insert(cell, (count.get_misses(), Amount(count.get_amount())));
+        }
+        Ok(Self {
+            object: Key::new(root.get_object()?.to_str()?),
+            checksum: root.get_checksum(),
+            counts,
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/session/machine.rs
@@ -0,0 +1,183 @@
+//! Opens the session of this incarnation, answers challenges and notices its end.
+
+use bytes::Bytes;
+use fastrand::Rng;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::Incarnation;
+
+use super::{Name, Row, key};
+use crate::agent::{Decision, Out};
+use crate::store::{self, Check, Expected, Priority, Request, Response, RowVersion, Transaction};
+
+/// Pause after a row that could not be read.
+const RETRY_AFTER: Span = Span::from_ms(5_000);
+
+/// What a request of the session was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Read,
+    Write,
+}
+
+/// What an answer meant for the rest of the instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    None,
+    Opened,
+    Fenced,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Closed,
+    Open(RowVersion),
+    Fenced,
+}
+
+#[derive(Debug)]
+pub(crate) struct Machine {
+    name: Name,
+    nonce: u64,
+    state: State,
+    busy: bool,
+    written: Option<Bytes>,
+    read_at: Time,
+    retry_at: Time,
+}
+
+impl Machine {
+    pub(crate) fn new(name: Name, rng: &mut Rng) -> Self {
+        Self {
+            name,
+            nonce: rng.u64(..),
+            state: State::Closed,
+            busy: false,
+            written: None,
+            read_at: Time::ZERO,
+            retry_at: Time::ZERO,
+        }
+    }
+
+    pub(crate) const fn name(&self) -> &Name {
+        &self.name
+    }
+
+    pub(crate) const fn is_open(&self) -> bool {
+        matches!(self.state, State::Open(_))
+    }
+
+    pub(crate) const fn is_fenced(&self) -> bool {
+        matches!(self.state, State::Fenced)
+    }
+
+    /// Returns the check that every transaction of this session carries.
+    pub(crate) fn guard(&self) -> Option<Check> {
+        match self.state {
+            State::Open(version) => {
+                Some(Check { key: key(&self.name.instance), expected: Expected::At(version) })
+            }
+            _ => None,
+        }
+    }
+
+    /// Reads the row of the session unless a request for it is on its way.
+    pub(crate) fn recheck(&mut self, now: Time, out: &mut Out<'_>) {
+        if self.busy || self.is_fenced() || now < self.retry_at {
+            return;
+        }
+        self.busy = true;
+        self.read_at = now;
+        let request = Request::Row { key: key(&self.name.instance) };
+        out.store(Priority::Ownership, Purpose::Read, request);
+    }
+
+    /// Returns how long ago the row was asked for.
+    pub(crate) fn age(&self, now: Time) -> Span {
+        now.since(self.read_at)
+    }
+
+    pub(crate) fn handle(&mut self, now: Time, response: Response, out: &mut Out<'_>) -> Change {
+        self.busy = false;
+        match response {
+            Response::Row(row) => self.read(now, row, out),
+            Response::Committed(versions) => self.committed(&versions),
+            _ => {
+                self.recheck(now, out);
+                Change::None
+            }
+        }
+    }
+
+    fn committed(&mut self, versions: &[RowVersion]) -> Change {
+        self.written = None;
+        let opened = !self.is_open();
+        self.state = State::Open(versions.first().copied().unwrap_or_default());
+        if opened { Change::Opened } else { Change::None }
+    }
+
+    fn read(&mut self, now: Time, found: Option<store::Row>, out: &mut Out<'_>) -> Change {
+        let Some(found) = found else { return self.absent(out) };
+        // A write whose answer was lost is recognised by what it wrote.
+        if self.written.as_ref() == Some(&found.value) {
+            return self.committed(&[found.version]);
+        }
+        let row = match Row::decode(&found.value) {
+            Ok(row) => row,
+            Err(error) => {
+                self.retry_at = now + RETRY_AFTER;
+                out.decide(Decision::Corrupt { key: found.key, error });
+                return Change::None;
+            }
+        };
+        let expected = Expected::At(found.version);
+        let ours = row.incarnation == self.name.incarnation && row.nonce == self.nonce;
+        match (ours, self.is_open()) {
+            (true, _) => self.refresh(&row, found.version, out),
+            (false, true) => self.fence(),
+            (false, false) => self.open(&row, expected, out),
+        }
+    }
+
+    fn absent(&mut self, out: &mut Out<'_>) -> Change {
+        if self.is_open() {
+            return self.fence();
+        }
+        self.write(Row::opened(self.name.incarnation, self.nonce), Expected::Absent, out);
+        Change::None
+    }
+
+    fn open(&mut self, before: &Row, expected: Expected, out: &mut Out<'_>) -> Change {
+        let next = Incarnation(before.incarnation.0.saturating_add(1));
+        self.name.incarnation = self.name.incarnation.max(next);
+        self.write(Row::opened(self.name.incarnation, self.nonce), expected, out);
+        Change::None
+    }
+
+    fn refresh(&mut self, row: &Row, version: RowVersion, out: &mut Out<'_>) -> Change {
+        if row.fenced_by.is_some() {
+            return self.fence();
+        }
+        let opened = !self.is_open();
+        self.state = State::Open(version);
+        if row.challenge > row.answer {
+            let answered = Row { answer: row.challenge, ..row.clone() };
+            self.write(answered, Expected::At(version), out);
+        }
+        if opened { Change::Opened } else { Change::None }
+    }
+
+    fn fence(&mut self) -> Change {
+        self.state = State::Fenced;
+        Change::Fenced
+    }
+
+    fn write(&mut self, row: Row, expected: Expected, out: &mut Out<'_>) {
+        let bytes = row.encode();
+        self.written = Some(bytes.clone());
+        self.busy = true;
+        let row_key = key(&self.name.instance);
+        let transaction =
+            Transaction::default().check(row_key.clone(), expected).put(row_key, bytes);
+        out.store(Priority::Ownership, Purpose::Write, Request::Transact(transaction));
+    }
+}
--- /dev/null
+++ b/crates/control/src/session/row.rs
@@ -0,0 +1,64 @@
+//! The row of a session.
+
+use bytes::Bytes;
+use capnp::message::Builder;
+use sycamorerill_core::data;
+use sycamorerill_core::id::{Incarnation, InstanceName};
+use sycamorerill_schema::journal;
+
+use crate::codec::{self, Error};
+
+data! {
+    /// Value of the row of a session.
+    pub struct Row {
+        /// Incarnation that wrote the row when it started.
+        pub incarnation: Incarnation,
+        /// Number drawn by that incarnation.
+        pub nonce: u64,
+        /// Instance that ended the session, or nothing while it may write.
+        pub fenced_by: Option<InstanceName>,
+        /// Number of times that another instance asked whether the session lives.
+        pub challenge: u64,
+        /// Last of those that the session answered.
+        pub answer: u64,
+    }
+}
+
+impl Row {
+    /// Returns the row of a session that starts.
+    pub const fn opened(incarnation: Incarnation, nonce: u64) -> Self {
+        Self { incarnation, nonce, fenced_by: None, challenge: 0, answer: 0 }
+    }
+
+    /// Returns the stored form.
+    pub fn encode(&self) -> Bytes {
+        let mut message = Builder::new_default();
+        let mut row = message.init_root::<journal::session::Builder<'_>>();
+        row.set_incarnation(self.incarnation.0);
+        row.set_nonce(self.nonce);
+        row.set_challenge(self.challenge);
+        row.set_answer(self.answer);
+        if let Some(by) = &self.fenced_by {
+            row.set_fenced_by(by.as_str());
+        }
+        codec::seal(&message)
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the value is torn, corrupt or of another format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let message = codec::open(bytes)?;
+        let row = message.get_root::<journal::session::Reader<'_>>()?;
+        let by = row.get_fenced_by()?;
+        Ok(Self {
+            incarnation: Incarnation(row.get_incarnation()),
+            nonce: row.get_nonce(),
+            fenced_by: if by.is_empty() { None } else { Some(codec::name(by)?) },
+            challenge: row.get_challenge(),
+            answer: row.get_answer(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/store/gate.rs
@@ -0,0 +1,224 @@
+//! Gate between the machines and the store: order, budget, back-off and breaker.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fastrand::Rng;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::{data, value};
+
+use super::{Bucket, Budget, Request, RequestId, Response};
+
+/// Failures in a row that open the breaker.
+const FAILURES_TO_OPEN: u32 = 2;
+/// Age of an unanswered request that counts the store as down.
+const SLOW_AFTER: Span = Span::from_ms(2_000);
+/// First pause of the breaker.
+const MIN_PAUSE: Span = Span::from_ms(250);
+/// Longest pause of the breaker.
+const MAX_PAUSE: Span = Span::from_ms(4_000);
+/// Requests that may be unanswered at once.
+const MAX_IN_FLIGHT: usize = 16;
+
+value! {
+    /// Order in which a short budget is spent; the first goes first.
+    pub enum Priority {
+        /// Sessions and ownership.
+        Ownership,
+        /// Commits of the journal and recoveries.
+        Journal,
+        /// Versions of the configuration.
+        Config,
+        /// Penalties.
+        Penalties,
+        /// Snapshots and the deletion of what they cover.
+        Snapshots,
+    }
+}
+
+value! {
+    /// State of the store as this instance sees it.
+    pub enum State {
+        /// Requests are answered.
+        Up,
+        /// Requests fail or are not answered in time.
+        Down,
+    }
+}
+
+impl State {
+    /// Returns the word used in logs and in the status.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Up => "up",
+            Self::Down => "down",
+        }
+    }
+}
+
+data! {
+    /// Requests sent so far.
+    #[derive(Copy, Default)]
+    pub struct Usage {
+        /// Transactions and writes of objects.
+        pub writes: u64,
+        /// Reads of rows, scans and objects.
+        pub reads: u64,
+        /// Requests answered by `Unknown` or `Unavailable`.
+        pub failures: u64,
+    }
+}
+
+#[derive(Debug)]
+struct InFlight<P> {
+    purpose: P,
+    priority: Priority,
+    request: Request,
+    sent: Time,
+}
+
+/// Queue of requests in the order of their priority.
+#[derive(Debug)]
+pub(crate) struct Gate<P> {
+    next: u64,
+    queue: BTreeMap<Priority, VecDeque<(P, Request)>>,
+    in_flight: BTreeMap<RequestId, InFlight<P>>,
+    writes: Bucket,
+    reads: Bucket,
+    failures: u32,
+    closed_until: Time,
+    pause: Span,
+    usage: Usage,
+}
+
+impl<P> Gate<P> {
+    pub(crate) fn new(budget: &Budget) -> Self {
+        Self {
+            next: 1,
+            queue: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
+            writes: Bucket::new(budget.writes, budget.burst),
+            reads: Bucket::new(budget.reads, budget.burst * 2.0),
+            failures: 0,
+            closed_until: Time::ZERO,
+            pause: MIN_PAUSE,
+            usage: Usage::default(),
+        }
+    }
+
+    /// Sets the share of the budget for the present number of instances.
+    pub(crate) fn retune(&mut self, now: Time, budget: &Budget, writers: usize, readers: usize) {
+        let (writes, reads) = budget.share(writers, readers);
+        self.writes.retune(now, writes);
+        self.reads.retune(now, reads);
+    }
+
+    pub(crate) const fn usage(&self) -> Usage {
+        self.usage
+    }
+
+    pub(crate) fn state(&self, now: Time) -> State {
+        let slow = self.in_flight.values().any(|sent| now.since(sent.sent) > SLOW_AFTER);
+        if slow || self.failures >= FAILURES_TO_OPEN { State::Down } else { State::Up }
+    }
+
+    pub(crate) fn push(&mut self, priority: Priority, purpose: P, request: Request) {
+        self.queue.entry(priority).or_default().push_back((purpose, request));
+    }
+
+    /// Removes the waiting requests that match; those already sent stay.
+    pub(crate) fn withdraw(&mut self, matches: impl Fn(&P) -> bool) {
+        for queue in self.queue.values_mut() {
+            queue.retain(|(purpose, _)| !matches(purpose));
+        }
+    }
+
+    /// Takes the answer to a request; nothing comes back when the gate sends it again.
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        response: &Response,
+        rng: &mut Rng,
+    ) -> Option<P> {
+        let sent = self.in_flight.remove(&id)?;
+        let transaction = matches!(sent.request, Request::Transact(_));
+        match response {
+            Response::Unavailable | Response::Unknown => {
+                self.failed(now, rng);
+                // Reads and writes of objects can be sent again as they are. A transaction
+                // goes back to its machine, which reads the row before it acts.
+                if transaction {
+                    return Some(sent.purpose);
+                }
+                let queue = self.queue.entry(sent.priority).or_default();
+                queue.push_front((sent.purpose, sent.request));
+                None
+            }
+            _ => {
+                self.failures = 0;
+                self.pause = MIN_PAUSE;
+                self.closed_until = Time::ZERO;
+                Some(sent.purpose)
+            }
+        }
+    }
+
+    /// Emits the requests that the budget and the breaker allow.
+    pub(crate) fn pump(&mut self, now: Time, mut send: impl FnMut(RequestId, Request)) {
+        while self.open(now) {
+            let Some((priority, purpose, request)) = self.pop(now) else { return };
+            let id = RequestId(self.next);
+            self.next += 1;
+            match request.is_write() {
+                true => self.usage.writes += 1,
+                false => self.usage.reads += 1,
+            }
+            send(id, request.clone());
+            self.in_flight.insert(id, InFlight { purpose, priority, request, sent: now });
+        }
+    }
+
+    /// Returns the instant at which the gate may have something to send.
+    pub(crate) fn next_wake(&self, now: Time) -> Option<Time> {
+        if self.in_flight.len() >= self.allowed() {
+            return None;
+        }
+        let fronts = self.queue.values().filter_map(VecDeque::front);
+        let ready = fronts.map(|(_, request)| match request.is_write() {
+            true => self.writes.ready(now),
+            false => self.reads.ready(now),
+        });
+        ready.min().map(|ready| ready.max(self.closed_until))
+    }
+
+    fn allowed(&self) -> usize {
+        if self.failures >= FAILURES_TO_OPEN { 1 } else { MAX_IN_FLIGHT }
+    }
+
+    fn open(&self, now: Time) -> bool {
+        now >= self.closed_until && self.in_flight.len() < self.allowed()
+    }
+
+    /// Takes the first request, by priority, whose bucket has a token.
+    fn pop(&mut self, now: Time) -> Option<(Priority, P, Request)> {
+        for (priority, queue) in &mut self.queue {
+            let Some((_, request)) = queue.front() else { continue };
+            let bucket = if request.is_write() { &mut self.writes } else { &mut self.reads };
+            if bucket.take(now) {
+                let (purpose, request) = queue.pop_front()?;
+                return Some((*priority, purpose, request));
+            }
+        }
+        None
+    }
+
+    fn failed(&mut self, now: Time, rng: &mut Rng) {
+        self.failures += 1;
+        self.usage.failures += 1;
+        if self.failures < FAILURES_TO_OPEN {
+            return;
+        }
+        self.closed_until = now + self.pause.scale(0.5 + 0.5 * rng.f64());
+        self.pause = self.pause.times(2).min(MAX_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/control/tests/agreement.rs
@@ -0,0 +1,78 @@
+//! Several agents bootstrap an empty table, append records and agree on versions.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod cluster;
+
+use bytes::Bytes;
+use cluster::{Cluster, name};
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome};
+use sycamorerill_control::journal::Need;
+use sycamorerill_control::ownership::{Kind, Shard};
+use sycamorerill_core::clock::Span;
+use sycamorerill_core::id::{InstanceName, Version};
+
+fn started(count: u64) -> (Cluster, Vec<InstanceName>) {
+    let mut cluster = Cluster::new(1);
+    let names: Vec<InstanceName> = (0..count).map(|n| name(&format!("n{n}"))).collect();
+    for one in &names {
+        cluster.start(one, "d1", &names);
+    }
+    cluster.run(Span::from_secs(10));
+    (cluster, names)
+}
+
+fn owner(cluster: &Cluster, shard: Shard) -> InstanceName {
+    let serves = |name: &&InstanceName| cluster.nodes[*name].serving.contains_key(&shard);
+    cluster.nodes.keys().find(serves).expect("an owner").clone()
+}
+
+#[test]
+fn an_empty_table_is_shared_out() {
+    let (cluster, _) = started(4);
+    let shares: Vec<usize> = cluster.nodes.values().map(|node| node.serving.len()).collect();
+    assert_eq!(shares.iter().sum::<usize>(), 128);
+    assert!(shares.iter().all(|share| *share > 0), "{shares:?}");
+    assert_eq!(cluster.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_record_outlives_its_owner() {
+    let (mut cluster, _) = started(3);
+    let shard = Shard { kind: Kind::Keys, number: 7 };
+    let first = owner(&cluster, shard);
+    let now = cluster.now;
+    let node = cluster.nodes.get_mut(&first).unwrap();
+    node.append(now, shard, 42, Need::Now).unwrap();
+    cluster.event(&first, Event::Tick);
+    cluster.run(Span::from_ms(100));
+    assert_eq!(cluster.nodes[&first].durable, vec![(shard, 42)]);
+    cluster.kill(&first);
+    cluster.run(Span::from_secs(10));
+    let second = owner(&cluster, shard);
+    assert_ne!(first, second);
+    assert_eq!(cluster.nodes[&second].serving[&shard].1, vec![42]);
+}
+
+#[test]
+fn a_version_is_in_force_everywhere_and_a_race_is_a_conflict() {
+    let (mut cluster, names) = started(3);
+    for (at, (value, id)) in [(1_u64, 11), (2, 12)].into_iter().enumerate() {
+        let keys = Digests::from([("services/quote".to_owned(), value)]);
+        let apply = Apply {
+            id: ApplyId(id),
+            seen: Version(0),
+            author: format!("operator {id}"),
+            keys,
+            bytes: Bytes::from(format!("content {id}")),
+        };
+        cluster.event(&names[at], Event::Apply(apply));
+    }
+    cluster.run(Span::from_secs(2));
+    let outcomes: Vec<&Outcome> = cluster.outcomes.values().map(|(_, outcome)| outcome).collect();
+    let conflict =
+        Outcome::Conflict { current: Version(1), keys: ["services/quote".to_owned()].into() };
+    assert!(outcomes.contains(&&Outcome::Accepted(Version(1))), "{outcomes:?}");
+    assert!(outcomes.contains(&&conflict), "{outcomes:?}");
+    assert!(names.iter().all(|name| cluster.version(name) == Version(1)));
+}
--- /dev/null
+++ b/crates/control/tests/cluster/mod.rs
@@ -0,0 +1,393 @@
+//! Several agents on virtual time, with a network, a store and faults.
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod node;
+mod store;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use fastrand::Rng;
+use sycamorerill_control::agent::{Command, Event, Settings};
+use sycamorerill_control::membership::{Evidence, Listing};
+use sycamorerill_control::penalties::{Entry, Id};
+use sycamorerill_control::store::{Request, RequestId, Response};
+use sycamorerill_control::{config, penalties, session};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{Incarnation, InstanceName, Version};
+
+pub use node::Node;
+pub use store::Store;
+
+/// Time that a request waits for its answer before it counts as lost.
+const REQUEST_TIMEOUT: Span = Span::from_ms(1_000);
+
+/// Faults that are switched on.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// The store refuses everything.
+    pub down: bool,
+    /// Added to the time of each request.
+    pub slow: Span,
+    /// Share of transactions whose answer is lost after they took effect.
+    pub lose: f64,
+    /// Share of transactions that take effect long after their answer was given up.
+    pub late: f64,
+    /// Share of messages that are lost.
+    pub drop: f64,
+}
+
+enum Happening {
+    Message { to: InstanceName, from: InstanceName, bytes: Bytes },
+    Arrive { node: InstanceName, life: u64, id: RequestId, request: Request },
+    Late { request: Request },
+    Answer { node: InstanceName, life: u64, id: RequestId, response: Response },
+    Probe { node: InstanceName, life: u64, session: session::Name },
+    Wake { node: InstanceName, life: u64 },
+}
+
+/// Agents, network and store.
+pub struct Cluster {
+    pub now: Time,
+    pub rng: Rng,
+    pub store: Store,
+    pub faults: Faults,
+    pub nodes: BTreeMap<InstanceName, Node>,
+    pub cut: BTreeSet<(InstanceName, InstanceName)>,
+    pub cut_store: BTreeSet<InstanceName>,
+    pub listed: BTreeSet<InstanceName>,
+    pub template: Settings,
+    pub violations: Vec<String>,
+    pub log: Vec<(Time, InstanceName, String)>,
+    pub outcomes: BTreeMap<config::ApplyId, (Time, config::Outcome)>,
+    pub settled: BTreeMap<penalties::SettleId, Result<penalties::Settled, penalties::Failure>>,
+    pub messages: u64,
+    pub bytes: u64,
+    queue: BTreeMap<(Time, u64), Happening>,
+    next: u64,
+}
+
+pub fn name(text: &str) -> InstanceName {
+    text.parse().unwrap()
+}
+
+impl Cluster {
+    pub fn new(seed: u64) -> Self {
+        let template = Settings::new(name("x"), Incarnation(0), "d1".parse().unwrap());
+        Self {
+            now: Time::from_ms(1_000),
+            rng: Rng::with_seed(seed),
+            store: Store::default(),
+            faults: Faults::default(),
+            nodes: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            cut_store: BTreeSet::new(),
+            listed: BTreeSet::new(),
+            template,
+            violations: Vec::new(),
+            log: Vec::new(),
+            outcomes: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            messages: 0,
+            bytes: 0,
+            queue: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Starts an instance, as a new process if it had run before.
+    pub fn start(&mut self, instance: &InstanceName, domain: &str, peers: &[InstanceName]) {
+        self.listed.insert(instance.clone());
+        let before = self.nodes.remove(instance);
+        let life = before.as_ref().map_or(0, |node| node.life) + 1;
+        let carried = before.map(|node| node.carried).unwrap_or_default();
+        let settings = Settings {
+            instance: instance.clone(),
+            incarnation: Incarnation(self.now.as_ms()),
+            domain: domain.parse().unwrap(),
+            peers: peers.to_vec(),
+            seed: self.rng.u64(..),
+            ..self.template.clone()
+        };
+        self.nodes.insert(instance.clone(), Node::new(settings, life, carried));
+        self.event(instance, Event::Tick);
+    }
+
+    /// Ends the process of an instance.
+    pub fn kill(&mut self, instance: &InstanceName) {
+        if let Some(node) = self.nodes.get_mut(instance) {
+            node.alive = false;
+            node.serving.clear();
+        }
+    }
+
+    /// Stops the process of an instance for a while.
+    pub fn pause(&mut self, instance: &InstanceName, span: Span) {
+        let until = self.now + span;
+        if let Some(node) = self.nodes.get_mut(instance) {
+            node.paused_until = until;
+        }
+    }
+
+    /// Cuts or joins two groups of instances.
+    pub fn set_cut(&mut self, one: &[InstanceName], other: &[InstanceName], cut: bool) {
+        for a in one {
+            for b in other {
+                for pair in [(a.clone(), b.clone()), (b.clone(), a.clone())] {
+                    match cut {
+                        true => _ = self.cut.insert(pair),
+                        false => _ = self.cut.remove(&pair),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives an event to an instance that runs.
+    pub fn event(&mut self, instance: &InstanceName, event: Event) {
+        let Some(node) = self.nodes.get_mut(instance) else { return };
+        if !node.alive {
+            return;
+        }
+        let mut commands = Vec::new();
+        node.agent.handle(self.now, event, &mut commands);
+        let life = node.life;
+        for command in commands {
+            self.command(instance, life, command);
+        }
+        self.schedule_wake(instance);
+    }
+
+    /// Counts a miss on an instance.
+    pub fn miss(&mut self, instance: &InstanceName, subject: u64, minute: u64) {
+        let entry = entry(subject, minute);
+        let Some(node) = self.nodes.get_mut(instance).filter(|node| node.alive) else { return };
+        if node.agent.miss(entry).is_ok() {
+            node.missed.insert(subject);
+        }
+        self.event(instance, Event::Tick);
+    }
+
+    /// Runs until an instant.
+    pub fn run_until(&mut self, end: Time) {
+        while let Some((key, _)) = self.queue.first_key_value() {
+            let key = *key;
+            if key.0 > end {
+                break;
+            }
+            let Some(happening) = self.queue.remove(&key) else { break };
+            self.now = key.0;
+            self.happen(happening);
+        }
+        self.now = end;
+    }
+
+    pub fn run(&mut self, span: Span) {
+        self.run_until(self.now + span);
+    }
+
+    /// Tells every instance the platform's list.
+    pub fn list(&mut self) {
+        let listings: Vec<Listing> = self
+            .listed
+            .iter()
+            .map(|instance| Listing { instance: instance.clone(), leaving: false })
+            .collect();
+        let instances: Vec<InstanceName> = self.nodes.keys().cloned().collect();
+        for instance in instances {
+            self.event(&instance, Event::Listed { listings: listings.clone() });
+        }
+    }
+
+    fn at(&mut self, delay: Span, happening: Happening) {
+        self.next += 1;
+        self.queue.insert((self.now + delay, self.next), happening);
+    }
+
+    fn schedule_wake(&mut self, instance: &InstanceName) {
+        let Some(node) = self.nodes.get_mut(instance) else { return };
+        let wake = node.agent.next_wake(self.now).max(self.now + Span::from_ms(1));
+        if wake == Time::MAX || (node.wake > self.now && node.wake <= wake) {
+            return;
+        }
+        node.wake = wake;
+        let (node, life) = (instance.clone(), node.life);
+        self.at(wake.since(self.now), Happening::Wake { node, life });
+    }
+
+    fn is_running(&self, instance: &InstanceName, life: u64) -> bool {
+        self.nodes.get(instance).is_some_and(|node| node.alive && node.life == life)
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        let target = match &happening {
+            Happening::Message { to, .. } => Some(to.clone()),
+            Happening::Answer { node, .. }
+            | Happening::Probe { node, .. }
+            | Happening::Wake { node, .. } => Some(node.clone()),
+            Happening::Arrive { .. } | Happening::Late { .. } => None,
+        };
+        if let Some(node) = target.and_then(|target| self.nodes.get(&target))
+            && node.paused_until > self.now
+        {
+            let delay = node.paused_until.since(self.now);
+            return self.at(delay, happening);
+        }
+        match happening {
+            Happening::Message { to, from, bytes } => {
+                self.event(&to, Event::Message { from, bytes });
+            }
+            Happening::Arrive { node, life, id, request } => self.arrive(node, life, id, request),
+            Happening::Late { request } => _ = self.store.apply(request),
+            Happening::Answer { node, life, id, response } => {
+                if self.is_running(&node, life) {
+                    self.event(&node, Event::Store { id, response });
+                }
+            }
+            Happening::Probe { node, life, session } => self.probe(&node, life, session),
+            Happening::Wake { node, life } => {
+                if self.is_running(&node, life) {
+                    if let Some(node) = self.nodes.get_mut(&node) {
+                        node.wake = Time::ZERO;
+                    }
+                    self.event(&node, Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, node: InstanceName, life: u64, id: RequestId, request: Request) {
+        let back = Span::from_ms_f64(1.0 + 2.0 * self.rng.f64()) + self.faults.slow.scale(0.5);
+        let transaction = matches!(request, Request::Transact(_));
+        if self.faults.down || self.cut_store.contains(&node) {
+            let response = Response::Unavailable;
+            return self.at(back, Happening::Answer { node, life, id, response });
+        }
+        if transaction && self.rng.f64() < self.faults.late {
+            let delay = Span::from_ms(self.rng.u64(500..6_000));
+            self.at(delay, Happening::Late { request });
+            let response = Response::Unknown;
+            return self.at(REQUEST_TIMEOUT, Happening::Answer { node, life, id, response });
+        }
+        let response = self.store.apply(request);
+        if transaction && self.rng.f64() < self.faults.lose {
+            let response = Response::Unknown;
+            return self.at(REQUEST_TIMEOUT, Happening::Answer { node, life, id, response });
+        }
+        self.at(back, Happening::Answer { node, life, id, response });
+    }
+
+    fn probe(&mut self, from: &InstanceName, life: u64, session: session::Name) {
+        let target = &session.instance;
+        let refused = self.nodes.get(target).is_none_or(|node| !node.alive);
+        let cut = self.cut.contains(&(from.clone(), target.clone()));
+        if refused && !cut && self.is_running(from, life) {
+            let evidence = Evidence::Refused;
+            self.event(from, Event::Evidence { session, evidence });
+        }
+    }
+
+    fn command(&mut self, instance: &InstanceName, life: u64, command: Command) {
+        match command {
+            Command::Store { id, request } => {
+                let to =
+                    Span::from_ms_f64(1.0 + 2.0 * self.rng.f64()) + self.faults.slow.scale(0.5);
+                let node = instance.clone();
+                self.at(to, Happening::Arrive { node, life, id, request });
+            }
+            Command::Send { to, message } => self.send(instance, to, message),
+            Command::Probe { session } => {
+                let node = instance.clone();
+                self.at(Span::from_ms(3), Happening::Probe { node, life, session });
+            }
+            Command::Applied { id, outcome } => {
+                self.outcomes.insert(id, (self.now, outcome));
+            }
+            Command::Settled { id, outcome } => {
+                self.settled.insert(id, outcome);
+            }
+            Command::Fenced { .. } => self.fenced(instance),
+            Command::Decision(decision) => {
+                self.log.push((self.now, instance.clone(), decision.to_string()));
+            }
+            command => self.local(instance, command),
+        }
+    }
+
+    fn send(&mut self, from: &InstanceName, to: InstanceName, bytes: Bytes) {
+        self.messages += 1;
+        self.bytes += bytes.len() as u64;
+        let cut = self.cut.contains(&(from.clone(), to.clone()));
+        if cut || self.rng.f64() < self.faults.drop {
+            return;
+        }
+        let delay = Span::from_ms_f64(1.0 + self.rng.f64());
+        self.at(delay, Happening::Message { to, from: from.clone(), bytes });
+    }
+
+    fn local(&mut self, instance: &InstanceName, command: Command) {
+        if let Command::Gained(gained) = &command {
+            self.check_gained(instance, gained.shard);
+        }
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(instance) else { return };
+        if let Some(event) = node.command(now, command) {
+            self.event(instance, event);
+        }
+    }
+
+    /// A shard of slots must not be at work in any other process, paused or not.
+    fn check_gained(
+        &mut self,
+        instance: &InstanceName,
+        shard: sycamorerill_control::ownership::Shard,
+    ) {
+        if shard.kind != sycamorerill_control::ownership::Kind::Slots {
+            return;
+        }
+        for (name, node) in &self.nodes {
+            if name != instance && node.alive && node.serving.contains_key(&shard) {
+                self.violations.push(format!("{shard} at work on {name} and {instance}"));
+            }
+        }
+    }
+
+    /// A fenced process stops and starts again.
+    fn fenced(&mut self, instance: &InstanceName) {
+        let Some(node) = self.nodes.get_mut(instance) else { return };
+        node.fence();
+        self.kill(instance);
+    }
+
+    pub fn version(&self, instance: &InstanceName) -> Version {
+        self.nodes.get(instance).map(|node| node.version).unwrap_or_default()
+    }
+
+    pub fn alive(&self) -> Vec<InstanceName> {
+        let alive = self.nodes.iter().filter(|(_, node)| node.alive);
+        alive.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Restarts every process that was fenced.
+    pub fn restart_dead(&mut self, domain: &str) {
+        let dead: Vec<InstanceName> = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| !node.alive)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let all: Vec<InstanceName> = self.nodes.keys().cloned().collect();
+        for instance in dead {
+            self.start(&instance, domain, &all);
+        }
+    }
+}
+
+pub fn entry(subject: u64, minute: u64) -> Entry {
+    Entry {
+        id: Id { minute: penalties::Minute(minute), target: "quotes".parse().unwrap(), subject },
+        team: "counter".parse().unwrap(),
+        service: Some("quote".parse().unwrap()),
+        amount: sycamorerill_core::money::Amount(250),
+    }
+}
--- /dev/null
+++ b/crates/control/tests/cluster/node.rs
@@ -0,0 +1,133 @@
+//! One instance: its agent and a small state for each shard.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use sycamorerill_control::agent::{Agent, Command, Event, Settings};
+use sycamorerill_control::journal::{Kind, Need, Refused, Sequence};
+use sycamorerill_control::ownership::{Gained, Shard};
+use sycamorerill_control::penalties::Misses;
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::{Epoch, Version};
+
+/// An instance.
+pub struct Node {
+    pub agent: Agent,
+    pub life: u64,
+    pub alive: bool,
+    pub paused_until: Time,
+    pub wake: Time,
+    /// Shards at work with the payloads that they hold.
+    pub serving: BTreeMap<Shard, (Epoch, Vec<u64>)>,
+    /// Records that are not known to last.
+    pub waiting: BTreeMap<Sequence, (Shard, u64)>,
+    /// Payloads that last, by shard.
+    pub durable: Vec<(Shard, u64)>,
+    pub version: Version,
+    pub versions: Vec<(Time, Version, Bytes)>,
+    pub missed: BTreeSet<u64>,
+    pub carried: Misses,
+    pub gained: Vec<(Time, Gained)>,
+    pub problems: Vec<String>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, life: u64, carried: Misses) -> Self {
+        let mut agent = Agent::new(settings);
+        for entry in carried.into_values() {
+            agent.miss(entry).expect("room for misses");
+        }
+        Self {
+            agent,
+            life,
+            alive: true,
+            paused_until: Time::ZERO,
+            wake: Time::ZERO,
+            serving: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            durable: Vec::new(),
+            version: Version::default(),
+            versions: Vec::new(),
+            missed: BTreeSet::new(),
+            carried: Misses::new(),
+            gained: Vec::new(),
+            problems: Vec::new(),
+        }
+    }
+
+    /// Appends a payload to a shard.
+    pub fn append(
+        &mut self,
+        now: Time,
+        shard: Shard,
+        payload: u64,
+        need: Need,
+    ) -> Result<(), Refused> {
+        let bytes = Bytes::copy_from_slice(&payload.to_be_bytes());
+        let sequence = self.agent.append(now, shard, Kind(1), bytes, need)?;
+        self.waiting.insert(sequence, (shard, payload));
+        if let Some((_, held)) = self.serving.get_mut(&shard) {
+            held.push(payload);
+        }
+        Ok(())
+    }
+
+    /// Ends the process but keeps the misses that do not last.
+    pub fn fence(&mut self) {
+        self.carried = self.agent.unsaved();
+    }
+
+    /// Takes an effect and returns the event that answers it.
+    pub fn command(&mut self, now: Time, command: Command) -> Option<Event> {
+        match command {
+            Command::Gained(gained) => self.gain(now, gained),
+            Command::Lost { shard } => _ = self.serving.remove(&shard),
+            Command::Release { shard, .. } => {
+                self.serving.remove(&shard);
+                return Some(Event::Released { shard, carry: Bytes::from_static(b"carry") });
+            }
+            Command::Durable { up_to } => {
+                let rest = self.waiting.split_off(&Sequence(up_to.0 + 1));
+                self.durable.extend(std::mem::replace(&mut self.waiting, rest).into_values());
+            }
+            Command::Withdrawn { sequences } => {
+                for sequence in sequences {
+                    let Some((shard, payload)) = self.waiting.remove(&sequence) else { continue };
+                    if let Some((_, held)) = self.serving.get_mut(&shard) {
+                        held.retain(|one| *one != payload);
+                    }
+                }
+            }
+            Command::SnapshotWanted { shard } => {
+                let (_, held) = self.serving.get(&shard)?;
+                let bytes: Vec<u8> = held.iter().flat_map(|one| one.to_be_bytes()).collect();
+                return Some(Event::Snapshot { shard, bytes: bytes.into() });
+            }
+            Command::ConfigInForce(config) => {
+                if config.version <= self.version {
+                    self.problems.push(format!("{} after {}", config.version, self.version));
+                }
+                self.version = config.version;
+                self.versions.push((now, config.version, config.bytes));
+            }
+            _ => {}
+        }
+        None
+    }
+
+    fn gain(&mut self, now: Time, gained: Gained) {
+        let mut held: Vec<u64> = Vec::new();
+        if let Some(snapshot) = &gained.recovered.snapshot {
+            held.extend(snapshot.chunks(8).map(|one| u64::from_be_bytes(one.try_into().unwrap())));
+        }
+        for record in &gained.recovered.records {
+            held.push(u64::from_be_bytes(record.bytes[..].try_into().unwrap()));
+        }
+        let distinct: BTreeSet<u64> = held.iter().copied().collect();
+        if distinct.len() != held.len() {
+            self.problems.push(format!("{} was recovered with repeats", gained.shard));
+        }
+        self.serving.insert(gained.shard, (gained.epoch, held));
+        self.gained.push((now, gained));
+    }
+}
