fakes: an exchange may carry the instant after which it has no effect

A renewal whose answer was lost may reach a paused worker much later and prolong a lease that its sender takes for lapsed. The worker now tells the reading of its own clock, and an exchange may name the reading after which it is refused whole. Checkpoints wait for the object store, a placement that came to nothing may be resumed again, and single clients can be cut off from workers and executors. Tests of the services and the workers are included.

--- a/crates/fakes/src/executor/call.rs
+++ b/crates/fakes/src/executor/call.rs
@@ -17,6 +17,8 @@
 
 /// Parameter of the query that sets the run time, in milliseconds.
 const RUN_PARAMETER: &str = "run_ms";
+/// How often a call that is cut off looks whether the fault has ended.
+const CUT_OFF_POLL: Span = Span::from_ms(20);
 /// Header that names the executor which answered.
 const EXECUTOR_HEADER: &str = "x-executor";
 /// Identity and body of an answer that belongs to another request.
@@ -31,6 +33,10 @@
         if entry.faults.gone {
             return Reply::Close;
         }
+        if request.is_from(&entry.faults.cut_off) {
+            self.wait_out(name, request).await;
+            return Reply::Close;
+        }
         let identity = request.header(headers::IDENTITY).unwrap_or_default();
         if entry.faults.refusing || entry.faults.leaving {
             self.refused(name);
@@ -49,6 +55,12 @@
         answer(&entry.faults, name, identity, request, &mut rng)
     }
 
+    async fn wait_out(&self, name: &str, request: &Incoming) {
+        while self.faults(name).is_some_and(|faults| request.is_from(&faults.cut_off)) {
+            Timer::after(CUT_OFF_POLL.into()).await;
+        }
+    }
+
     fn note(&self, name: &str, identity: &str, request: &Incoming) {
         let mut runs = vec![Ran::Identity(identity.to_owned())];
         let key = request.header(headers::KEY);
--- a/crates/fakes/src/faults/model.rs
+++ b/crates/fakes/src/faults/model.rs
@@ -51,6 +51,8 @@
     pub gone: bool,
     /// Number of the next answers that are lost after the commands took effect.
     pub lose_next: u64,
+    /// Entry instances for which the worker is unreachable.
+    pub cut_off: BTreeSet<InstanceName>,
 }
 
 /// Faults of an executor.
@@ -74,6 +76,8 @@
     pub gone: bool,
     /// Takes no new calls: refuses them before running.
     pub leaving: bool,
+    /// Entry instances whose calls do not run and get no answer.
+    pub cut_off: BTreeSet<InstanceName>,
 }
 
 impl Default for Execute {
@@ -87,6 +91,7 @@
             late: Span::ZERO,
             gone: false,
             leaving: false,
+            cut_off: BTreeSet::new(),
         }
     }
 }
--- a/crates/fakes/src/fleet/command.rs
+++ b/crates/fakes/src/fleet/command.rs
@@ -2,19 +2,19 @@
 
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::TaskName;
-use sycamorerill_platform::worker::{Command, Outcome, Refusal, State, Token};
+use sycamorerill_platform::worker::{Command, Refusal, Start, State, Token};
 
 use super::task::Task;
 use super::worker::Worker;
 
-/// Carries out a command other than a start.
+/// Carries out a command other than a start, and returns the placement that it stopped.
 pub(crate) fn carry_out(
     worker: &mut Worker,
     now: Time,
     checkpoint_time: Span,
     command: &Command,
-) -> Outcome {
-    let done = match command {
+) -> Result<Option<Start>, Refusal> {
+    match command {
         Command::Start(_) => Err(Refusal::NotHeld),
         Command::Renew { task, token, lease } => {
             running(worker, task, *token).map(|task| task.lease_until = now + *lease)
@@ -30,14 +30,11 @@
             begin_checkpoint(worker, now, checkpoint_time, task, *token)
         }
         Command::Stop { task, token, checkpoint } => {
-            stop(worker, now, checkpoint_time, task, *token, *checkpoint)
+            return stop(worker, now, checkpoint_time, task, *token, *checkpoint);
         }
         Command::Ack { task, token } => forget(worker, task, *token),
-    };
-    match done {
-        Ok(()) => Outcome::Accepted,
-        Err(refusal) => Outcome::Refused(refusal),
-    }
+    }?;
+    Ok(None)
 }
 
 /// Returns the task of the placement, running or ended.
@@ -102,19 +99,20 @@
     task: &TaskName,
     token: Token,
     checkpoint: bool,
-) -> Result<(), Refusal> {
+) -> Result<Option<Start>, Refusal> {
     let found = held(worker, task, token)?;
     match found.state {
-        State::Stopped => return Ok(()),
-        State::Checkpointed { .. } if checkpoint => return Ok(()),
+        State::Stopped => return Ok(None),
+        State::Checkpointed { .. } if checkpoint => return Ok(None),
         _ if !found.runs() => return Err(Refusal::Ended),
         _ => {}
     }
     if checkpoint && found.start.checkpoint {
-        return begin_checkpoint(worker, now, checkpoint_time, task, token);
+        begin_checkpoint(worker, now, checkpoint_time, task, token)?;
+        return Ok(None);
     }
     found.end(now, State::Stopped);
-    Ok(())
+    Ok(Some(found.start.clone()))
 }
 
 fn forget(worker: &mut Worker, task: &TaskName, token: Token) -> Result<(), Refusal> {
--- a/crates/fakes/src/fleet/nature.rs
+++ b/crates/fakes/src/fleet/nature.rs
@@ -42,6 +42,8 @@
     pub(crate) report_lag: Span,
     pub(crate) checkpoint_time: Span,
     pub(crate) failing_jobs: BTreeSet<JobName>,
+    /// Whether the object store can be reached from the workers.
+    pub(crate) objects_up: bool,
     pairs: BTreeMap<ClassName, BTreeMap<ClassName, Pair>>,
 }
 
@@ -63,6 +65,7 @@
             report_lag: settings.report_lag,
             checkpoint_time: settings.checkpoint_time,
             failing_jobs: BTreeSet::new(),
+            objects_up: true,
             pairs: BTreeMap::new(),
         }
     }
--- a/crates/fakes/src/fleet/progress.rs
+++ b/crates/fakes/src/fleet/progress.rs
@@ -4,7 +4,7 @@
 
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::ClassName;
-use sycamorerill_platform::worker::{Checkpoint, State};
+use sycamorerill_platform::worker::{Checkpoint, Start, State};
 
 use super::nature::Nature;
 use super::task::Task;
@@ -28,7 +28,7 @@
 /// A task that ended.
 #[derive(Debug)]
 pub(crate) struct Ended {
-    pub(crate) task: sycamorerill_core::id::TaskName,
+    pub(crate) start: Start,
     pub(crate) ending: Ending,
 }
 
@@ -51,6 +51,9 @@
                 task.left_ms -= passed.as_ms_f64() * task.rate();
                 task.sample(next, nature.report_lag);
             }
+            if !nature.objects_up {
+                put_off(task, next);
+            }
             settle(task, next, paused, out);
         }
     }
@@ -98,6 +101,13 @@
     next.max(worker.at + MIN_STEP).min(now)
 }
 
+/// Puts a checkpoint off that can't be stored now.
+fn put_off(task: &mut Task, now: Time) {
+    if task.checkpoint_due.is_some_and(|due| due <= now) {
+        task.checkpoint_due = Some(now + MAX_STEP);
+    }
+}
+
 /// Ends a task whose time has come.
 fn settle(task: &mut Task, now: Time, paused: bool, out: &mut Vec<Ended>) {
     let ending = if task.lease_until <= now {
@@ -114,7 +124,7 @@
     } else {
         return;
     };
-    out.push(Ended { task: task.start.task.clone(), ending });
+    out.push(Ended { start: task.start.clone(), ending });
 }
 
 fn finish(task: &mut Task, now: Time) -> Ending {
--- a/crates/fakes/src/fleet/state.rs
+++ b/crates/fakes/src/fleet/state.rs
@@ -8,7 +8,7 @@
 use sycamorerill_core::id::{JobName, TaskName};
 use sycamorerill_core::size::Size;
 use sycamorerill_platform::worker::{
-    Answer, Checkpoint, Command, Exchange, Outcome, Refusal, Start, State,
+    Answer, Checkpoint, Command, Exchange, Outcome, Reading, Refusal, Start, State,
 };
 
 use super::command;
@@ -68,12 +68,15 @@
             return;
         };
         worker.paused_until = now + faults.pause;
-        if faults.gone {
-            let running = worker.tasks.values().filter(|task| task.runs()).count();
-            self.counts.lost += u64::try_from(running).unwrap_or(u64::MAX);
-            worker.tasks.clear();
-        }
+        let tasks = match faults.gone {
+            true => std::mem::take(&mut worker.tasks),
+            false => BTreeMap::new(),
+        };
         worker.faults = faults;
+        for task in tasks.into_values().filter(Task::runs) {
+            self.counts.lost += 1;
+            self.may_resume_again(&task.start);
+        }
     }
 
     /// Sets whether every task of a job fails; tasks that run now are left alone.
@@ -85,6 +88,11 @@
         }
     }
 
+    /// Sets whether the object store can be reached from the workers.
+    pub(crate) fn set_objects_up(&mut self, up: bool) {
+        self.nature.objects_up = up;
+    }
+
     /// Returns the jobs whose tasks fail.
     pub(crate) fn failing_jobs(&self) -> &BTreeSet<JobName> {
         &self.nature.failing_jobs
@@ -126,18 +134,26 @@
     ) -> Option<Answer> {
         self.advance(name, now);
         let worker = self.workers.get_mut(name)?;
+        let clock = Reading(now.as_ms());
         let fenced = exchange.epoch < worker.epoch;
-        worker.epoch = worker.epoch.max(exchange.epoch);
-        self.counts.exchanges += 1;
-        let results = if fenced {
+        let refused = if fenced {
             self.counts.fenced += 1;
-            exchange.commands.iter().map(|_| Outcome::Refused(Refusal::Fenced)).collect()
+            Some(Refusal::Fenced)
         } else {
-            exchange.commands.iter().map(|command| self.carry_out(now, name, command)).collect()
+            exchange.not_after.filter(|last| clock > *last).map(|_| Refusal::Expired)
+        };
+        let commands = exchange.commands.iter();
+        let results = match refused {
+            Some(refusal) => commands.map(|_| Outcome::Refused(refusal)).collect(),
+            None => {
+                worker.epoch = exchange.epoch;
+                self.counts.exchanges += 1;
+                commands.map(|command| self.carry_out(now, name, command)).collect()
+            }
         };
         let worker = self.workers.get(name)?;
         let report = worker.report(now, self.nature.report_lag);
-        Some(Answer { epoch: worker.epoch, fenced, results, report })
+        Some(Answer { epoch: worker.epoch, clock, fenced, results, report })
     }
 
     fn carry_out(&mut self, now: Time, name: &str, command: &Command) -> Outcome {
@@ -150,10 +166,15 @@
         let Some(worker) = self.workers.get_mut(name) else {
             return Outcome::Refused(Refusal::NotHeld);
         };
-        let before = stopped(worker);
-        let outcome = command::carry_out(worker, now, self.nature.checkpoint_time, command);
-        self.counts.stopped += stopped(worker).saturating_sub(before);
-        outcome
+        match command::carry_out(worker, now, self.nature.checkpoint_time, command) {
+            Ok(None) => Outcome::Accepted,
+            Ok(Some(start)) => {
+                self.counts.stopped += 1;
+                self.may_resume_again(&start);
+                Outcome::Accepted
+            }
+            Err(refusal) => Outcome::Refused(refusal),
+        }
     }
 
     fn start(&mut self, now: Time, name: &str, start: &Start) -> Result<(), Refusal> {
@@ -199,7 +220,7 @@
         if let Some(checkpoint) = &start.resume_from {
             match self.resume(checkpoint) {
                 Some(progress) => task.left_ms *= 1.0 - progress,
-                None => fail(&mut task, 0.0, "the checkpoint does not exist"),
+                None => fail(&mut task, 0.0, "the checkpoint can't be read"),
             }
         }
         if self.workers.get(name).is_some_and(|worker| worker.faults.fails_everything) {
@@ -211,8 +232,18 @@
         task
     }
 
+    /// Notes that a placement came to nothing, so its checkpoint may be resumed from again.
+    fn may_resume_again(&mut self, start: &Start) {
+        if let Some(checkpoint) = &start.resume_from {
+            self.resumed.remove(checkpoint);
+        }
+    }
+
     /// Returns the progress kept in a checkpoint.
     fn resume(&mut self, checkpoint: &Checkpoint) -> Option<f64> {
+        if !self.nature.objects_up {
+            return None;
+        }
         let objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
         let body = objects.get(checkpoint.as_str())?;
         drop(objects);
@@ -238,6 +269,9 @@
             };
             let reason = "the guard ended the task: memory above its size".to_owned();
             worst.end(now, State::Failed { reason });
+            if let Some(checkpoint) = &worst.start.resume_from {
+                self.resumed.remove(checkpoint);
+            }
             worker.guard_ended += 1;
             self.counts.guarded += 1;
             self.counts.failed += 1;
@@ -260,12 +294,18 @@
         match ended.ending {
             Ending::Finished => {
                 self.counts.finished += 1;
-                if !self.finished.insert(ended.task) {
+                if !self.finished.insert(ended.start.task) {
                     self.counts.finished_twice += 1;
                 }
             }
-            Ending::Failed => self.counts.failed += 1,
-            Ending::LeaseLapsed => self.counts.lease_lapsed += 1,
+            Ending::Failed => {
+                self.counts.failed += 1;
+                self.may_resume_again(&ended.start);
+            }
+            Ending::LeaseLapsed => {
+                self.counts.lease_lapsed += 1;
+                self.may_resume_again(&ended.start);
+            }
             Ending::Checkpointed(checkpoint, progress) => {
                 self.counts.checkpointed += 1;
                 let mut objects = self.objects.lock().unwrap_or_else(PoisonError::into_inner);
@@ -293,8 +333,3 @@
     task.left_ms = after_ms;
     task.fails = Some(reason.to_owned());
 }
-
-fn stopped(worker: &Worker) -> u64 {
-    let stopped = worker.tasks.values().filter(|task| task.state == State::Stopped);
-    u64::try_from(stopped.count()).unwrap_or(u64::MAX)
-}
--- a/crates/fakes/src/router.rs
+++ b/crates/fakes/src/router.rs
@@ -92,7 +92,10 @@
         let now = self.clock.now();
         match fault {
             Fault::Table(faults) => self.table_gate.set(faults),
-            Fault::Objects(faults) => self.objects_gate.set(faults),
+            Fault::Objects(faults) => {
+                lock(&self.fleet).set_objects_up(!faults.down && !faults.hang);
+                self.objects_gate.set(faults);
+            }
             Fault::Instances(faults) => self.list_gate.set(faults),
             Fault::Workers { select, faults } => {
                 let names = self.names(|instance| select.selects(instance));
@@ -136,6 +139,7 @@
         self.objects_gate.set(Default::default());
         self.list_gate.set(Default::default());
         let mut fleet = lock(&self.fleet);
+        fleet.set_objects_up(true);
         for name in faults.workers.keys() {
             fleet.set(now, name, Default::default());
         }
@@ -161,6 +165,15 @@
         }
     }
 
+    fn ran(&self, request: &Incoming) -> Reply {
+        let identity = request.query("identity").map(|text| Ran::Identity(text.to_owned()));
+        let key = request.query("key").map(|text| Ran::Key(text.to_owned()));
+        match identity.or(key) {
+            Some(ran) => Reply::json(StatusCode::OK, &self.runs(&ran)),
+            None => Reply::refused(StatusCode::BAD_REQUEST, "expected identity=... or key=..."),
+        }
+    }
+
     async fn table(&self, path: &str, request: &Incoming) -> Reply {
         let writes = path == "transact";
         let now = self.clock.now();
@@ -242,13 +255,13 @@
             Ok(exchange) => exchange,
             Err(reply) => return reply,
         };
-        while let Some(wait) = self.worker_wait(name) {
+        while let Some(wait) = self.worker_wait(name, request) {
             match wait {
                 Wait::Gone => return Reply::Close,
                 Wait::Unreachable => Timer::after(HANG_POLL.into()).await,
                 Wait::Paused(left) => Timer::after(left.into()).await,
             };
-            if matches!(wait, Wait::Unreachable) && self.worker_wait(name).is_none() {
+            if matches!(wait, Wait::Unreachable) && self.worker_wait(name, request).is_none() {
                 return Reply::Close;
             }
         }
@@ -263,13 +276,13 @@
         Reply::json(StatusCode::OK, &answer)
     }
 
-    fn worker_wait(&self, name: &str) -> Option<Wait> {
+    fn worker_wait(&self, name: &str, request: &Incoming) -> Option<Wait> {
         let fleet = lock(&self.fleet);
         let faults = fleet.faults(name)?;
         if faults.gone {
             return Some(Wait::Gone);
         }
-        if faults.unreachable {
+        if faults.unreachable || request.is_from(&faults.cut_off) {
             return Some(Wait::Unreachable);
         }
         let left = fleet.pause_left(self.clock.now(), name);
@@ -307,6 +320,7 @@
             }),
             ("faults", _) => Reply::json(StatusCode::OK, &self.faults()),
             ("counts", _) => Reply::json(StatusCode::OK, &self.counts()),
+            ("ran", &Method::GET) => self.ran(&request),
             ("ran", _) => {
                 parsed(&request, |ran: Ran| Reply::json(StatusCode::OK, &self.runs(&ran)))
             }
--- a/crates/fakes/src/server/connection.rs
+++ b/crates/fakes/src/server/connection.rs
@@ -1,9 +1,14 @@
 //! One connection and the requests that come over it.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
+use sycamorerill_core::id::InstanceName;
+
+/// Header that names the client of a request.
+const CLIENT_HEADER: &str = "x-client";
 
 /// A connection, and the executor that its requests go to.
 #[derive(Debug, Default)]
@@ -41,6 +46,12 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Reports whether the request comes from one of `clients`.
+    pub(crate) fn is_from(&self, clients: &BTreeSet<InstanceName>) -> bool {
+        let client = self.header(CLIENT_HEADER);
+        client.is_some_and(|client| clients.iter().any(|name| name.as_str() == client))
+    }
+
     /// Returns the value of a parameter of the query.
     pub(crate) fn query(&self, name: &str) -> Option<&str> {
         let pairs = self.uri.query()?.split('&');
--- a/crates/fakes/src/store/gate.rs
+++ b/crates/fakes/src/store/gate.rs
@@ -11,8 +11,6 @@
 
 /// How often a request that hangs looks whether the fault has ended.
 const HANG_POLL: Span = Span::from_ms(20);
-/// Header that names the client of a request.
-const CLIENT_HEADER: &str = "x-client";
 
 /// Lets requests through to a service, as its faults allow.
 #[derive(Debug)]
@@ -76,9 +74,7 @@
 
     fn hangs(&self, request: &Incoming) -> bool {
         let faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
-        let client = request.header(CLIENT_HEADER);
-        let cut_off = |client| faults.cut_off.iter().any(|name| name.as_str() == client);
-        faults.hang || client.is_some_and(cut_off)
+        faults.hang || request.is_from(&faults.cut_off)
     }
 
     async fn wait_out(&self, request: &Incoming) {
--- /dev/null
+++ b/crates/fakes/tests/services.rs
@@ -0,0 +1,235 @@
+//! The table, the object store and the instance list, and their faults.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod common;
+
+use bytes::Bytes;
+use common::{patient, platform, quick, table, wait_until};
+use sycamorerill_core::clock::Span;
+use sycamorerill_fakes::faults::{Loss, Service};
+use sycamorerill_fakes::{Fault, Platform, Settings};
+use sycamorerill_platform::instances::{self, Change, State};
+use sycamorerill_platform::object::{self, Put};
+use sycamorerill_platform::table::{Client, Expect, Identity, Key, RowVersion, Transaction};
+use sycamorerill_platform::{Doubt, Error};
+
+fn transaction(identity: &str) -> Transaction {
+    Transaction::new(Identity::new(identity))
+}
+
+fn impatient(platform: &Platform) -> Client {
+    let settings = sycamorerill_platform::Settings {
+        timeout: Span::from_ms(300),
+        client: Some("entry-1".parse().unwrap()),
+        ..Default::default()
+    };
+    Client::new(platform.address(), settings)
+}
+
+#[test]
+fn a_transaction_is_whole_and_conditional() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    let first = transaction("t1").when("a", Expect::Absent).put("a", "1").put("b", "2");
+    let versions = table.transact(&first).unwrap().versions;
+    assert_eq!(versions.len(), 2);
+    let version = versions[&Key::from("a")];
+    let second = transaction("t2").when("a", Expect::Version(version)).put("a", "3").delete("b");
+    table.transact(&second).unwrap();
+    assert_eq!(table.row(&Key::from("b")).unwrap(), None);
+    let stale = transaction("t3").when("a", Expect::Version(version)).put("c", "4");
+    let Err(Error::Conflict(conflict)) = table.transact(&stale) else {
+        panic!("expected a conflict");
+    };
+    let present = conflict.present.clone().unwrap();
+    assert_eq!((conflict.key.as_str(), &present.value[..]), ("a", &b"3"[..]));
+    assert!(present.version > version);
+    assert!(conflict.is_own(&Identity::new("t2")));
+    assert_eq!(table.row(&Key::from("c")).unwrap(), None, "a conflict writes nothing");
+}
+
+#[test]
+fn a_version_is_never_used_twice() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    let mut last = RowVersion(0);
+    for round in 0..3 {
+        let put = transaction(&format!("p{round}")).when("a", Expect::Absent).put("a", "same");
+        let version = table.transact(&put).unwrap().versions[&Key::from("a")];
+        assert!(version > last);
+        last = version;
+        table.transact(&transaction(&format!("d{round}")).delete("a")).unwrap();
+    }
+}
+
+#[test]
+fn a_scan_returns_pages_in_the_order_of_the_keys() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    let keys = ["p/3", "p/1", "q/1", "p/2", "o/9"];
+    let all = keys.iter().fold(transaction("t"), |all, key| all.put(*key, "value"));
+    table.transact(&all).unwrap();
+    let prefix = Key::from("p/");
+    let first = table.scan(&prefix, None, 2).unwrap();
+    let names = |page: &sycamorerill_platform::table::ScanPage| {
+        page.rows.iter().map(|row| row.key.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!((names(&first), first.more), (vec!["p/1".to_owned(), "p/2".to_owned()], true));
+    let rest = table.scan(&prefix, Some(&first.rows[1].key), 2).unwrap();
+    assert_eq!((names(&rest), rest.more), (vec!["p/3".to_owned()], false));
+}
+
+#[test]
+fn a_table_that_is_down_does_nothing_and_says_so() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    platform.switch(Fault::Table(Service { down: true, ..Service::default() }));
+    let refused = table.transact(&transaction("t").put("a", "1")).unwrap_err();
+    assert!(matches!(refused, Error::Unavailable { .. }) && refused.had_no_effect());
+    platform.switch(Fault::None);
+    assert_eq!(table.row(&Key::from("a")).unwrap(), None);
+    let counts = platform.counts().table;
+    assert_eq!((counts.writes, counts.reads, counts.failed), (0, 1, 1));
+}
+
+#[test]
+fn a_write_whose_answer_was_lost_is_recognised_when_it_is_read_back() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    let lose = Loss { next: 1, share: 0.0 };
+    platform.switch(Fault::Table(Service { lose, ..Service::default() }));
+    let write = transaction("mine").when("a", Expect::Absent).put("a", "1");
+    let lost = table.transact(&write).unwrap_err();
+    assert!(matches!(&lost, Error::Unknown { doubt: Doubt::Cut, .. }), "{lost:?}");
+    assert!(!lost.had_no_effect());
+    let row = table.row(&Key::from("a")).unwrap().unwrap();
+    assert_eq!(row.identity, Identity::new("mine"));
+    let Err(Error::Conflict(conflict)) = table.transact(&write) else {
+        panic!("expected the repeat to find the first write");
+    };
+    assert!(conflict.is_own(&Identity::new("mine")));
+}
+
+#[test]
+fn a_share_of_the_answers_can_be_lost() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    let lose = Loss { next: 0, share: 0.5 };
+    platform.switch(Fault::Table(Service { lose, ..Service::default() }));
+    let lost = (0..200).filter(|_| table.row(&Key::from("a")).is_err()).count();
+    assert!((50..150).contains(&lost), "{lost} of 200 were lost");
+}
+
+#[test]
+fn a_table_that_hangs_answers_nothing_and_does_nothing() {
+    let platform = platform(quick());
+    platform.switch(Fault::Table(Service { hang: true, ..Service::default() }));
+    let hung = impatient(&platform).transact(&transaction("t").put("a", "1")).unwrap_err();
+    assert!(matches!(&hung, Error::Unknown { doubt: Doubt::Timeout, .. }), "{hung:?}");
+    platform.switch(Fault::None);
+    assert_eq!(table(&platform).row(&Key::from("a")).unwrap(), None);
+}
+
+#[test]
+fn a_slow_table_takes_effect_after_its_client_gave_up() {
+    let platform = platform(quick());
+    let slow = Span::from_ms(900);
+    platform.switch(Fault::Table(Service { slow, ..Service::default() }));
+    let late = impatient(&platform).transact(&transaction("t").put("a", "1")).unwrap_err();
+    assert!(matches!(&late, Error::Unknown { doubt: Doubt::Timeout, .. }), "{late:?}");
+    let table = table(&platform);
+    wait_until(|| table.row(&Key::from("a")).unwrap().is_some());
+}
+
+#[test]
+fn a_client_that_is_cut_off_gets_no_answer_while_others_do() {
+    let platform = platform(quick());
+    let cut_off = ["entry-1".parse().unwrap()].into();
+    platform.switch(Fault::Table(Service { cut_off, ..Service::default() }));
+    let cut = impatient(&platform).transact(&transaction("t").put("a", "1")).unwrap_err();
+    assert!(matches!(&cut, Error::Unknown { doubt: Doubt::Timeout, .. }), "{cut:?}");
+    assert_eq!(table(&platform).row(&Key::from("a")).unwrap(), None);
+}
+
+#[test]
+fn a_server_that_is_not_there_was_sent_nothing() {
+    let platform = platform(quick());
+    let table = table(&platform);
+    platform.stop();
+    let refused = table.transact(&transaction("t").put("a", "1")).unwrap_err();
+    assert!(matches!(refused, Error::NotSent { .. }), "{refused:?}");
+}
+
+#[test]
+fn objects_are_put_listed_and_deleted() {
+    let platform = platform(quick());
+    let objects = object::Client::new(platform.address(), patient());
+    objects.put("cells/1/snapshot", Bytes::from_static(b"\x00\xff"), Put::IfAbsent).unwrap();
+    let again = objects.put("cells/1/snapshot", Bytes::from_static(b"2"), Put::IfAbsent);
+    assert!(matches!(again, Err(Error::Exists { .. })), "{again:?}");
+    assert_eq!(&objects.get("cells/1/snapshot").unwrap().unwrap()[..], b"\x00\xff");
+    objects.put("cells/1/snapshot", Bytes::from_static(b"123"), Put::Replace).unwrap();
+    objects.put("other", Bytes::new(), Put::Replace).unwrap();
+    let listed = objects.list("cells/").unwrap();
+    assert_eq!(listed.len(), 1);
+    assert_eq!((listed[0].key.as_str(), listed[0].bytes), ("cells/1/snapshot", 3));
+    objects.delete("cells/1/snapshot").unwrap();
+    objects.delete("cells/1/snapshot").unwrap();
+    assert_eq!(objects.get("cells/1/snapshot").unwrap(), None);
+    assert_eq!(objects.get("other").unwrap(), Some(Bytes::new()));
+    let wrong = objects.get("a b").unwrap_err();
+    assert!(matches!(wrong, Error::NotSent { .. }), "{wrong:?}");
+}
+
+#[test]
+fn an_object_whose_answer_was_lost_is_there() {
+    let platform = platform(quick());
+    let objects = object::Client::new(platform.address(), patient());
+    let lose = Loss { next: 1, share: 0.0 };
+    platform.switch(Fault::Objects(Service { lose, ..Service::default() }));
+    let lost = objects.put("a", Bytes::from_static(b"1"), Put::IfAbsent).unwrap_err();
+    assert!(matches!(lost, Error::Unknown { .. }), "{lost:?}");
+    assert_eq!(objects.get("a").unwrap(), Some(Bytes::from_static(b"1")));
+}
+
+#[test]
+fn a_large_object_passes_whole() {
+    let platform = platform(quick());
+    let objects = object::Client::new(platform.address(), patient());
+    let body = Bytes::from(vec![7_u8; 5 << 20]);
+    objects.put("large", body.clone(), Put::Replace).unwrap();
+    assert!(objects.get("large").unwrap().unwrap() == body);
+    let bounded = sycamorerill_platform::Settings { max_answer: 1 << 20, ..patient() };
+    let bounded = object::Client::new(platform.address(), bounded).get("large").unwrap_err();
+    let limit = 1 << 20;
+    assert!(
+        matches!(&bounded, Error::Unknown { doubt: Doubt::TooLarge { limit: found }, .. } if *found == limit),
+        "{bounded:?}"
+    );
+}
+
+#[test]
+fn the_instance_list_shows_a_change_after_its_lag() {
+    let platform = platform(quick());
+    let list = instances::Client::new(platform.address(), patient());
+    let all = list.list().unwrap();
+    assert_eq!(all.len(), 130);
+    let name = all[0].name.clone();
+    list.change(&Change::Leave(name.clone())).unwrap();
+    assert_eq!(list.list().unwrap()[0].state, State::Leaving);
+    platform.change(Change::Remove(name));
+    assert_eq!(list.list().unwrap().len(), 129);
+    platform.change(Change::Add(Box::new(all[0].clone())));
+    assert_eq!(list.list().unwrap(), all);
+}
+
+#[test]
+fn the_instance_list_lags() {
+    let endless = Span::from_secs(600);
+    let platform = platform(Settings { list_lag: endless, ..quick() });
+    let list = instances::Client::new(platform.address(), patient());
+    let all = list.list().unwrap();
+    platform.change(Change::Remove(all[0].name.clone()));
+    assert_eq!(list.list().unwrap(), all);
+}
--- a/crates/platform/src/worker/client.rs
+++ b/crates/platform/src/worker/client.rs
@@ -11,6 +11,13 @@
 use crate::http::Channel;
 use crate::settings::Settings;
 
+/// Reading of a worker's own monotonic clock, in milliseconds since some start.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Reading(pub u64);
+
 /// One batched exchange with a worker.
 ///
 /// An exchange without commands and with a new epoch fences all lower epochs.
@@ -21,6 +28,12 @@
     /// Epoch of the ownership.
     #[serde(with = "crate::wire::number")]
     pub epoch: Epoch,
+    /// Reading of the worker's clock after which the exchange has no effect.
+    ///
+    /// An exchange whose answer was lost may arrive much later. This keeps it
+    /// from renewing a lease that its sender takes for lapsed.
+    #[serde(default)]
+    pub not_after: Option<Reading>,
     /// Commands, carried out in their order.
     pub commands: Vec<Command>,
 }
@@ -31,6 +44,8 @@
     /// Highest epoch that the worker has seen.
     #[serde(with = "crate::wire::number")]
     pub epoch: Epoch,
+    /// Reading of the worker's clock when the exchange was carried out.
+    pub clock: Reading,
     /// Whether the exchange was refused for its epoch.
     pub fenced: bool,
     /// What was done with each command, in their order.
--- a/crates/platform/src/worker/command.rs
+++ b/crates/platform/src/worker/command.rs
@@ -141,6 +141,9 @@
     /// The epoch of the exchange is lower than the highest seen.
     #[error("the epoch is lower than the highest seen")]
     Fenced,
+    /// The worker's clock is past the instant after which the exchange has no effect.
+    #[error("the exchange came too late")]
+    Expired,
     /// The sizes of the held tasks leave no room.
     #[error("the worker has no room")]
     NoRoom {
