--- /dev/null
+++ b/crates/cli/src/client/settings.rs
@@ -0,0 +1,64 @@
+//! Addresses of entry instances from flags and the environment.
+
+use std::env;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use miette::Diagnostic;
+
+/// Environment variable with addresses that are separated by commas.
+const VARIABLE: &str = "SYCAMORERILL_INSTANCES";
+
+/// Operator address of an entry instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Address(SocketAddr);
+
+/// Error for a text that is no address.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not an address, expected IP:PORT such as 10.0.0.7:7070")]
+pub(crate) struct AddressError(String);
+
+impl FromStr for Address {
+    type Err = AddressError;
+
+    fn from_str(text: &str) -> Result<Self, AddressError> {
+        text.trim().parse().map(Self).map_err(|_| AddressError(text.to_owned()))
+    }
+}
+
+impl fmt::Display for Address {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The ways in which the addresses of entry instances can be wrong.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Diagnostic)]
+pub(crate) enum SettingsError {
+    /// Neither the flag nor the variable names an instance.
+    #[error("no entry instance is named")]
+    #[diagnostic(
+        code(no_instance),
+        help("give --instance IP:PORT, or set {VARIABLE} to addresses separated by commas")
+    )]
+    Missing,
+    /// The variable holds something else.
+    #[error("{VARIABLE}: {0}")]
+    #[diagnostic(code(wrong_instance), help("separate addresses by commas"))]
+    Variable(#[from] AddressError),
+}
+
+/// Returns the addresses of the flags, else those of the environment; at least one.
+pub(super) fn addresses(flags: &[Address]) -> Result<Vec<Address>, SettingsError> {
+    if !flags.is_empty() {
+        return Ok(flags.to_vec());
+    }
+    let text = env::var_os(VARIABLE).unwrap_or_default().to_string_lossy().into_owned();
+    let words = text.split(',').filter(|word| !word.trim().is_empty());
+    let addresses = words.map(str::parse).collect::<Result<Vec<Address>, _>>()?;
+    match addresses.is_empty() {
+        true => Err(SettingsError::Missing),
+        false => Ok(addresses),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/demo.rs
@@ -0,0 +1,55 @@
+//! `demo`: arguments of the demonstration.
+
+use std::str::FromStr;
+
+use argh::FromArgs;
+
+use crate::output::Format;
+
+/// Runs three entry instances, stand-ins, load and faults in one process on loopback.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "demo",
+    example = "{command_name} --deployment ropes --seconds 20 --seed 1"
+)]
+pub(crate) struct Args {
+    /// ropes or heaters
+    #[argh(option, default = "Deployment::Ropes")]
+    pub(crate) deployment: Deployment,
+    /// length of the run in seconds
+    #[argh(option, default = "20")]
+    pub(crate) seconds: u64,
+    /// seed of the load and the faults
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+    /// text or json
+    #[argh(option, default = "Format::Text")]
+    pub(crate) format: Format,
+}
+
+/// Deployment that the demonstration plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Deployment {
+    /// Rope kits.
+    Ropes,
+    /// Outdoor heaters.
+    Heaters,
+}
+
+/// Error for a word that names no deployment.
+#[derive(Debug, thiserror::Error)]
+#[error("`{0}` is not a deployment, expected ropes or heaters")]
+pub(crate) struct DeploymentError(String);
+
+impl FromStr for Deployment {
+    type Err = DeploymentError;
+
+    fn from_str(text: &str) -> Result<Self, DeploymentError> {
+        match text {
+            "ropes" => Ok(Self::Ropes),
+            "heaters" => Ok(Self::Heaters),
+            _ => Err(DeploymentError(text.to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/penalties.rs
@@ -0,0 +1,141 @@
+//! `penalties`: settles a period.
+
+use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use argh::FromArgs;
+use sycamorerill_core::api::{Grouping, Penalties};
+use sycamorerill_core::money::Amount;
+
+use crate::client::{Address, Client, Period};
+use crate::failure::Failure;
+use crate::output::{self, Format, Table};
+
+/// Settles the penalties of a period by target, team or service.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "penalties",
+    example = "{command_name} --from 2026-11-01 --to 2026-12-01 --by team --format csv",
+    note = "Times are UTC. The period begins at --from and ends before --to."
+)]
+pub(crate) struct Args {
+    /// first instant, as 2026-11-01 or 2026-11-01T06:00:00Z
+    #[argh(option)]
+    pub(crate) from: Moment,
+    /// end of the period, now when missing
+    #[argh(option, default = "Moment::now()")]
+    pub(crate) to: Moment,
+    /// target, team or service
+    #[argh(option, default = "Grouping::Target")]
+    pub(crate) by: Grouping,
+    /// operator address of an entry instance; may be repeated
+    #[argh(option)]
+    pub(crate) instance: Vec<Address>,
+    /// text, json or csv
+    #[argh(option, default = "Form::Text")]
+    pub(crate) format: Form,
+}
+
+/// Instant in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Moment(u64);
+
+/// Error for a text that is no instant.
+#[derive(Debug, thiserror::Error)]
+#[error("`{0}` is not a time, expected 2026-11-01 or 2026-11-01T06:00:00Z")]
+pub(crate) struct MomentError(String);
+
+impl Moment {
+    fn now() -> Self {
+        Self::from(SystemTime::now())
+    }
+}
+
+impl From<SystemTime> for Moment {
+    fn from(time: SystemTime) -> Self {
+        let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl FromStr for Moment {
+    type Err = MomentError;
+
+    fn from_str(text: &str) -> Result<Self, MomentError> {
+        let whole = format!("{text}T00:00:00Z");
+        let time = humantime::parse_rfc3339(text).or_else(|_| humantime::parse_rfc3339(&whole));
+        time.map(Self::from).map_err(|_| MomentError(text.to_owned()))
+    }
+}
+
+/// Form of a settlement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Form {
+    Text,
+    Json,
+    /// One line for each row under a header.
+    Csv,
+}
+
+/// Error for a word that names no form.
+#[derive(Debug, thiserror::Error)]
+#[error("`{0}` is not a format, expected text, json or csv")]
+pub(crate) struct FormError(String);
+
+impl Form {
+    /// Returns the format in which failures are printed.
+    pub(crate) fn failures(self) -> Format {
+        match self {
+            Self::Json => Format::Json,
+            Self::Text | Self::Csv => Format::Text,
+        }
+    }
+}
+
+impl FromStr for Form {
+    type Err = FormError;
+
+    fn from_str(text: &str) -> Result<Self, FormError> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            "csv" => Ok(Self::Csv),
+            _ => Err(FormError(text.to_owned())),
+        }
+    }
+}
+
+/// Settles the period.
+pub(crate) fn run(args: &Args) -> Result<(), Failure> {
+    let period = Period { from_ms: args.from.0, to_ms: args.to.0 };
+    if period.from_ms >= period.to_ms {
+        return Err(Failure::Period);
+    }
+    let penalties = Client::new(&args.instance)?.penalties(period, args.by)?;
+    match args.format {
+        Form::Json => output::json(&penalties),
+        Form::Text => print(&penalties, args.by),
+        Form::Csv => print_csv(&penalties, args.by),
+    }
+}
+
+fn print(penalties: &Penalties, by: Grouping) -> Result<(), Failure> {
+    let mut table = Table::new([by.as_str(), "missed", "penalty"]);
+    for row in &penalties.rows {
+        let penalty = Amount(row.penalty).to_string();
+        table.row([row.key.clone(), row.missed.to_string(), penalty]);
+    }
+    table.print("no target was missed")?;
+    let total = penalties.total;
+    output::line(format_args!("total: {} missed, {}", total.missed, Amount(total.penalty)))
+}
+
+/// Prints rows without a total; names need no quotes.
+fn print_csv(penalties: &Penalties, by: Grouping) -> Result<(), Failure> {
+    output::line(format_args!("{by},missed,penalty"))?;
+    for row in &penalties.rows {
+        output::line(format_args!("{},{},{}", row.key, row.missed, Amount(row.penalty)))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,81 @@
+//! Printing results as text or JSON.
+
+use std::fmt;
+use std::io::{self, Write};
+use std::str::FromStr;
+
+use serde::Serialize;
+use tabled::builder::Builder;
+use tabled::settings::Style;
+
+use crate::failure::Failure;
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object on one line.
+    Json,
+}
+
+/// Error for a word that names no format.
+#[derive(Debug, thiserror::Error)]
+#[error("`{0}` is not a format, expected text or json")]
+pub(crate) struct FormatError(String);
+
+impl FromStr for Format {
+    type Err = FormatError;
+
+    fn from_str(text: &str) -> Result<Self, FormatError> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(FormatError(text.to_owned())),
+        }
+    }
+}
+
+/// Prints one line, or several, to standard output.
+///
+/// A reader that went away, such as `head`, is no failure.
+pub(crate) fn line(text: impl fmt::Display) -> Result<(), Failure> {
+    let mut stdout = io::stdout().lock();
+    match writeln!(stdout, "{text}").and_then(|()| stdout.flush()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(Failure::Output(error)),
+        _ => Ok(()),
+    }
+}
+
+/// Prints a value as one JSON object on one line.
+pub(crate) fn json(value: &impl Serialize) -> Result<(), Failure> {
+    line(serde_json::to_string(value).map_err(|error| Failure::Output(error.into()))?)
+}
+
+/// Rows under a header, for people.
+pub(crate) struct Table {
+    builder: Builder,
+    rows: usize,
+}
+
+impl Table {
+    pub(crate) fn new<const N: usize>(header: [&str; N]) -> Self {
+        let mut builder = Builder::new();
+        builder.push_record(header);
+        Self { builder, rows: 0 }
+    }
+
+    pub(crate) fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.builder.push_record(cells);
+        self.rows += 1;
+    }
+
+    /// Prints the table, or `empty` when it has no row.
+    pub(crate) fn print(self, empty: &str) -> Result<(), Failure> {
+        match self.rows {
+            0 => line(empty),
+            _ => line(self.builder.build().with(Style::rounded())),
+        }
+    }
+}
