--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -98,15 +98,15 @@
         }
         table.print("no setting")?;
     }
+    let count = output::count;
     output::line(format_args!(
-        "ok: {} services, {} classes of jobs, {} teams, {} targets; {} workers and {} executors \
-         in {} failure domains",
-        summary.services,
-        summary.classes,
-        summary.teams,
-        summary.targets,
-        summary.workers,
-        summary.executors,
-        summary.domains,
+        "ok: {}, {}, {}, {}; {} and {} in {}",
+        count(summary.services as u64, "service", "services"),
+        count(summary.classes as u64, "class of jobs", "classes of jobs"),
+        count(summary.teams as u64, "team", "teams"),
+        count(summary.targets as u64, "target", "targets"),
+        count(summary.workers, "worker", "workers"),
+        count(summary.executors, "executor", "executors"),
+        count(summary.domains as u64, "failure domain", "failure domains"),
     ))
 }
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -5,7 +5,7 @@
 
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde::Serialize;
-use sycamorerill_config::{CodecError, Problem, Report};
+use sycamorerill_config::{CodecError, Fault, Problem, Report};
 
 use crate::client;
 use crate::demo;
@@ -90,6 +90,7 @@
     /// Returns the exit code of the program.
     pub(crate) fn code(&self) -> u8 {
         match self {
+            Self::Report(report) if is_unreadable(report) => WRONG_USE,
             Self::Report(_) => REFUSED,
             Self::Folder(sycamorerill_config::Error::Unreadable { .. }) => WRONG_USE,
             Self::Folder(_) => REFUSED,
@@ -102,6 +103,11 @@
     }
 }
 
+fn is_unreadable(report: &Report) -> bool {
+    let is_unreadable = |problem: &Problem| matches!(problem.fault(), Fault::Unreadable(_));
+    report.problems().iter().all(is_unreadable)
+}
+
 /// Returns the exit code for a failed request.
 pub(crate) fn request_code(error: &client::Error) -> u8 {
     match error {
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -53,6 +53,14 @@
     line(serde_json::to_string(value).map_err(|error| Failure::Output(error.into()))?)
 }
 
+/// Returns a number with its noun.
+pub(crate) fn count(number: u64, one: &str, many: &str) -> String {
+    match number {
+        1 => format!("1 {one}"),
+        _ => format!("{number} {many}"),
+    }
+}
+
 /// Rows under a header, for people.
 pub(crate) struct Table {
     builder: Builder,
--- a/crates/config/src/problem/fault.rs
+++ b/crates/config/src/problem/fault.rs
@@ -118,7 +118,11 @@
         meant: Option<String>,
     },
     /// A run takes longer than its deadline allows.
-    #[error("`{key}` is {deadline}, shorter than the {run} that one run takes")]
+    #[error(
+        "`{key}` is {}, shorter than the {} that one run takes",
+        readable(*.deadline),
+        readable(*.run)
+    )]
     Deadline {
         /// Key of the deadline.
         key: Key,
@@ -197,6 +201,19 @@
     Zero(String),
 }
 
+/// Units of time in milliseconds, longest first.
+const UNITS: [(u64, &str); 4] = [(86_400_000, "d"), (3_600_000, "h"), (60_000, "m"), (1_000, "s")];
+
+/// Prints a span in the longest unit that keeps it a whole number.
+fn readable(span: Span) -> String {
+    let ms = span.as_ms();
+    let whole = |unit: u64| ms > 0 && ms.is_multiple_of(unit) && Span::from_ms(ms) == span;
+    match UNITS.into_iter().find(|(unit, _)| whole(*unit)) {
+        Some((unit, name)) => format!("{}{name}", ms / unit),
+        None => span.to_string(),
+    }
+}
+
 impl Fault {
     /// Returns what to do about the fault.
     pub fn hint(&self) -> Option<String> {
--- a/crates/config/src/problem/report.rs
+++ b/crates/config/src/problem/report.rs
@@ -92,8 +92,8 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.problems.len() {
-            1 => f.write_str("the configuration has 1 error"),
-            count => write!(f, "the configuration has {count} errors"),
+            1 => f.write_str("1 error found"),
+            count => write!(f, "{count} errors found"),
         }
     }
 }
@@ -101,6 +101,10 @@
 impl std::error::Error for Report {}
 
 impl Diagnostic for Report {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new("check"))
+    }
+
     fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
         Some(Box::new(self.problems.iter().map(|problem| problem as &dyn Diagnostic)))
     }
