--- a/crates/tasks/tests/fake/load.rs
+++ b/crates/tasks/tests/fake/load.rs
@@ -8,17 +8,17 @@
 
 /// What tasks of one class really need and do.
 #[derive(Clone, Debug)]
-pub struct Truth {
+pub(crate) struct Truth {
     /// Real use as a multiple of the declared size.
-    pub size: f64,
+    pub(crate) size: f64,
     /// Run time alone on a worker; none for a service.
-    pub run: Option<Span>,
+    pub(crate) run: Option<Span>,
     /// Whether the task fails wherever it runs.
-    pub fails: bool,
+    pub(crate) fails: bool,
     /// Slowdown of services beside a whole worker full of this class.
-    pub noise: f64,
+    pub(crate) noise: f64,
     /// Time in which the noise swings between once and twice its value; zero is never.
-    pub swing: Span,
+    pub(crate) swing: Span,
 }
 
 impl Default for Truth {
@@ -30,14 +30,14 @@
 
 impl Truth {
     /// Returns what a task of declared size `declared` uses.
-    pub fn uses(&self, declared: Size) -> Size {
+    pub(crate) fn uses(&self, declared: Size) -> Size {
         let scale = |value: u64| (value as f64 * self.size) as u64;
         let cpu = Cpu(scale(declared.cpu().0));
         Size::new(cpu, Memory(scale(declared.memory().0)), declared.accel())
     }
 
     /// Returns the noise at `now`.
-    pub fn noise_at(&self, now: Time) -> f64 {
+    pub(crate) fn noise_at(&self, now: Time) -> f64 {
         if self.swing == Span::ZERO {
             return self.noise;
         }
@@ -48,16 +48,16 @@
 
 /// What tasks of each class really need and do.
 #[derive(Clone, Debug, Default)]
-pub struct Truths {
+pub(crate) struct Truths {
     /// By class.
-    pub classes: BTreeMap<ClassName, Truth>,
+    pub(crate) classes: BTreeMap<ClassName, Truth>,
     /// Declared sizes by class.
-    pub declared: BTreeMap<ClassName, Size>,
+    pub(crate) declared: BTreeMap<ClassName, Size>,
 }
 
 impl Truths {
     /// Returns the truth about a class.
-    pub fn of(&self, class: &ClassName) -> Truth {
+    pub(crate) fn of(&self, class: &ClassName) -> Truth {
         self.classes.get(class).cloned().unwrap_or_default()
     }
 }
--- a/crates/tasks/tests/fake/mod.rs
+++ b/crates/tasks/tests/fake/mod.rs
@@ -6,9 +6,9 @@
 mod world;
 
 #[allow(unused_imports)]
-pub use self::check::Checks;
-pub use self::load::{Truth, Truths};
+pub(crate) use self::check::Checks;
+pub(crate) use self::load::{Truth, Truths};
 #[allow(unused_imports)]
-pub use self::worker::Worker;
+pub(crate) use self::worker::Worker;
 #[allow(unused_imports)]
-pub use self::world::{Faults, Tally, World};
+pub(crate) use self::world::{Faults, Tally, World};
--- a/crates/tasks/tests/fake/worker.rs
+++ b/crates/tasks/tests/fake/worker.rs
@@ -22,17 +22,17 @@
 
 /// One task on the worker.
 #[derive(Clone, Debug)]
-pub struct Run {
-    pub task: TaskName,
-    pub attempt: Attempt,
-    pub class: ClassName,
-    pub size: Size,
-    pub phase: Phase,
+pub(crate) struct Run {
+    pub(crate) task: TaskName,
+    pub(crate) attempt: Attempt,
+    pub(crate) class: ClassName,
+    pub(crate) size: Size,
+    pub(crate) phase: Phase,
     /// End of the lease on the worker's clock.
-    pub until: Time,
-    pub started: Time,
+    pub(crate) until: Time,
+    pub(crate) started: Time,
     /// Work done, as time alone on a worker.
-    pub done: Span,
+    pub(crate) done: Span,
     checkpoint_at: Option<Time>,
     /// Slowdowns with the instants from which they held.
     slowdowns: Vec<(Time, f64)>,
@@ -40,23 +40,23 @@
 
 /// A worker.
 #[derive(Clone, Debug)]
-pub struct Worker {
-    pub name: WorkerName,
-    pub rack: String,
-    pub size: Size,
-    pub runs: BTreeMap<Token, Run>,
-    pub incarnation: Incarnation,
+pub(crate) struct Worker {
+    pub(crate) name: WorkerName,
+    pub(crate) rack: String,
+    pub(crate) size: Size,
+    pub(crate) runs: BTreeMap<Token, Run>,
+    pub(crate) incarnation: Incarnation,
     /// What its clock is ahead of that of the world.
-    pub ahead: Span,
+    pub(crate) ahead: Span,
     /// Whether it fails all that it starts.
-    pub broken: bool,
+    pub(crate) broken: bool,
     epoch: Epoch,
     number: u64,
     now: Time,
 }
 
 impl Worker {
-    pub fn new(name: &str, rack: &str, size: Size) -> Self {
+    pub(crate) fn new(name: &str, rack: &str, size: Size) -> Self {
         Self {
             name: name.parse().unwrap(),
             rack: rack.to_owned(),
@@ -72,7 +72,7 @@
     }
 
     /// Starts again with nothing.
-    pub fn restart(&mut self) {
+    pub(crate) fn restart(&mut self) {
         self.runs.clear();
         self.incarnation = Incarnation(self.incarnation.0 + 1);
         (self.epoch, self.number) = (Epoch(0), 0);
@@ -83,17 +83,17 @@
     }
 
     /// Returns the runs that use the worker.
-    pub fn active(&self) -> impl Iterator<Item = (&Token, &Run)> {
+    pub(crate) fn active(&self) -> impl Iterator<Item = (&Token, &Run)> {
         self.runs.iter().filter(|(_, run)| !run.phase.is_off())
     }
 
     /// Returns what is reserved by running tasks.
-    pub fn reserved(&self) -> Size {
+    pub(crate) fn reserved(&self) -> Size {
         self.active().fold(Size::ZERO, |sum, (_, run)| sum + run.size)
     }
 
     /// Lets time pass up to `now`.
-    pub fn advance(&mut self, now: Time, truths: &Truths) {
+    pub(crate) fn advance(&mut self, now: Time, truths: &Truths) {
         let passed = now.since(self.now);
         let clock = now + self.ahead;
         let mix = self.mix(truths);
@@ -125,7 +125,7 @@
     }
 
     /// Takes an exchange and answers it.
-    pub fn exchange(&mut self, exchange: &Exchange, truths: &Truths) -> Report {
+    pub(crate) fn exchange(&mut self, exchange: &Exchange, truths: &Truths) -> Report {
         let newer = (exchange.epoch, exchange.number) > (self.epoch, self.number);
         if newer {
             (self.epoch, self.number) = (exchange.epoch, exchange.number);
@@ -208,7 +208,7 @@
     }
 
     /// Returns the slowdown of each running task of `class` at present.
-    pub fn slowdown_of(&self, class: &ClassName, truths: &Truths) -> f64 {
+    pub(crate) fn slowdown_of(&self, class: &ClassName, truths: &Truths) -> f64 {
         slowdown(class, &self.mix(truths))
     }
 }
@@ -284,7 +284,7 @@
 }
 
 /// Returns the work that a checkpoint contains.
-pub fn done_of(checkpoint: &Checkpoint) -> Span {
+pub(crate) fn done_of(checkpoint: &Checkpoint) -> Span {
     let text = std::str::from_utf8(&checkpoint.0).unwrap();
     let (_, done) = text.rsplit_once(':').unwrap();
     Span::from_ms(done.parse().unwrap())
