calls: hand over at most the slots of an executor as in progress

The count of calls that a former owner may have left doubled with each hand-over inside the longest run and overflowed; the property found it.

--- a/crates/calls/src/fleet/executor.rs
+++ b/crates/calls/src/fleet/executor.rs
@@ -77,7 +77,7 @@
 
     /// Returns the occupied slots, also those that may only be occupied.
     pub(crate) fn occupied(&self) -> u32 {
-        self.in_flight + self.held
+        self.in_flight.saturating_add(self.held)
     }
 
     /// Returns the number of calls that may be sent now.
--- a/crates/calls/src/router/own.rs
+++ b/crates/calls/src/router/own.rs
@@ -59,7 +59,7 @@
             InProgress::Known(calls) => calls,
             InProgress::Unknown => UNKNOWN_CALLS,
         };
-        self.fleet.change(index, |executor| executor.held += held);
+        self.fleet.change(index, |executor| executor.held = executor.held.saturating_add(held));
         let until = self.longest_end(now, service);
         let timer = Timer::hold(index, held, self.next_timer());
         self.timers.insert((until, timer));
@@ -94,7 +94,8 @@
         if executor.holding != Holding::Releasing {
             return;
         }
-        let (name, in_progress) = (executor.name.clone(), executor.occupied());
+        let most = if executor.slots > 0 { executor.slots } else { UNKNOWN_CALLS };
+        let (name, in_progress) = (executor.name.clone(), executor.occupied().min(most));
         self.fleet.change(index, |executor| executor.holding = Holding::None);
         out.push(Command::Drained { executor: name, in_progress });
         self.fleet.forget(index);
