daemon: the thin whole path on real sockets

Cause: the decision crates had no process around them. Change: sycamorerilld with checked settings, hyper for callers, tiny_http for operators, capnp-rpc between instances, stakker actors for calls, cells and the control plane, numbered events with a catalogue that a test compares, metrics.

--- a/crates/calls/src/keys/ledger.rs
+++ b/crates/calls/src/keys/ledger.rs
@@ -13,7 +13,7 @@
 
 /// How far the first call with a key has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
+pub(super) enum State {
     /// The call is being journaled or is running here.
     Running(CallId),
     /// The answer is kept by the daemon under the call's identity.
@@ -23,13 +23,13 @@
 }
 
 #[derive(Clone, Debug)]
-struct Entry {
-    digest: u64,
-    state: State,
+pub(super) struct Entry {
+    pub(super) digest: u64,
+    pub(super) state: State,
     followers: Vec<CallId>,
-    expires: Time,
+    pub(super) expires: Time,
     /// Call of the last record that began the key, when restored.
-    begun: Option<CallId>,
+    pub(super) begun: Option<CallId>,
 }
 
 /// What the ledger knows of a key.
@@ -52,9 +52,9 @@
 /// Keys of the shards that an entry instance owns.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    settings: Settings,
+    pub(super) settings: Settings,
     owned: BTreeSet<Shard>,
-    entries: BTreeMap<Name, Entry>,
+    pub(super) entries: BTreeMap<Name, Entry>,
     running: BTreeMap<CallId, Name>,
     expiries: BTreeSet<(Time, Name)>,
     answers: VecDeque<CallId>,
--- a/crates/calls/src/keys/mod.rs
+++ b/crates/calls/src/keys/mod.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod record;
 mod settings;
+mod snapshot;
 
 pub(crate) use ledger::Found;
 pub use ledger::Ledger;
--- /dev/null
+++ b/crates/calls/src/keys/snapshot.rs
@@ -0,0 +1,31 @@
+//! The records that make up a shard of keys, for a snapshot.
+
+use sycamorerill_core::clock::Time;
+
+use super::ledger::{Ledger, State};
+use super::{End, Key, Record, Shard};
+
+impl Ledger {
+    /// Returns records from which the shard can be restored in place of its journal.
+    pub fn records(&self, now: Time, shard: Shard) -> Vec<Record> {
+        let mut records = Vec::new();
+        for ((service, text), entry) in &self.entries {
+            let key = Key { text: text.clone(), digest: entry.digest };
+            if key.shard(self.settings.shards) != shard {
+                continue;
+            }
+            let call = match entry.state {
+                State::Running(call) | State::Answered(call) => call,
+                State::EndUnknown => entry.begun.unwrap_or_default(),
+            };
+            let (service, retention) = (service.clone(), entry.expires.since(now));
+            let begun =
+                Record::Begun { call, service: service.clone(), key: key.clone(), retention };
+            records.push(begun);
+            if matches!(entry.state, State::Answered(_)) {
+                records.push(Record::Ended { call, service, key, end: End::Answered });
+            }
+        }
+        records
+    }
+}
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod service;
 mod settings;
 mod status;
+mod text;
 mod wake;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +32,7 @@
 pub use event::{Answer, Call, Event, Executor, InProgress, PeerAnswer, Refusal};
 pub use settings::Settings;
 pub use status::{Load, Status};
+pub use text::ReasonError;
 
 use crate::{fleet, keys, peers};
 use entry::{Entry, Flight};
@@ -134,6 +136,11 @@
         }
     }
 
+    /// Returns records from which a shard of keys can be restored in place of its journal.
+    pub fn key_records(&self, now: Time, shard: keys::Shard) -> Vec<keys::Record> {
+        self.ledger.records(now, shard)
+    }
+
     /// Returns the number of calls that have not come to an end.
     pub fn in_progress(&self) -> usize {
         self.calls.len()
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
 use std::str::FromStr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::value;
 
@@ -14,7 +14,10 @@
 const TICKS_PER_MS: u64 = 1_000;
 
 value! {
-    /// Instant on a monotonic clock, in milliseconds since its start.
+    /// Instant in milliseconds since the Unix epoch.
+    ///
+    /// Within a process it never goes back. Instants of several instances differ
+    /// by the skew of their system clocks.
     pub struct Time(u64);
 }
 
@@ -37,17 +40,17 @@
 }
 
 impl Time {
-    /// Start of the clock.
+    /// The Unix epoch.
     pub const ZERO: Self = Self(0);
     /// Instant that no clock reaches.
     pub const MAX: Self = Self(u64::MAX);
 
-    /// Returns the instant `ms` milliseconds after the start of the clock.
+    /// Returns the instant `ms` milliseconds after the Unix epoch.
     pub const fn from_ms(ms: u64) -> Self {
         Self(ms.saturating_mul(TICKS_PER_MS))
     }
 
-    /// Returns whole milliseconds since the start of the clock.
+    /// Returns whole milliseconds since the Unix epoch.
     pub const fn as_ms(self) -> u64 {
         self.0 / TICKS_PER_MS
     }
@@ -184,26 +187,32 @@
     }
 }
 
-/// Reads the monotonic clock of the process.
+/// Clock of a process, which never goes back.
+///
+/// It reads the system clock once, at its start, and from then on the monotonic
+/// clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
+    started: Time,
     start: Instant,
 }
 
 impl Clock {
-    /// Starts a clock at [`Time::ZERO`].
+    /// Starts a clock at the present time of the system.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        let epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let started = Time::ZERO + Span::from(epoch.unwrap_or_default());
+        Self { started, start: Instant::now() }
     }
 
     /// Returns the present instant.
     pub fn now(&self) -> Time {
-        Time::ZERO + Span::from(self.start.elapsed())
+        self.started + Span::from(self.start.elapsed())
     }
 
-    /// Returns the instant of the standard library for `time`.
+    /// Returns the instant of the standard library for `time`, not before the start.
     pub fn instant(&self, time: Time) -> Instant {
-        let since: Duration = time.since(Time::ZERO).into();
+        let since: Duration = time.since(self.started).into();
         self.start.checked_add(since).unwrap_or(self.start)
     }
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -128,3 +128,10 @@
     /// A task of a job, `JOB/INDEX`.
     TaskName
 }
+
+impl RegionName {
+    /// Returns the region of a deployment that names none.
+    pub fn main() -> Self {
+        Self(bytes::Bytes::from_static(b"main"))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hub/cells/wire.rs
@@ -0,0 +1,145 @@
+//! Translates between the decisions on tasks and the workers' protocol.
+
+use bytes::Bytes;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{Epoch, Incarnation, InstanceName};
+use sycamorerill_core::model::Config;
+use sycamorerill_core::rate::Share;
+use sycamorerill_platform::worker as platform;
+use sycamorerill_tasks::worker as tasks;
+
+/// Bits of a platform token that hold the number within its epoch.
+const NUMBER_BITS: u32 = 32;
+/// Part of a lease's term for which an exchange may be on its way.
+const TRANSIT_PART: f64 = 0.3;
+
+/// Translates one exchange to the workers' protocol.
+///
+/// The lease of a task is counted from the report on which the exchange is based.
+/// The workers count it from the arrival, so the exchange has no effect after a
+/// part of the term, and the term that is sent is shorter by that part.
+pub(super) fn exchange(
+    owner: &InstanceName,
+    exchange: &tasks::Exchange,
+    config: &Config,
+) -> platform::Exchange {
+    let transit = config.policy.task_lease.scale(TRANSIT_PART);
+    let not_after = exchange.as_of.map(|at| platform::Reading((at.time() + transit).as_ms()));
+    let commands = exchange.commands.iter().map(|one| command(one, transit, config));
+    platform::Exchange {
+        owner: owner.clone(),
+        epoch: exchange.epoch,
+        not_after,
+        commands: commands.collect(),
+    }
+}
+
+fn command(command: &tasks::Command, transit: Span, config: &Config) -> platform::Command {
+    match command.clone() {
+        tasks::Command::Start { task, token: of, attempt, size, lease, class, resume_from } => {
+            let declared = config.classes.get(&class);
+            platform::Command::Start(platform::Start {
+                task,
+                attempt,
+                token: token(of),
+                size,
+                lease: lease.less(transit),
+                declared: declared.map_or(size, |class| class.size),
+                run_time: declared.map_or(Span::ZERO, |class| class.run_time),
+                checkpoint: declared.is_some_and(|class| class.checkpoint),
+                service: declared.is_some_and(|class| class.service),
+                class,
+                resume_from: resume_from.map(|checkpoint| {
+                    platform::Checkpoint::new(String::from_utf8_lossy(&checkpoint.0))
+                }),
+            })
+        }
+        tasks::Command::Renew { task, token: of, lease } => {
+            platform::Command::Renew { task, token: token(of), lease: lease.less(transit) }
+        }
+        tasks::Command::Throttle { task, token: of, share } => {
+            platform::Command::Throttle { task, token: token(of), share: share.part() }
+        }
+        tasks::Command::Checkpoint { task, token: of } => {
+            platform::Command::Checkpoint { task, token: token(of) }
+        }
+        tasks::Command::Stop { task, token: of, checkpoint } => {
+            platform::Command::Stop { task, token: token(of), checkpoint }
+        }
+        tasks::Command::Ack { task, token: of } => {
+            platform::Command::Ack { task, token: token(of) }
+        }
+    }
+}
+
+fn token(token: tasks::Token) -> platform::Token {
+    platform::Token((token.epoch().0 << NUMBER_BITS) | token.number())
+}
+
+fn read_token(token: platform::Token) -> tasks::Token {
+    let number = token.0 & ((1 << NUMBER_BITS) - 1);
+    tasks::Token::new(Epoch(token.0 >> NUMBER_BITS), number)
+}
+
+/// Translates a worker's answer to exchange `answers`.
+pub(super) fn report(
+    answer: platform::Answer,
+    answers: u64,
+    incarnation: Incarnation,
+) -> tasks::Report {
+    let at = tasks::Instant::new(incarnation, Time::from_ms(answer.clock.0));
+    tasks::Report {
+        epoch: answer.epoch,
+        answers,
+        at,
+        size: answer.report.size,
+        held: answer.report.tasks.into_iter().map(held).collect(),
+    }
+}
+
+fn held(held: platform::Held) -> tasks::Held {
+    let usage = held.usage.map(|usage| tasks::Usage {
+        cpu: usage.size.cpu(),
+        memory: usage.size.memory(),
+        slowdown: usage.slowdown,
+        age: usage.age,
+    });
+    tasks::Held {
+        task: held.task,
+        token: read_token(held.token),
+        attempt: held.attempt,
+        size: held.size,
+        class: held.class,
+        phase: phase(held.state, held.share),
+        usage,
+    }
+}
+
+fn phase(state: platform::State, share: f64) -> tasks::Phase {
+    match state {
+        platform::State::Running => tasks::Phase::Running,
+        platform::State::Throttled => tasks::Phase::Throttled(Share::new(share)),
+        platform::State::Checkpointing => tasks::Phase::Checkpointing,
+        platform::State::Checkpointed { checkpoint } => {
+            let name = Bytes::copy_from_slice(checkpoint.as_str().as_bytes());
+            tasks::Phase::Checkpointed(tasks::Checkpoint(name))
+        }
+        platform::State::Finished => tasks::Phase::Finished,
+        platform::State::Failed { reason } => tasks::Phase::Failed(fault(&reason)),
+        platform::State::Stopped => tasks::Phase::Stopped,
+        platform::State::LeaseLapsed => tasks::Phase::Lapsed,
+    }
+}
+
+fn fault(reason: &str) -> tasks::Fault {
+    if reason.contains("memory") {
+        return tasks::Fault::Memory;
+    }
+    if reason.contains("checkpoint") {
+        return tasks::Fault::Resume;
+    }
+    if reason.contains("worker") {
+        return tasks::Fault::Start;
+    }
+    tasks::Fault::Exit
+}
--- /dev/null
+++ b/crates/daemon/src/hub/control/penalties.rs
@@ -0,0 +1,71 @@
+//! Counts missed targets.
+
+use stakker::CX;
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::penalties::{Entry, Id, Minute};
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::{ServiceName, TargetName};
+use sycamorerill_core::model::Goal;
+use sycamorerill_tasks::cell::Miss;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Control, Release};
+use crate::event;
+use crate::events::Code;
+
+/// Milliseconds in one minute.
+const MS_PER_MINUTE: u64 = 60_000;
+
+impl Control {
+    /// Counts the targets that a call has missed and then gives its response.
+    pub(crate) fn missed(
+        &mut self,
+        cx: CX![],
+        targets: Vec<TargetName>,
+        service: ServiceName,
+        subject: u64,
+        first_sent: Time,
+        release: Release,
+    ) {
+        for target in targets {
+            let team = self.config.services.get(&service).map(|service| service.team.clone());
+            let amount = self.config.targets.get(&target).map(|target| target.penalty);
+            if let (Some(team), Some(amount)) = (team, amount) {
+                let id = Id { minute: minute(first_sent), target, subject };
+                self.count(Entry { id, team, service: Some(service.clone()), amount });
+            }
+        }
+        self.drive(cx, Event::Tick);
+        release.now();
+    }
+
+    /// Counts the targets of a job that has missed its deadline.
+    pub(crate) fn deadline_missed(&mut self, cx: CX![], miss: Miss) {
+        let subject = xxh3_64(miss.job.bytes());
+        let config = std::sync::Arc::clone(&self.config);
+        let of_class = config.targets.values().filter(|target| match &target.goal {
+            Goal::Deadline { class } => *class == miss.class,
+            Goal::Answer { .. } => false,
+        });
+        for target in of_class {
+            let minute = minute(miss.deadline);
+            let id = Id { minute, target: target.name.clone(), subject };
+            self.parts.shared.metrics.target_missed(target.name.as_str());
+            event!(Code::TargetMissed, target = target.name, job = miss.job);
+            let entry =
+                Entry { id, team: miss.team.clone(), service: None, amount: target.penalty };
+            self.count(entry);
+        }
+        self.drive(cx, Event::Tick);
+    }
+
+    fn count(&mut self, entry: Entry) {
+        if let Err(full) = self.parts.agent.miss(entry) {
+            event!(Code::ControlDecision, decision = full);
+        }
+    }
+}
+
+fn minute(time: Time) -> Minute {
+    Minute(time.as_ms() / MS_PER_MINUTE)
+}
--- /dev/null
+++ b/crates/daemon/src/io/mod.rs
@@ -0,0 +1,7 @@
+//! Threads for blocking exchanges with the platform, workers and endpoints.
+
+mod pool;
+mod store;
+
+pub(crate) use pool::Pool;
+pub(crate) use store::Store;
--- a/crates/fakes/src/fleet/task.rs
+++ b/crates/fakes/src/fleet/task.rs
@@ -101,6 +101,7 @@
             class: self.start.class.clone(),
             size: if runs { self.start.size } else { Size::ZERO },
             state: self.state.clone(),
+            share: self.share,
             lease_left,
             ran: self.ended.unwrap_or(now).since(self.began),
             usage: self.usage(now, lag),
--- a/crates/platform/src/endpoint/call.rs
+++ b/crates/platform/src/endpoint/call.rs
@@ -33,8 +33,10 @@
     pub identity: String,
     /// Idempotency key given by the caller.
     pub key: Option<String>,
-    /// Time left for the whole answer.
+    /// Time left for the whole answer, told to the endpoint.
     pub budget: Span,
+    /// Longest wait for the whole answer, the budget when not given.
+    pub timeout: Option<Span>,
 }
 
 impl Default for Call {
@@ -47,6 +49,7 @@
             identity: String::new(),
             key: None,
             budget: Span::from_secs(1),
+            timeout: None,
         }
     }
 }
--- a/crates/platform/src/endpoint/client.rs
+++ b/crates/platform/src/endpoint/client.rs
@@ -45,7 +45,7 @@
             path: &path,
             headers: lines,
             body: call.body.clone(),
-            timeout: Some(call.budget),
+            timeout: Some(call.timeout.unwrap_or(call.budget)),
         });
         match sent {
             Ok(reply) => read(call, reply),
--- a/crates/platform/src/worker/report.rs
+++ b/crates/platform/src/worker/report.rs
@@ -62,6 +62,10 @@
     pub age: Span,
 }
 
+fn whole() -> f64 {
+    1.0
+}
+
 /// A task that the worker holds, or the record of one that ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Held {
@@ -80,6 +84,9 @@
     /// State of the task.
     #[serde(flatten)]
     pub state: State,
+    /// Share of the processor time of its size that the task may have, 1 when not given.
+    #[serde(default = "whole")]
+    pub share: f64,
     /// Time left of the lease.
     #[serde(rename = "lease_left_ms", with = "crate::wire::span")]
     pub lease_left: Span,
--- a/crates/schema/examples/generate.rs
+++ b/crates/schema/examples/generate.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 /// Schema files without their extension.
-const FILES: &[&str] = &["config", "journal", "peer"];
+const FILES: &[&str] = &["config", "journal", "peer", "record"];
 
 fn main() -> Result<(), capnp::Error> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -8,3 +8,4 @@
 pub use generated::config_capnp as config;
 pub use generated::journal_capnp as journal;
 pub use generated::peer_capnp as peer;
+pub use generated::record_capnp as record;
--- /dev/null
+++ b/crates/tasks/src/cell/list.rs
@@ -0,0 +1,86 @@
+//! The jobs of a cell as operators see them.
+
+use sycamorerill_core::clock::Time;
+use sycamorerill_core::data;
+use sycamorerill_core::id::{ClassName, JobName, TeamName};
+
+use super::Cell;
+use super::jobs::Entry;
+use crate::job::{Outcome, Reason};
+use crate::life::State;
+
+data! {
+    /// Where a job stands.
+    pub enum Standing {
+        /// Made to last; no task has started.
+        Accepted,
+        /// At least one task is on a worker or has ended.
+        Running,
+        /// Can't run at present.
+        Parked(Reason),
+        /// Ended.
+        Ended(Outcome),
+    }
+}
+
+data! {
+    /// One job.
+    pub struct Listed {
+        /// Name of the job.
+        pub name: JobName,
+        /// Class of the job; absent once it has ended.
+        pub class: Option<ClassName>,
+        /// Team of the job; absent once it has ended.
+        pub team: Option<TeamName>,
+        /// Where the job stands.
+        pub standing: Standing,
+        /// Number of tasks.
+        pub tasks: u32,
+        /// Number of finished tasks.
+        pub finished: u32,
+        /// Instant by which the job must have finished.
+        pub deadline: Option<Time>,
+    }
+}
+
+impl Cell {
+    /// Returns the jobs of the cell, first those that go on, then those that ended.
+    pub fn jobs(&self) -> Vec<Listed> {
+        let going = self.jobs.iter().filter(|(_, entry)| entry.durable);
+        let ended = self.ended.iter().filter(|(_, ended)| ended.outcome != Outcome::Moved);
+        let mut list: Vec<Listed> = going.map(|(_, entry)| listed(entry)).collect();
+        list.extend(ended.map(|(name, ended)| Listed {
+            name: name.clone(),
+            class: None,
+            team: None,
+            standing: Standing::Ended(ended.outcome),
+            tasks: 0,
+            finished: 0,
+            deadline: None,
+        }));
+        list
+    }
+}
+
+fn listed(entry: &Entry) -> Listed {
+    let count = |wanted: fn(State) -> bool| {
+        let found = entry.tasks.iter().filter(|task| wanted(task.state)).count();
+        u32::try_from(found).unwrap_or(u32::MAX)
+    };
+    let finished = count(|state| state == State::Finished);
+    let begun = count(|state| state.is_on_worker() || state.is_final());
+    let standing = match &entry.parked {
+        Some(reason) => Standing::Parked(reason.clone()),
+        None if begun > 0 => Standing::Running,
+        None => Standing::Accepted,
+    };
+    Listed {
+        name: entry.job.name.clone(),
+        class: Some(entry.job.class.clone()),
+        team: Some(entry.job.team.clone()),
+        standing,
+        tasks: entry.job.tasks,
+        finished,
+        deadline: Some(entry.deadline),
+    }
+}
