control: plan only on news, cache the choice of owners, wake only when due

Ticks were asked for in the past while the store was down; each machine now names an instant only while it can act.

--- a/crates/control/src/agent/machine.rs
+++ b/crates/control/src/agent/machine.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use fastrand::Rng;
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::Epoch;
 
 use super::plane::Plane;
@@ -13,6 +13,9 @@
 use crate::session;
 use crate::store::{Gate, State};
 
+/// Shortest time between two ticks that an agent asks for.
+const SHORTEST_SLEEP: Span = Span::from_ms(2);
+
 /// The control plane of one entry instance.
 #[derive(Debug)]
 pub struct Agent {
@@ -64,7 +67,8 @@
             return Time::MAX;
         }
         let plane = self.plane.next_wake(now);
-        self.gate.next_wake(now).map_or(plane, |gate| gate.min(plane))
+        let wake = self.gate.next_wake(now).map_or(plane, |gate| gate.min(plane));
+        wake.max(now + SHORTEST_SLEEP)
     }
 
     /// Appends a record of a shard that is at work here to the journal.
--- a/crates/control/src/agent/plane.rs
+++ b/crates/control/src/agent/plane.rs
@@ -228,10 +228,10 @@
     pub(super) fn next_wake(&self, now: Time) -> Time {
         let journal = self.session.is_open().then(|| self.journal.next_wake(now)).flatten();
         let machines = [
-            self.ownership.next_wake(),
+            self.ownership.next_wake(now),
             journal,
             self.config.next_wake(),
-            self.penalties.next_wake(now),
+            self.penalties.next_wake(),
         ];
         machines.into_iter().flatten().fold(self.members.next_wake(), Time::min)
     }
@@ -391,7 +391,8 @@
     draining: bool,
 ) -> ownership::Context<'a> {
     let guard = session.guard();
-    ownership::Context { now, members, guard, durable: journal.durable(), draining }
+    let (last, durable) = (journal.last(), journal.durable());
+    ownership::Context { now, members, guard, last, durable, draining }
 }
 
 fn config_context<'a>(
--- a/crates/control/src/config/machine.rs
+++ b/crates/control/src/config/machine.rs
@@ -43,6 +43,7 @@
     /// Newest version that was heard of.
     pub(super) latest: Version,
     pub(super) fetching: bool,
+    store: State,
     pub(super) next_poll: Time,
     pub(super) next_fetch: Time,
     pub(super) next_ask: Time,
@@ -64,6 +65,7 @@
             sealed: Bytes::new(),
             latest: Version::default(),
             fetching: false,
+            store: State::Up,
             next_poll: Time::ZERO,
             next_fetch: Time::ZERO,
             next_ask: Time::ZERO,
@@ -86,6 +88,7 @@
     }
 
     pub(crate) fn tick(&mut self, context: &Context<'_>, out: &mut Out<'_>) {
+        self.store = context.store;
         self.tick_applies(context.now, out);
         self.tick_fetch(context, out);
         self.check_everywhere(context);
@@ -93,8 +96,15 @@
 
     pub(crate) fn next_wake(&self) -> Option<Time> {
         let applies = self.applies.values().map(|apply| apply.deadline).min();
-        let fetch = (self.latest > self.version()).then(|| self.next_fetch.max(self.next_ask));
-        [Some(self.next_poll), applies, fetch].into_iter().flatten().min()
+        let behind = self.latest > self.version();
+        let starting = self.version() == Version::default();
+        let next = match (self.store, self.fetching) {
+            (State::Down, _) => (behind || starting).then_some(self.next_ask),
+            (State::Up, true) => None,
+            (State::Up, false) if behind => Some(self.next_fetch.min(self.next_poll)),
+            (State::Up, false) => Some(self.next_poll),
+        };
+        [applies, next].into_iter().flatten().min()
     }
 
     pub(crate) fn handle(
--- a/crates/control/src/ownership/choice.rs
+++ b/crates/control/src/ownership/choice.rs
@@ -15,8 +15,38 @@
 /// Instances that may own shards, with their failure domains.
 pub(super) type Candidates = BTreeMap<InstanceName, DomainName>;
 
+/// Instances that should own the shards, for one set of candidates.
+#[derive(Debug, Default)]
+pub(super) struct Choices {
+    candidates: Candidates,
+    chosen: BTreeMap<Shard, InstanceName>,
+}
+
+impl Choices {
+    /// Chooses anew where the candidates have changed.
+    pub(super) fn update(&mut self, settings: &Settings, candidates: Candidates) {
+        if self.candidates == candidates {
+            return;
+        }
+        let writers = writers(settings, &candidates);
+        let choose = |shard| Some((shard, choose(settings, shard, &candidates, &writers)?.clone()));
+        self.chosen = settings.shards().filter_map(choose).collect();
+        self.candidates = candidates;
+    }
+
+    /// Returns the instance that should own a shard.
+    pub(super) fn of(&self, shard: Shard) -> Option<&InstanceName> {
+        self.chosen.get(&shard)
+    }
+
+    /// Returns the shards that an instance should own.
+    pub(super) fn by<'a>(&'a self, name: &'a InstanceName) -> impl Iterator<Item = Shard> + 'a {
+        self.chosen.iter().filter(move |(_, chosen)| *chosen == name).map(|(shard, _)| *shard)
+    }
+}
+
 /// Returns the instance that should own a shard.
-pub(super) fn choose<'a>(
+fn choose<'a>(
     settings: &Settings,
     shard: Shard,
     candidates: &'a Candidates,
@@ -35,7 +65,7 @@
 }
 
 /// Returns the instances that keep journals, at most as many as the settings allow.
-pub(super) fn writers(settings: &Settings, candidates: &Candidates) -> Candidates {
+fn writers(settings: &Settings, candidates: &Candidates) -> Candidates {
     if candidates.len() <= settings.writers {
         return candidates.clone();
     }
--- a/crates/control/src/ownership/machine.rs
+++ b/crates/control/src/ownership/machine.rs
@@ -9,6 +9,7 @@
 use sycamorerill_core::clock::Time;
 use sycamorerill_core::id::{Epoch, InstanceName};
 
+use super::choice::Choices;
 use super::held::{Held, State};
 use super::orphans::Orphans;
 use super::recoveries::Recoveries;
@@ -45,6 +46,7 @@
     pub(crate) now: Time,
     pub(crate) members: &'a mut membership::Machine,
     pub(crate) guard: Option<Check>,
+    pub(crate) last: Sequence,
     pub(crate) durable: Sequence,
     pub(crate) draining: bool,
 }
@@ -80,6 +82,9 @@
     pub(super) fetch: BTreeSet<Shard>,
     pub(super) carries: BTreeMap<Shard, (Epoch, Bytes)>,
     pub(super) unacknowledged: BTreeMap<Shard, (Handed, Time)>,
+    pub(super) choices: Choices,
+    pub(super) replan: bool,
+    pub(super) next_plan: Time,
     pub(super) better: BTreeMap<Shard, (InstanceName, Time)>,
     pub(super) successions: Successions,
     pub(super) recoveries: Recoveries,
@@ -106,6 +111,9 @@
             fetch: BTreeSet::new(),
             carries: BTreeMap::new(),
             unacknowledged: BTreeMap::new(),
+            choices: Choices::default(),
+            replan: true,
+            next_plan: Time::ZERO,
             better: BTreeMap::new(),
             successions: Successions::default(),
             recoveries: Recoveries::default(),
@@ -161,6 +169,7 @@
         context: &mut Context<'_>,
         out: &mut Out<'_>,
     ) -> bool {
+        self.replan = true;
         match purpose {
             Purpose::Scan => self.scanned(response, context, out),
             Purpose::Fetch(shard) => self.fetched(shard, response, context, out),
--- a/crates/control/src/ownership/orphans.rs
+++ b/crates/control/src/ownership/orphans.rs
@@ -68,11 +68,13 @@
     }
 
     /// Takes note of own records that the snapshots of new owners contain.
-    pub(super) fn cover_given(&mut self) {
+    ///
+    /// Records that follow a return of the shard to this session have higher sequences.
+    pub(super) fn cover_given(&mut self, last: Sequence) {
         for (shard, entry) in &self.rows {
             let needs_us = entry.row.journals.contains(&self.own);
             if !needs_us && !self.held.contains_key(shard) {
-                self.covered.push((*shard, Sequence(u64::MAX)));
+                self.covered.push((*shard, last));
             }
         }
     }
--- a/crates/control/src/ownership/plan.rs
+++ b/crates/control/src/ownership/plan.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Epoch, InstanceName};
 
-use super::choice::{self, Candidates};
+use super::choice::Candidates;
 use super::machine::{Context, Intent, Machine, Op};
 use super::succession::Verdict;
 use super::{Kind, Row, Shard, key};
@@ -16,6 +16,8 @@
 
 /// Instances for which the interval between scans is stated.
 pub(super) const SCAN_GROUP: u64 = 9;
+/// Longest time between two looks at who should own what.
+const PLAN_INTERVAL: Span = Span::from_ms(100);
 /// Shards claimed by one transaction.
 const CLAIMS_AT_ONCE: usize = 64;
 
@@ -44,25 +46,37 @@
         if self.hand_over(&guard, context, out) || self.point(&guard, out) {
             return;
         }
+        if self.replan || context.now >= self.next_plan {
+            self.plan(&guard, context, out);
+        }
+    }
+
+    /// Goes for shards that this instance should own, or gives others away.
+    fn plan(&mut self, guard: &Check, context: &mut Context<'_>, out: &mut Out<'_>) {
+        self.replan = false;
+        self.next_plan = context.now + PLAN_INTERVAL;
         let candidates = self.candidates(context);
-        let writers = choice::writers(&self.settings, &candidates);
-        let claims = self.claims(&candidates, &writers, context);
-        if !self.claim(claims, &guard, context, out) {
-            self.rebalance(&candidates, &writers, context, out);
+        self.choices.update(&self.settings, candidates);
+        let claims = self.claims(context);
+        if !self.claim(claims, guard, context, out) {
+            self.rebalance(context, out);
         }
     }
 
     /// Returns the instant at which `tick` may have something to do.
-    pub(crate) fn next_wake(&self) -> Option<Time> {
+    pub(crate) fn next_wake(&self, now: Time) -> Option<Time> {
         self.started?;
         let resend = self.unacknowledged.values().map(|(_, due)| *due).min();
-        let succession = self.successions.earliest(&self.settings);
+        if !matches!(self.op, Op::Idle) {
+            return resend;
+        }
+        let succession = self.successions.next_after(now, &self.settings);
         [Some(self.next_scan), resend, succession].into_iter().flatten().min()
     }
 
     /// Follows up a full scan.
     pub(super) fn after_scan(&mut self, context: &mut Context<'_>) {
-        self.cover_given();
+        self.cover_given(context.last);
         let owners: BTreeSet<session::Name> =
             self.rows.values().map(|entry| entry.row.owner.clone()).collect();
         let members = &*context.members;
@@ -83,19 +97,13 @@
         candidates
     }
 
-    fn claims(
-        &mut self,
-        candidates: &Candidates,
-        writers: &Candidates,
-        context: &mut Context<'_>,
-    ) -> Claims {
+    fn claims(&mut self, context: &mut Context<'_>) -> Claims {
         let mut claims = Claims::new();
-        let shards: Vec<Shard> = self.settings.shards().collect();
+        if context.draining {
+            return claims;
+        }
+        let shards: Vec<Shard> = self.choices.by(&self.own.instance).collect();
         for shard in shards {
-            let chosen = choice::choose(&self.settings, shard, candidates, writers);
-            if chosen != Some(&self.own.instance) || context.draining {
-                continue;
-            }
             let owner = self.rows.get(&shard).map(|entry| entry.row.owner.clone());
             if owner.as_ref() == Some(&self.own) {
                 continue;
@@ -210,20 +218,14 @@
     }
 
     /// Gives shards to instances that should own them and have been there for a while.
-    fn rebalance(
-        &mut self,
-        candidates: &Candidates,
-        writers: &Candidates,
-        context: &Context<'_>,
-        out: &mut Out<'_>,
-    ) {
+    fn rebalance(&mut self, context: &Context<'_>, out: &mut Out<'_>) {
         let now = context.now;
         let leaving = self.held.values().filter(|held| held.is_leaving()).count();
         let mut room = self.settings.moves_at_once.saturating_sub(leaving);
         let mut better: BTreeMap<Shard, (InstanceName, Time)> = BTreeMap::new();
         let mut moves = Vec::new();
         for shard in self.at_work() {
-            let chosen = choice::choose(&self.settings, shard, candidates, writers);
+            let chosen = self.choices.of(shard);
             let Some(to) = chosen.filter(|to| **to != self.own.instance) else { continue };
             let known = self.better.get(&shard).filter(|(name, _)| name == to);
             let since = known.map_or(now, |(_, since)| *since);
--- a/crates/control/src/ownership/succession.rs
+++ b/crates/control/src/ownership/succession.rs
@@ -83,13 +83,14 @@
         self.stages.retain(|session, _| keep(session));
     }
 
-    pub(super) fn earliest(&self, settings: &Settings) -> Option<Time> {
+    /// Returns the next instant at which a verdict changes by itself.
+    pub(super) fn next_after(&self, now: Time, settings: &Settings) -> Option<Time> {
         let due = |stage: &Stage| match stage {
             Stage::Challenged { since, .. } => Some(*since + settings.challenge_wait),
             Stage::Trusted(until) => Some(*until),
             _ => None,
         };
-        self.stages.values().filter_map(due).min()
+        self.stages.values().filter_map(due).filter(|due| *due > now).min()
     }
 }
 
--- a/crates/control/src/penalties/compaction.rs
+++ b/crates/control/src/penalties/compaction.rs
@@ -15,7 +15,7 @@
 use crate::agent::{Decision, Out};
 use crate::codec::{Error, checksum};
 use crate::membership::{Standing, score};
-use crate::store::{Expected, Key, Priority, Request, Response, Row, Transaction};
+use crate::store::{Expected, Key, Priority, Request, Response, Row, State, Transaction};
 
 /// Rows joined by one write.
 const ROWS_AT_ONCE: u32 = 200;
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Compaction {
     interval: Span,
-    pub(super) next: Time,
+    next: Time,
     stage: Stage,
     hour: u64,
     loose: Vec<Row>,
@@ -59,6 +59,10 @@
         }
     }
 
+    pub(super) fn next_wake(&self) -> Option<Time> {
+        matches!(self.stage, Stage::Idle).then_some(self.next)
+    }
+
     fn rest(&mut self, now: Time) {
         self.stage = Stage::Idle;
         self.next = now + self.interval;
@@ -74,6 +78,9 @@
             return;
         }
         self.compaction.next = context.now + self.settings.compact_interval;
+        if context.store == State::Down {
+            return;
+        }
         let closed = self.closed_before(context.now);
         if context.guarded.is_none() || !chosen(context, closed) {
             return;
--- a/crates/control/src/penalties/machine.rs
+++ b/crates/control/src/penalties/machine.rs
@@ -136,19 +136,15 @@
         self.gossip(context, out);
         self.flush(context, out);
         self.expire_settlements(context, out);
-        if context.store == State::Up {
-            self.tick_compaction(context, out);
-        }
+        self.tick_compaction(context, out);
     }
 
-    pub(crate) fn next_wake(&self, now: Time) -> Option<Time> {
-        let flush = match &self.flight {
-            Some(flight) => (!flight.sent).then_some(now),
-            None => (!self.waiting.is_empty()).then_some(self.next_flush),
-        };
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        let waits = !self.waiting.is_empty() && self.flight.is_none();
+        let flush = waits.then_some(self.next_flush);
         let gossip = (!self.untold.is_empty()).then_some(self.next_gossip);
         let settle = self.settlements.values().map(|settlement| settlement.deadline).min();
-        [flush, gossip, settle, Some(self.compaction.next)].into_iter().flatten().min()
+        [flush, gossip, settle, self.compaction.next_wake()].into_iter().flatten().min()
     }
 
     /// Returns the present minute of the wall clock.
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -10,6 +10,7 @@
 use fastrand::Rng;
 use sycamorerill_control::agent::{Command, Event, Settings};
 use sycamorerill_control::membership::{Evidence, Listing};
+use sycamorerill_control::ownership::{Kind, Shard};
 use sycamorerill_control::penalties::{Entry, Id};
 use sycamorerill_control::store::{Request, RequestId, Response};
 use sycamorerill_control::{config, penalties, session};
@@ -63,6 +64,13 @@
     pub settled: BTreeMap<penalties::SettleId, Result<penalties::Settled, penalties::Failure>>,
     pub messages: u64,
     pub bytes: u64,
+    pub happened: u64,
+    pub wakes: u64,
+    /// Payloads that instances which have ended knew to last.
+    pub durable: Vec<(Shard, u64)>,
+    /// Subjects of misses that were told to nobody when their instance ended.
+    pub maybe: BTreeSet<u64>,
+    pub missed: BTreeSet<u64>,
     queue: BTreeMap<(Time, u64), Happening>,
     next: u64,
 }
@@ -90,6 +98,11 @@
             settled: BTreeMap::new(),
             messages: 0,
             bytes: 0,
+            happened: 0,
+            wakes: 0,
+            durable: Vec::new(),
+            maybe: BTreeSet::new(),
+            missed: BTreeSet::new(),
             queue: BTreeMap::new(),
             next: 0,
         }
@@ -118,6 +131,11 @@
         if let Some(node) = self.nodes.get_mut(instance) {
             node.alive = false;
             node.serving.clear();
+            self.durable.append(&mut node.durable);
+            let unsaved = node.agent.unsaved();
+            let lost = unsaved.keys().filter(|id| !node.carried.contains_key(id));
+            self.maybe.extend(lost.map(|id| id.subject));
+            self.violations.append(&mut node.problems);
         }
     }
 
@@ -163,7 +181,7 @@
         let entry = entry(subject, minute);
         let Some(node) = self.nodes.get_mut(instance).filter(|node| node.alive) else { return };
         if node.agent.miss(entry).is_ok() {
-            node.missed.insert(subject);
+            self.missed.insert(subject);
         }
         self.event(instance, Event::Tick);
     }
@@ -220,6 +238,8 @@
     }
 
     fn happen(&mut self, happening: Happening) {
+        self.happened += 1;
+        self.wakes += u64::from(matches!(happening, Happening::Wake { .. }));
         let target = match &happening {
             Happening::Message { to, .. } => Some(to.clone()),
             Happening::Answer { node, .. }
@@ -340,9 +360,9 @@
     fn check_gained(
         &mut self,
         instance: &InstanceName,
-        shard: sycamorerill_control::ownership::Shard,
+        shard: Shard,
     ) {
-        if shard.kind != sycamorerill_control::ownership::Kind::Slots {
+        if shard.kind != Kind::Slots {
             return;
         }
         for (name, node) in &self.nodes {
@@ -363,6 +383,19 @@
         self.nodes.get(instance).map(|node| node.version).unwrap_or_default()
     }
 
+    /// Returns every payload that an instance knew to last.
+    pub fn all_durable(&self) -> Vec<(Shard, u64)> {
+        let running = self.nodes.values().flat_map(|node| node.durable.iter().copied());
+        self.durable.iter().copied().chain(running).collect()
+    }
+
+    /// Returns everything that was found to be wrong.
+    pub fn wrong(&self) -> Vec<String> {
+        let problems = self.nodes.values().flat_map(|node| node.problems.iter().cloned());
+        let all = self.violations.iter().chain(&self.store.violations).cloned();
+        all.chain(problems).collect()
+    }
+
     pub fn alive(&self) -> Vec<InstanceName> {
         let alive = self.nodes.iter().filter(|(_, node)| node.alive);
         alive.map(|(name, _)| name.clone()).collect()
--- /dev/null
+++ b/crates/control/tests/properties.rs
@@ -0,0 +1,240 @@
+//! Random interleavings of several instances with pauses, crashes, cuts and lost answers.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod cluster;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use bytes::Bytes;
+use cluster::{Cluster, name};
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome};
+use sycamorerill_control::journal::Need;
+use sycamorerill_control::ownership::Shard;
+use sycamorerill_control::penalties::{By, Minute, Settle, SettleId};
+use sycamorerill_core::clock::Span;
+use sycamorerill_core::id::{InstanceName, Version};
+
+/// Time for which a run may search for new interleavings.
+const BUDGET_MS: u64 = 8_000;
+/// Time in which everything must be at work again once the faults are gone.
+const RECOVERY: Span = Span::from_secs(90);
+
+struct Run {
+    cluster: Cluster,
+    names: Vec<InstanceName>,
+    payload: u64,
+    steps: Vec<String>,
+}
+
+fn domain(at: usize) -> &'static str {
+    ["d1", "d2"][at % 2]
+}
+
+impl Run {
+    fn new(u: &mut Unstructured<'_>) -> Result<Self> {
+        let mut cluster = Cluster::new(u.arbitrary()?);
+        cluster.template.ownership.slots = 3;
+        cluster.template.ownership.keys = 3;
+        cluster.template.ownership.cells = vec!["d1".parse().unwrap(), "d2".parse().unwrap()];
+        cluster.template.ownership.stable_after = Span::from_secs(4);
+        cluster.template.journal.snapshot_bytes = 64;
+        cluster.template.penalties.compact_interval = Span::from_secs(7);
+        let count = u.int_in_range(2..=5)?;
+        let names: Vec<InstanceName> = (0..count).map(|n| name(&format!("n{n}"))).collect();
+        for (at, one) in names.iter().enumerate() {
+            cluster.start(one, domain(at), &names);
+        }
+        cluster.run(Span::from_secs(4));
+        Ok(Self { cluster, names, payload: 0, steps: Vec::new() })
+    }
+
+    fn any(&self, u: &mut Unstructured<'_>) -> Result<(usize, InstanceName)> {
+        let at = u.choose_index(self.names.len())?;
+        Ok((at, self.names[at].clone()))
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let (at, one) = self.any(u)?;
+        let cluster = &mut self.cluster;
+        let choice = u.int_in_range(0..=21)?;
+        self.steps.push(format!("{} {choice} {one}", cluster.now));
+        match choice {
+            0..=4 => self.append(u)?,
+            5 => cluster.kill(&one),
+            6 => cluster.pause(&one, Span::from_ms(u.int_in_range(100..=20_000)?)),
+            7 | 8 => {
+                if !cluster.nodes[&one].alive {
+                    cluster.start(&one, domain(at), &self.names);
+                }
+            }
+            9 => {
+                let split = u.choose_index(self.names.len())?;
+                let (left, right) = self.names.split_at(split);
+                cluster.set_cut(left, right, true);
+            }
+            10 => cluster.cut.clear(),
+            11 => cluster.faults.down = !cluster.faults.down,
+            12 => cluster.faults.slow = Span::from_ms(u.int_in_range(0..=1_500)?),
+            13 => cluster.faults.lose = f64::from(u.int_in_range(0..=5_u8)?) / 10.0,
+            14 => cluster.faults.late = f64::from(u.int_in_range(0..=5_u8)?) / 10.0,
+            15 => cluster.faults.drop = f64::from(u.int_in_range(0..=3_u8)?) / 10.0,
+            16 => {
+                if !cluster.cut_store.remove(&one) {
+                    cluster.cut_store.insert(one);
+                }
+            }
+            17 => {
+                cluster.event(&one, Event::Drain);
+                cluster.nodes.get_mut(&one).unwrap().draining = true;
+            }
+            18 => self.apply(&one),
+            19 | 20 => {
+                let subject = u.int_in_range(0..=40)?;
+                cluster.miss(&one, subject, subject / 10);
+            }
+            _ => cluster.list(),
+        }
+        let wait = Span::from_ms(u.int_in_range(0..=3_000)?);
+        self.cluster.run(wait);
+        Ok(())
+    }
+
+    fn append(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let now = self.cluster.now;
+        let (_, one) = self.any(u)?;
+        let node = self.cluster.nodes.get_mut(&one).unwrap();
+        if !node.alive || node.paused_until > now {
+            return Ok(());
+        }
+        let shards: Vec<Shard> =
+            node.serving.keys().filter(|shard| shard.kind.as_str() != "slots").copied().collect();
+        if shards.is_empty() {
+            return Ok(());
+        }
+        let shard = *u.choose(&shards)?;
+        self.payload += 1;
+        let need = if u.arbitrary()? { Need::Now } else { Need::Later };
+        let _ = node.append(now, shard, self.payload, need);
+        self.cluster.event(&one, Event::Tick);
+        Ok(())
+    }
+
+    fn apply(&mut self, one: &InstanceName) {
+        self.payload += 1;
+        let apply = Apply {
+            id: ApplyId(self.payload),
+            seen: self.cluster.version(one),
+            author: "operator".to_owned(),
+            keys: Digests::from([("key".to_owned(), self.payload)]),
+            bytes: Bytes::from(self.payload.to_string()),
+        };
+        self.cluster.event(one, Event::Apply(apply));
+    }
+
+    fn heal(&mut self) {
+        let cluster = &mut self.cluster;
+        cluster.faults = cluster::Faults::default();
+        cluster.cut.clear();
+        cluster.cut_store.clear();
+        let start = cluster.now;
+        // Instances that drained or were fenced end and start again meanwhile.
+        while cluster.now.since(start) < RECOVERY {
+            cluster.run(Span::from_secs(2));
+            for (at, one) in self.names.iter().enumerate() {
+                let node = &cluster.nodes[one];
+                let drained = node.draining && node.agent.held() == 0;
+                let late = node.draining && cluster.now.since(start) > Span::from_secs(20);
+                if !node.alive || drained || late {
+                    cluster.kill(one);
+                    cluster.start(one, domain(at), &self.names);
+                }
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        self.check_shards();
+        self.check_versions();
+        self.check_penalties();
+        let wrong = self.cluster.wrong();
+        assert!(wrong.is_empty(), "{wrong:#?}\n{}", self.history());
+    }
+
+    fn history(&self) -> String {
+        let log = self.cluster.log.iter().map(|(at, one, line)| format!("{at} {one}: {line}"));
+        let steps = self.steps.join("\n");
+        format!("{steps}\n{}", log.collect::<Vec<_>>().join("\n"))
+    }
+
+    fn check_shards(&self) {
+        let mut holds: BTreeMap<Shard, Vec<&Vec<u64>>> = BTreeMap::new();
+        for node in self.cluster.nodes.values() {
+            for (shard, (_, payloads)) in &node.serving {
+                holds.entry(*shard).or_default().push(payloads);
+            }
+        }
+        for shard in self.cluster.template.ownership.shards() {
+            let count = holds.get(&shard).map_or(0, Vec::len);
+            assert_eq!(count, 1, "{shard} is at work on {count}\n{}", self.history());
+        }
+        for (shard, payload) in self.cluster.all_durable() {
+            let held = holds[&shard][0].iter().filter(|one| **one == payload).count();
+            assert_eq!(held, 1, "{shard} holds {payload} {held} times\n{}", self.history());
+        }
+    }
+
+    fn check_versions(&self) {
+        let mut accepted = BTreeSet::new();
+        for (id, (_, outcome)) in &self.cluster.outcomes {
+            if let Outcome::Accepted(version) = outcome {
+                assert!(accepted.insert(*version), "{version} was accepted twice");
+                for node in self.cluster.nodes.values() {
+                    let found = node.versions.iter().find(|(_, of, _)| of == version);
+                    let content = Bytes::from(id.0.to_string());
+                    assert!(found.is_none_or(|(_, _, bytes)| *bytes == content), "{version}");
+                }
+            }
+        }
+        let last = accepted.last().copied().unwrap_or(Version(0));
+        let versions: BTreeSet<Version> =
+            self.names.iter().map(|name| self.cluster.version(name)).collect();
+        assert_eq!(versions.len(), 1, "{versions:?}\n{}", self.history());
+        assert!(versions.first().unwrap() >= &last, "{versions:?}\n{}", self.history());
+    }
+
+    fn check_penalties(&mut self) {
+        let id = SettleId(1);
+        let settle = Settle { id, from: Minute(0), to: Minute(100), by: By::Target };
+        let one = self.names[0].clone();
+        self.cluster.event(&one, Event::Settle(settle));
+        self.cluster.run(Span::from_secs(2));
+        let settled = self.cluster.settled.remove(&id).expect("an answer").expect("totals");
+        let found: u64 = settled.totals.iter().map(|total| total.misses).sum();
+        let most = self.cluster.missed.len() as u64;
+        let least = self.cluster.missed.difference(&self.cluster.maybe).count() as u64;
+        assert!(
+            (least..=most).contains(&found),
+            "{found} misses, expected {least} to {most}\n{}",
+            self.history()
+        );
+    }
+}
+
+fn interleave(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut run = Run::new(u)?;
+    let steps = u.int_in_range(5..=60)?;
+    for _ in 0..steps {
+        run.step(u)?;
+    }
+    run.heal();
+    run.check();
+    Ok(())
+}
+
+#[test]
+fn nothing_is_lost_doubled_or_taken_back() {
+    arbtest(interleave).budget_ms(BUDGET_MS).size_min(600).size_max(4_000);
+}
