--- a/crates/control/src/journal/machine.rs
+++ b/crates/control/src/journal/machine.rs
@@ -231,13 +231,14 @@
             floor: self.floor.min(self.number),
             records,
         };
+        // From now on the batch may exist, so it counts before its answer arrives.
+        self.coverage.wrote(batch.number, &batch.records);
         let bytes = batch.encode();
         Flight { number: batch.number, records: batch.records, bytes, sent: true }
     }
 
     fn committed(&mut self) -> Change {
         let Some(flight) = self.flight.take() else { return Change::None };
-        self.coverage.wrote(flight.number, &flight.records);
         self.stated_floor = self.floor.min(flight.number);
         let last = flight.records.last().map(|record| record.sequence);
         self.durable = last.unwrap_or(self.durable);
