--- a/crates/cli/src/client/mod.rs
+++ b/crates/cli/src/client/mod.rs
@@ -3,7 +3,7 @@
 mod answer;
 mod error;
 mod request;
-mod settings;
+pub(crate) mod settings;
 mod transport;
 
 use serde::Serialize;
@@ -14,7 +14,7 @@
 
 pub(crate) use error::Error;
 use request::Request;
-pub(crate) use settings::{Address, SettingsError};
+pub(crate) use settings::Address;
 use transport::Transport;
 
 /// Period of a settlement, in milliseconds since the Unix epoch; the end is not in it.
@@ -31,7 +31,7 @@
 
 impl Client {
     /// Takes addresses from flags, else from the environment.
-    pub(crate) fn new(flags: &[Address]) -> Result<Self, SettingsError> {
+    pub(crate) fn new(flags: &[Address]) -> Result<Self, settings::Error> {
         Ok(Self { transport: Transport::new(settings::addresses(flags)?) })
     }
 
--- a/crates/cli/src/client/settings.rs
+++ b/crates/cli/src/client/settings.rs
@@ -7,6 +7,8 @@
 
 use miette::Diagnostic;
 
+use crate::word;
+
 /// Environment variable with addresses that are separated by commas.
 const VARIABLE: &str = "SYCAMORERILL_INSTANCES";
 
@@ -14,16 +16,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Address(SocketAddr);
 
-/// Error for a text that is no address.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("`{0}` is not an address, expected IP:PORT such as 10.0.0.7:7070")]
-pub(crate) struct AddressError(String);
-
 impl FromStr for Address {
-    type Err = AddressError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, AddressError> {
-        text.trim().parse().map(Self).map_err(|_| AddressError(text.to_owned()))
+    fn from_str(text: &str) -> Result<Self, word::Error> {
+        text.trim()
+            .parse()
+            .map(Self)
+            .map_err(|_| word::Error::new(text, "an address", "IP:PORT such as 10.0.0.7:7070"))
     }
 }
 
@@ -35,7 +35,7 @@
 
 /// The ways in which the addresses of entry instances can be wrong.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Diagnostic)]
-pub(crate) enum SettingsError {
+pub(crate) enum Error {
     /// Neither the flag nor the variable names an instance.
     #[error("no entry instance is named")]
     #[diagnostic(
@@ -46,11 +46,11 @@
     /// The variable holds something else.
     #[error("{VARIABLE}: {0}")]
     #[diagnostic(code(wrong_instance), help("separate addresses by commas"))]
-    Variable(#[from] AddressError),
+    Variable(#[from] word::Error),
 }
 
 /// Returns the addresses of the flags, else those of the environment; at least one.
-pub(super) fn addresses(flags: &[Address]) -> Result<Vec<Address>, SettingsError> {
+pub(super) fn addresses(flags: &[Address]) -> Result<Vec<Address>, Error> {
     if !flags.is_empty() {
         return Ok(flags.to_vec());
     }
@@ -58,7 +58,7 @@
     let words = text.split(',').filter(|word| !word.trim().is_empty());
     let addresses = words.map(str::parse).collect::<Result<Vec<Address>, _>>()?;
     match addresses.is_empty() {
-        true => Err(SettingsError::Missing),
+        true => Err(Error::Missing),
         false => Ok(addresses),
     }
 }
--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 
 use crate::output::Format;
+use crate::word;
 
 /// Runs three entry instances, stand-ins, load and faults in one process on loopback.
 #[derive(Debug, FromArgs)]
@@ -37,19 +38,14 @@
     Heaters,
 }
 
-/// Error for a word that names no deployment.
-#[derive(Debug, thiserror::Error)]
-#[error("`{0}` is not a deployment, expected ropes or heaters")]
-pub(crate) struct DeploymentError(String);
-
 impl FromStr for Deployment {
-    type Err = DeploymentError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, DeploymentError> {
+    fn from_str(text: &str) -> Result<Self, word::Error> {
         match text {
             "ropes" => Ok(Self::Ropes),
             "heaters" => Ok(Self::Heaters),
-            _ => Err(DeploymentError(text.to_owned())),
+            _ => Err(word::Error::new(text, "a deployment", "ropes or heaters")),
         }
     }
 }
--- a/crates/cli/src/commands/penalties.rs
+++ b/crates/cli/src/commands/penalties.rs
@@ -10,6 +10,7 @@
 use crate::client::{Address, Client, Period};
 use crate::failure::Failure;
 use crate::output::{self, Format, Table};
+use crate::word;
 
 /// Settles the penalties of a period by target, team or service.
 #[derive(Debug, FromArgs)]
@@ -41,11 +42,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Moment(u64);
 
-/// Error for a text that is no instant.
-#[derive(Debug, thiserror::Error)]
-#[error("`{0}` is not a time, expected 2026-11-01 or 2026-11-01T06:00:00Z")]
-pub(crate) struct MomentError(String);
-
 impl Moment {
     fn now() -> Self {
         Self::from(SystemTime::now())
@@ -60,12 +56,13 @@
 }
 
 impl FromStr for Moment {
-    type Err = MomentError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, MomentError> {
+    fn from_str(text: &str) -> Result<Self, word::Error> {
         let whole = format!("{text}T00:00:00Z");
         let time = humantime::parse_rfc3339(text).or_else(|_| humantime::parse_rfc3339(&whole));
-        time.map(Self::from).map_err(|_| MomentError(text.to_owned()))
+        time.map(Self::from)
+            .map_err(|_| word::Error::new(text, "a time", "2026-11-01 or 2026-11-01T06:00:00Z"))
     }
 }
 
@@ -78,11 +75,6 @@
     Csv,
 }
 
-/// Error for a word that names no form.
-#[derive(Debug, thiserror::Error)]
-#[error("`{0}` is not a format, expected text, json or csv")]
-pub(crate) struct FormError(String);
-
 impl Form {
     /// Returns the format in which failures are printed.
     pub(crate) fn failures(self) -> Format {
@@ -94,14 +86,14 @@
 }
 
 impl FromStr for Form {
-    type Err = FormError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, FormError> {
+    fn from_str(text: &str) -> Result<Self, word::Error> {
         match text {
             "text" => Ok(Self::Text),
             "json" => Ok(Self::Json),
             "csv" => Ok(Self::Csv),
-            _ => Err(FormError(text.to_owned())),
+            _ => Err(word::Error::new(text, "a format", "text, json or csv")),
         }
     }
 }
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -38,7 +38,7 @@
     /// No entry instance is named, or one of them wrongly.
     #[error(transparent)]
     #[diagnostic(transparent)]
-    Settings(#[from] client::SettingsError),
+    Settings(#[from] client::settings::Error),
     /// The period of a settlement is empty.
     #[error("the period is empty, --from must be earlier than --to")]
     #[diagnostic(code(empty_period))]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod failure;
 mod output;
+mod word;
 
 use std::env;
 use std::process::ExitCode;
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -9,6 +9,7 @@
 use tabled::settings::Style;
 
 use crate::failure::Failure;
+use crate::word;
 
 /// Form of the output.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,19 +21,14 @@
     Json,
 }
 
-/// Error for a word that names no format.
-#[derive(Debug, thiserror::Error)]
-#[error("`{0}` is not a format, expected text or json")]
-pub(crate) struct FormatError(String);
-
 impl FromStr for Format {
-    type Err = FormatError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, FormatError> {
+    fn from_str(text: &str) -> Result<Self, word::Error> {
         match text {
             "text" => Ok(Self::Text),
             "json" => Ok(Self::Json),
-            _ => Err(FormatError(text.to_owned())),
+            _ => Err(word::Error::new(text, "a format", "text or json")),
         }
     }
 }
--- a/crates/config/src/check/value.rs
+++ b/crates/config/src/check/value.rs
@@ -10,7 +10,7 @@
 use super::fields::{self, Kind};
 use crate::document::{Leaf, Value};
 use crate::key::Key;
-use crate::problem::{Fault, Problem, ValueError};
+use crate::problem::{Fault, Problem, Reason};
 use crate::similar;
 
 /// Returns what is wrong with a setting regardless of all others.
@@ -25,7 +25,7 @@
     fault.map(|fault| Problem::new(fault, leaf.value_place.clone()))
 }
 
-fn value_fault(key: &Key, reason: ValueError) -> Fault {
+fn value_fault(key: &Key, reason: Reason) -> Fault {
     Fault::Value { key: key.clone(), reason }
 }
 
@@ -60,9 +60,9 @@
     }
 }
 
-fn parse(kind: Kind, text: &str) -> Result<(), ValueError> {
+fn parse(kind: Kind, text: &str) -> Result<(), Reason> {
     let zero = |is_zero: bool| match is_zero {
-        true => Err(ValueError::Zero(text.to_owned())),
+        true => Err(Reason::Zero(text.to_owned())),
         false => Ok(()),
     };
     match kind {
@@ -82,6 +82,6 @@
     }
 }
 
-fn count(text: &str) -> Result<u32, ValueError> {
-    text.parse().map_err(|_| ValueError::Count(text.to_owned()))
+fn count(text: &str) -> Result<u32, Reason> {
+    text.parse().map_err(|_| Reason::Count(text.to_owned()))
 }
--- a/crates/config/src/codec/decode.rs
+++ b/crates/config/src/codec/decode.rs
@@ -20,7 +20,7 @@
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
 use sycamorerill_schema::config as wire;
 
-use super::error::CodecError;
+use super::error::Error;
 use super::{MARK, MAX_ENCODED_BYTES};
 
 /// Deepest nesting of structs in a message.
@@ -32,10 +32,10 @@
 ///
 /// # Errors
 ///
-/// [`CodecError`] when the bytes are cut short, changed, too many or something else.
-pub fn decode(bytes: &Bytes) -> Result<Config, CodecError> {
+/// [`Error`] when the bytes are cut short, changed, too many or something else.
+pub fn decode(bytes: &Bytes) -> Result<Config, Error> {
     if bytes.len() > MAX_ENCODED_BYTES {
-        return Err(CodecError::TooLarge(bytes.len()));
+        return Err(Error::TooLarge(bytes.len()));
     }
     let mut words = body(bytes)?;
     let mut options = ReaderOptions::new();
@@ -43,7 +43,7 @@
     options.traversal_limit_in_words(Some(MAX_ENCODED_BYTES / BYTES_PER_WORD));
     let message = serialize::read_message_from_flat_slice(&mut words, options)?;
     if !words.is_empty() {
-        return Err(CodecError::Damaged);
+        return Err(Error::Damaged);
     }
     read_config(message.get_root()?)
 }
@@ -52,26 +52,26 @@
 ///
 /// # Errors
 ///
-/// [`CodecError`] as [`decode`], and when the text is not base64.
-pub fn decode_text(text: &str) -> Result<Config, CodecError> {
-    let bytes = STANDARD.decode(text).map_err(|_| CodecError::Base64)?;
+/// [`Error`] as [`decode`], and when the text is not base64.
+pub fn decode_text(text: &str) -> Result<Config, Error> {
+    let bytes = STANDARD.decode(text).map_err(|_| Error::Base64)?;
     decode(&bytes.into())
 }
 
 /// Returns the message behind a header that fits it.
-fn body(bytes: &[u8]) -> Result<&[u8], CodecError> {
-    let (mark, rest) = bytes.split_first_chunk::<4>().ok_or(CodecError::Foreign)?;
+fn body(bytes: &[u8]) -> Result<&[u8], Error> {
+    let (mark, rest) = bytes.split_first_chunk::<4>().ok_or(Error::Foreign)?;
     if *mark != MARK {
-        return Err(CodecError::Foreign);
+        return Err(Error::Foreign);
     }
-    let (checksum, words) = rest.split_first_chunk::<4>().ok_or(CodecError::Damaged)?;
+    let (checksum, words) = rest.split_first_chunk::<4>().ok_or(Error::Damaged)?;
     if u32::from_le_bytes(*checksum) != crc32fast::hash(words) {
-        return Err(CodecError::Damaged);
+        return Err(Error::Damaged);
     }
     Ok(words)
 }
 
-fn read_config(from: wire::config::Reader<'_>) -> Result<Config, CodecError> {
+fn read_config(from: wire::config::Reader<'_>) -> Result<Config, Error> {
     let mut config = Config {
         version: Version(from.get_version()),
         policy: read_policy(from.get_policy()?)?,
@@ -100,19 +100,15 @@
     Ok(config)
 }
 
-fn insert<K: Ord + Display, V>(
-    into: &mut BTreeMap<K, V>,
-    name: K,
-    value: V,
-) -> Result<(), CodecError> {
+fn insert<K: Ord + Display, V>(into: &mut BTreeMap<K, V>, name: K, value: V) -> Result<(), Error> {
     if into.contains_key(&name) {
-        return Err(CodecError::Duplicate(name.to_string()));
+        return Err(Error::Duplicate(name.to_string()));
     }
     into.insert(name, value);
     Ok(())
 }
 
-fn read_service(from: wire::service::Reader<'_>) -> Result<Service, CodecError> {
+fn read_service(from: wire::service::Reader<'_>) -> Result<Service, Error> {
     Ok(Service {
         name: name(from.get_name()?)?,
         team: name(from.get_team()?)?,
@@ -127,7 +123,7 @@
     })
 }
 
-fn read_class(from: wire::class::Reader<'_>) -> Result<Class, CodecError> {
+fn read_class(from: wire::class::Reader<'_>) -> Result<Class, Error> {
     Ok(Class {
         name: name(from.get_name()?)?,
         size: read_size(from.get_size()?),
@@ -140,7 +136,7 @@
     })
 }
 
-fn read_team(from: wire::team::Reader<'_>) -> Result<Team, CodecError> {
+fn read_team(from: wire::team::Reader<'_>) -> Result<Team, Error> {
     Ok(Team {
         name: name(from.get_name()?)?,
         weight: from.get_weight(),
@@ -149,7 +145,7 @@
     })
 }
 
-fn read_target(from: wire::target::Reader<'_>) -> Result<Target, CodecError> {
+fn read_target(from: wire::target::Reader<'_>) -> Result<Target, Error> {
     Ok(Target {
         name: name(from.get_name()?)?,
         goal: read_goal(from.get_goal())?,
@@ -158,7 +154,7 @@
     })
 }
 
-fn read_goal(from: wire::target::goal::Reader<'_>) -> Result<Goal, CodecError> {
+fn read_goal(from: wire::target::goal::Reader<'_>) -> Result<Goal, Error> {
     match from.which()? {
         wire::target::goal::Answer(answer) => Ok(Goal::Answer {
             service: name(answer.get_service()?)?,
@@ -170,7 +166,7 @@
     }
 }
 
-fn read_domain(from: wire::domain::Reader<'_>) -> Result<Domain, CodecError> {
+fn read_domain(from: wire::domain::Reader<'_>) -> Result<Domain, Error> {
     Ok(Domain {
         name: name(from.get_name()?)?,
         workers: from.get_workers(),
@@ -180,7 +176,7 @@
     })
 }
 
-fn read_policy(from: wire::policy::Reader<'_>) -> Result<Policy, CodecError> {
+fn read_policy(from: wire::policy::Reader<'_>) -> Result<Policy, Error> {
     Ok(Policy {
         retry_budget: share(from.get_retry_budget())?,
         eviction_budget: share(from.get_eviction_budget())?,
@@ -198,7 +194,7 @@
     )
 }
 
-fn name<T: FromStr<Err = id::Error>>(text: capnp::text::Reader<'_>) -> Result<T, CodecError> {
+fn name<T: FromStr<Err = id::Error>>(text: capnp::text::Reader<'_>) -> Result<T, Error> {
     Ok(text.to_str()?.parse()?)
 }
 
@@ -215,16 +211,16 @@
     Duration::from_micros(micros).into()
 }
 
-fn share(part: f64) -> Result<Share, CodecError> {
+fn share(part: f64) -> Result<Share, Error> {
     match (0.0..=1.0).contains(&part) {
         true => Ok(Share::new(part)),
-        false => Err(CodecError::Number),
+        false => Err(Error::Number),
     }
 }
 
-fn rate(rate: f64) -> Result<PerSecond, CodecError> {
+fn rate(rate: f64) -> Result<PerSecond, Error> {
     match rate.is_finite() && rate >= 0.0 {
         true => Ok(PerSecond(rate)),
-        false => Err(CodecError::Number),
+        false => Err(Error::Number),
     }
 }
--- a/crates/config/src/codec/error.rs
+++ b/crates/config/src/codec/error.rs
@@ -6,7 +6,7 @@
 
 /// The ways in which bytes are not an encoded configuration.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum CodecError {
+pub enum Error {
     /// More bytes than [`MAX_ENCODED_BYTES`].
     #[error("the configuration has {0} bytes, expected at most {MAX_ENCODED_BYTES}")]
     TooLarge(usize),
@@ -36,19 +36,19 @@
     Base64,
 }
 
-impl From<capnp::Error> for CodecError {
+impl From<capnp::Error> for Error {
     fn from(error: capnp::Error) -> Self {
         Self::Schema(error.kind)
     }
 }
 
-impl From<capnp::NotInSchema> for CodecError {
+impl From<capnp::NotInSchema> for Error {
     fn from(_: capnp::NotInSchema) -> Self {
         Self::Unknown
     }
 }
 
-impl From<std::str::Utf8Error> for CodecError {
+impl From<std::str::Utf8Error> for Error {
     fn from(error: std::str::Utf8Error) -> Self {
         Self::Schema(capnp::ErrorKind::TextContainsNonUtf8Data(error))
     }
--- a/crates/config/src/codec/mod.rs
+++ b/crates/config/src/codec/mod.rs
@@ -10,7 +10,7 @@
 
 pub use decode::{decode, decode_text};
 pub use encode::{encode, encode_text};
-pub use error::CodecError;
+pub use error::Error;
 
 /// Largest encoded configuration in bytes.
 pub const MAX_ENCODED_BYTES: usize = 16 << 20;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -33,11 +33,11 @@
 mod similar;
 mod source;
 
-pub use codec::{CodecError, MAX_ENCODED_BYTES, decode, decode_text, encode, encode_text};
+pub use codec::{Error as CodecError, MAX_ENCODED_BYTES, decode, decode_text, encode, encode_text};
 pub use difference::difference;
 pub use folder::{Error, Folder, MAX_FILE_BYTES, MAX_FILES};
 pub use jobs::{parse_jobs, read_jobs};
 pub use key::{Key, Section};
 pub use merge::{Merged, Setting};
-pub use problem::{Fault, Problem, Report, ValueError};
+pub use problem::{Fault, Problem, Reason, Report};
 pub use source::Source;
--- a/crates/config/src/problem/fault.rs
+++ b/crates/config/src/problem/fault.rs
@@ -85,7 +85,7 @@
         /// Key of the value.
         key: Key,
         /// Why it does not read.
-        reason: ValueError,
+        reason: Reason,
     },
     /// An entry lacks a key.
     #[error("{section} `{name}` has no `{field}`, expected {expected}")]
@@ -174,7 +174,7 @@
 
 /// Why a value does not read as what its key takes.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
-pub enum ValueError {
+pub enum Reason {
     /// Not a span of time.
     #[error(transparent)]
     Span(#[from] clock::Error),
--- a/crates/config/src/problem/mod.rs
+++ b/crates/config/src/problem/mod.rs
@@ -3,5 +3,5 @@
 mod fault;
 mod report;
 
-pub use fault::{Fault, ValueError};
+pub use fault::{Fault, Reason};
 pub use report::{Problem, Report};
