config: pack encoded configurations and decode them at any alignment

Cause: decode read the words in place, so bytes that lay at an odd offset of a larger buffer failed with UnalignedSegment (new test, red before). Most of an encoded configuration was zeros. Change: packed Cap'n Proto, which is unpacked into memory of its own.

--- a/crates/config/src/codec/decode.rs
+++ b/crates/config/src/codec/decode.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use capnp::message::ReaderOptions;
-use capnp::serialize;
+use capnp::serialize_packed;
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{self, Version};
 use sycamorerill_core::model::{
@@ -37,12 +37,12 @@
     if bytes.len() > MAX_ENCODED_BYTES {
         return Err(Error::TooLarge(bytes.len()));
     }
-    let mut words = body(bytes)?;
+    let mut packed = body(bytes)?;
     let mut options = ReaderOptions::new();
     options.nesting_limit(MAX_NESTING);
     options.traversal_limit_in_words(Some(MAX_ENCODED_BYTES / BYTES_PER_WORD));
-    let message = serialize::read_message_from_flat_slice(&mut words, options)?;
-    if !words.is_empty() {
+    let message = serialize_packed::read_message(&mut packed, options)?;
+    if !packed.is_empty() {
         return Err(Error::Damaged);
     }
     read_config(message.get_root()?)
@@ -64,11 +64,11 @@
     if *mark != MARK {
         return Err(Error::Foreign);
     }
-    let (checksum, words) = rest.split_first_chunk::<4>().ok_or(Error::Damaged)?;
-    if u32::from_le_bytes(*checksum) != crc32fast::hash(words) {
+    let (checksum, packed) = rest.split_first_chunk::<4>().ok_or(Error::Damaged)?;
+    if u32::from_le_bytes(*checksum) != crc32fast::hash(packed) {
         return Err(Error::Damaged);
     }
-    Ok(words)
+    Ok(packed)
 }
 
 fn read_config(from: wire::config::Reader<'_>) -> Result<Config, Error> {
--- a/crates/config/src/codec/encode.rs
+++ b/crates/config/src/codec/encode.rs
@@ -6,7 +6,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use capnp::message::Builder;
-use capnp::serialize;
+use capnp::serialize_packed;
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::model::{
     Class, Config, Domain, Goal, Policy, Service, Target, Team, Urgency,
@@ -20,11 +20,12 @@
 pub fn encode(config: &Config) -> Bytes {
     let mut message = Builder::new_default();
     write_config(config, message.init_root());
-    let words = serialize::write_message_to_words(&message);
-    let mut bytes = Vec::with_capacity(HEADER_BYTES + words.len());
-    bytes.extend_from_slice(&MARK);
-    bytes.extend_from_slice(&crc32fast::hash(&words).to_le_bytes());
-    bytes.extend_from_slice(&words);
+    let mut bytes = vec![0; HEADER_BYTES];
+    // A vector takes every write, so packing into one has no way to fail.
+    drop(serialize_packed::write_message(&mut bytes, &message));
+    let checksum = crc32fast::hash(&bytes[HEADER_BYTES..]).to_le_bytes();
+    bytes[..MARK.len()].copy_from_slice(&MARK);
+    bytes[MARK.len()..HEADER_BYTES].copy_from_slice(&checksum);
     bytes.into()
 }
 
--- a/crates/config/tests/codec.rs
+++ b/crates/config/tests/codec.rs
@@ -10,6 +10,7 @@
     CodecError, MAX_ENCODED_BYTES, decode, decode_text, difference, encode, encode_text,
 };
 use sycamorerill_core::id::Version;
+use sycamorerill_core::model::Config;
 
 #[test]
 fn a_configuration_survives_encoding() {
@@ -23,6 +24,16 @@
     });
 }
 
+#[test]
+fn bytes_decode_wherever_they_lie_in_a_buffer() {
+    let config = Config::default();
+    for offset in 0..8 {
+        let mut buffer = vec![0; offset];
+        buffer.extend_from_slice(&encode(&config));
+        assert_eq!(decode(&Bytes::from(buffer).slice(offset..)).as_ref(), Ok(&config));
+    }
+}
+
 #[test]
 fn a_changed_or_cut_message_is_an_error() {
     arbtest(|u| {
