--- a/crates/cli/src/commands/submit.rs
+++ b/crates/cli/src/commands/submit.rs
@@ -22,7 +22,7 @@
             the same name again never runs it twice."
 )]
 pub(crate) struct Args {
-    /// file with one [[job]] table for each job
+    /// TOML file with an array of tables named job
     #[argh(positional)]
     pub(crate) file: PathBuf,
     /// operator address of an entry instance; may be repeated
--- a/crates/config/src/similar.rs
+++ b/crates/config/src/similar.rs
@@ -3,14 +3,22 @@
 /// Largest number of edits between a word and a suggestion for it.
 const MAX_EDITS: usize = 3;
 
+/// Longest word in characters for which suggestions are looked up.
+const MAX_WORD_CHARS: usize = 128;
+
 /// Returns the candidate closest to `word`, if one is close enough to be meant.
 pub(crate) fn closest<'a>(
     word: &str,
     candidates: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    let limit = MAX_EDITS.min(word.chars().count().div_ceil(2));
+    let length = word.chars().count();
+    if length > MAX_WORD_CHARS {
+        return None;
+    }
+    let limit = MAX_EDITS.min(length.div_ceil(2));
     candidates
         .into_iter()
+        .filter(|candidate| candidate.chars().count().abs_diff(length) <= limit)
         .map(|candidate| (edits(word, candidate), candidate))
         .filter(|(edits, _)| *edits <= limit)
         .min()
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -10,11 +10,15 @@
 pub struct Source {
     name: String,
     text: String,
+    /// Byte offset of the start of each line.
+    lines: Vec<usize>,
 }
 
 impl Source {
     pub(crate) fn new(name: String, text: String) -> Self {
-        Self { name, text }
+        let starts = text.match_indices('\n').map(|(newline, _)| newline + 1);
+        let lines = std::iter::once(0).chain(starts).collect();
+        Self { name, text, lines }
     }
 
     /// Returns the name of the file without its folder.
@@ -31,10 +35,10 @@
     ///
     /// Columns count characters.
     pub fn position(&self, offset: usize) -> (usize, usize) {
-        let before = &self.text[..self.text.floor_char_boundary(offset)];
-        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
-        let line = before.matches('\n').count() + 1;
-        let column = before[line_start..].chars().count() + 1;
+        let offset = self.text.floor_char_boundary(offset);
+        let line = self.lines.partition_point(|start| *start <= offset);
+        let start = self.lines.get(line.saturating_sub(1)).copied().unwrap_or_default();
+        let column = self.text[start..offset].chars().count() + 1;
         (line, column)
     }
 }
