--- a/crates/cli/src/client/answer.rs
+++ b/crates/cli/src/client/answer.rs
@@ -3,7 +3,7 @@
 use serde::de::DeserializeOwned;
 use sycamorerill_core::api::{Conflict, Failure, Kind};
 
-use super::error::{Attempt, Error};
+use super::error::{Attempt, Cause, Error};
 use super::settings::Address;
 
 /// A whole answer.
@@ -36,7 +36,7 @@
         Kind::Unavailable | Kind::NotRun | Kind::Busy => Error::NotRun(detail),
         Kind::Exists => Error::Exists(detail),
         Kind::Unknown => {
-            let attempt = Attempt { instance: reply.instance, reason: detail.message };
+            let attempt = Attempt { instance: reply.instance, cause: Cause::Unsure(detail) };
             Error::Unknown { attempt }
         }
         Kind::Internal => Error::Answer { instance: reply.instance, status: reply.status },
--- a/crates/cli/src/client/error.rs
+++ b/crates/cli/src/client/error.rs
@@ -8,15 +8,26 @@
 use super::settings::Address;
 
 /// An entry instance that could not be asked, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct Attempt {
     pub(crate) instance: Address,
-    pub(crate) reason: String,
+    pub(crate) cause: Cause,
+}
+
+/// Why there is no answer to a request.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Cause {
+    /// The connection failed.
+    #[error(transparent)]
+    Transport(#[from] ureq::Error),
+    /// The entry instance itself does not know.
+    #[error("{}", .0.message)]
+    Unsure(api::Detail),
 }
 
 impl fmt::Display for Attempt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.instance, self.reason)
+        write!(f, "{}: {}", self.instance, self.cause)
     }
 }
 
@@ -25,7 +36,7 @@
 }
 
 /// The ways in which a request can fail.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
     /// No entry instance took the request.
     #[error("no entry instance can be reached ({})", join(.0))]
--- a/crates/cli/src/client/transport.rs
+++ b/crates/cli/src/client/transport.rs
@@ -21,9 +21,9 @@
 /// Why no answer came.
 enum Lost {
     /// The request did not leave.
-    Unsent(String),
+    Unsent(ureq::Error),
     /// The request may have arrived.
-    Sent(String),
+    Sent(ureq::Error),
 }
 
 /// Sends requests to the first entry instance that takes them.
@@ -55,9 +55,11 @@
         for &instance in &self.instances {
             match self.send(instance, request) {
                 Ok(reply) => return answer::read(reply),
-                Err(Lost::Unsent(reason)) => attempts.push(Attempt { instance, reason }),
-                Err(Lost::Sent(reason)) => {
-                    let attempt = Attempt { instance, reason };
+                Err(Lost::Unsent(error)) => {
+                    attempts.push(Attempt { instance, cause: error.into() });
+                }
+                Err(Lost::Sent(error)) => {
+                    let attempt = Attempt { instance, cause: error.into() };
                     if !request.is_repeatable {
                         return Err(Error::Unknown { attempt });
                     }
@@ -81,22 +83,20 @@
         let mut answer: http::Response<ureq::Body> = result.map_err(lost)?;
         let status = answer.status().as_u16();
         let body = answer.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
-        let body = body.map_err(|error| Lost::Sent(error.to_string()))?;
+        let body = body.map_err(Lost::Sent)?;
         Ok(Reply { instance, status, body })
     }
 }
 
 fn lost(error: ureq::Error) -> Lost {
-    let reason = error.to_string();
-    match error {
+    let is_unsent = match &error {
         ureq::Error::HostNotFound
         | ureq::Error::ConnectionFailed
         | ureq::Error::BadUri(_)
         | ureq::Error::Http(_)
-        | ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => Lost::Unsent(reason),
-        ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            Lost::Unsent(reason)
-        }
-        _ => Lost::Sent(reason),
-    }
+        | ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve) => true,
+        ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    if is_unsent { Lost::Unsent(error) } else { Lost::Sent(error) }
 }
