cli: a conflict names what the other change did and what both change

An entry instance names entries; the command line reads the newest version and adds the fields. penalties ends with the present minute when --to is missing, since misses are counted in whole minutes.

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use serde::Serialize;
 use sycamorerill_config::{Folder, Key, decode_text, difference, encode_text};
-use sycamorerill_core::api::{Accepted, Proposal};
+use sycamorerill_core::api::{Accepted, Conflict, Proposal};
 use sycamorerill_core::id::Version;
 use sycamorerill_core::model::Config;
 
@@ -109,6 +109,7 @@
         Err(error @ Error::Unknown { .. }) => {
             recognise(client, base, &config).ok_or(Failure::Request(error))
         }
+        Err(Error::Conflict(conflict)) => Err(explain(client, base, &config, conflict)),
         Err(error) => Err(Failure::Request(error)),
     }
 }
@@ -127,6 +128,17 @@
     None
 }
 
+/// Names what the change that was first changed, when it can be read.
+fn explain(client: &Client, base: &Base, config: &Config, conflict: Conflict) -> Failure {
+    let Ok(newest) = fetch(client) else {
+        return Failure::Request(Error::Conflict(conflict));
+    };
+    let theirs = difference(&base.config, &newest.config);
+    let ours = difference(&base.config, config);
+    let both = theirs.iter().filter(|key| ours.contains(key)).cloned().collect();
+    Failure::Conflict { version: newest.version, keys: conflict.keys, theirs, both }
+}
+
 fn applied(version: u64, base: &Base, keys: &[Key], in_force_ms: Option<u64>) -> Applied {
     let keys = keys.iter().map(Key::to_string).collect();
     Applied { version, base_version: base.version, keys, in_force_ms }
--- a/crates/cli/src/commands/penalties.rs
+++ b/crates/cli/src/commands/penalties.rs
@@ -12,20 +12,23 @@
 use crate::output::{self, Format, Table};
 use crate::word;
 
+/// Milliseconds in one minute, the grain in which misses are counted.
+const MS_PER_MINUTE: u64 = 60_000;
+
 /// Settles the penalties of a period by target, team or service.
 #[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "penalties",
     example = "{command_name} --from 2026-11-01 --to 2026-12-01 --by team --format csv",
-    note = "Times are UTC. The period begins at --from and ends before --to."
+    note = "Times are UTC, in whole minutes. The period begins at --from and ends before --to."
 )]
 pub(crate) struct Args {
     /// first instant, as 2026-11-01 or 2026-11-01T06:00:00Z
     #[argh(option)]
     pub(crate) from: Moment,
-    /// end of the period, now when missing
-    #[argh(option, default = "Moment::now()")]
+    /// end of the period, that of the present minute when missing
+    #[argh(option, default = "Moment::end_of_minute()")]
     pub(crate) to: Moment,
     /// target, team or service
     #[argh(option, default = "Grouping::Target")]
@@ -43,8 +46,10 @@
 pub(crate) struct Moment(u64);
 
 impl Moment {
-    fn now() -> Self {
-        Self::from(SystemTime::now())
+    /// Returns the end of the present minute.
+    fn end_of_minute() -> Self {
+        let Self(now) = Self::from(SystemTime::now());
+        Self((now / MS_PER_MINUTE + 1) * MS_PER_MINUTE)
     }
 }
 
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure/mod.rs
@@ -1,15 +1,16 @@
 //! Failures of commands and their exit codes.
 
+mod print;
+
 use std::io;
-use std::process::ExitCode;
 
-use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
-use serde::Serialize;
-use sycamorerill_config::{CodecError, Fault, Problem, Report};
+use miette::Diagnostic;
+use sycamorerill_config::{CodecError, Fault, Key, Problem, Report};
 
 use crate::client;
 use crate::demo;
-use crate::output::{self, Format};
+
+pub(crate) use print::print;
 
 /// Exit code when an answer was not understood or the demo found a fault.
 const FAULT: u8 = 1;
@@ -47,6 +48,19 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Request(#[from] client::Error),
+    /// Another change was accepted first, and it could be compared with ours.
+    #[error("version {version} was accepted meanwhile; it changed {}", list(.theirs))]
+    #[diagnostic(code(conflict), help("{}", conflict_hint(.both)))]
+    Conflict {
+        /// Newest version.
+        version: u64,
+        /// Entries in which it differs from the folder.
+        keys: Vec<String>,
+        /// Fields that it changed against the version that was seen.
+        theirs: Vec<Key>,
+        /// Fields of these that the folder changes too.
+        both: Vec<Key>,
+    },
     /// The configuration of an entry instance cannot be decoded.
     #[error("the newest configuration cannot be read: {0}")]
     #[diagnostic(code(encoding), help("check that this program has the version of the instances"))]
@@ -96,6 +110,7 @@
             Self::Folder(_) => REFUSED,
             Self::Settings(_) | Self::Period => WRONG_USE,
             Self::Request(error) => request_code(error),
+            Self::Conflict { .. } => CONFLICT,
             Self::NotInForce { .. } => UNKNOWN,
             Self::Jobs { code, .. } => *code,
             Self::Encoding(_) | Self::Demo(_) | Self::Output(_) => FAULT,
@@ -103,6 +118,20 @@
     }
 }
 
+fn list(keys: &[Key]) -> String {
+    match keys {
+        [] => "nothing that is declared".to_owned(),
+        keys => keys.iter().map(Key::to_string).collect::<Vec<_>>().join(", "),
+    }
+}
+
+fn conflict_hint(both: &[Key]) -> String {
+    match both {
+        [] => "bring that change into the folder, then apply again".to_owned(),
+        both => format!("both change {}: settle these first, then apply again", list(both)),
+    }
+}
+
 fn is_unreadable(report: &Report) -> bool {
     let is_unreadable = |problem: &Problem| matches!(problem.fault(), Fault::Unreadable(_));
     report.problems().iter().all(is_unreadable)
@@ -118,96 +147,3 @@
         client::Error::Answer { .. } => FAULT,
     }
 }
-
-/// Body of a failure in JSON.
-#[derive(Serialize)]
-struct Body {
-    error: Detail,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    problems: Vec<Place>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    version: Option<u64>,
-    #[serde(skip_serializing_if = "Vec::is_empty")]
-    keys: Vec<String>,
-}
-
-#[derive(Serialize)]
-struct Detail {
-    kind: String,
-    message: String,
-    hint: String,
-}
-
-#[derive(Serialize)]
-struct Place {
-    file: String,
-    line: usize,
-    column: usize,
-    #[serde(flatten)]
-    detail: Detail,
-}
-
-/// Prints a failure and returns the exit code for it.
-///
-/// JSON goes to standard output like any other result, text to standard error.
-pub(crate) fn print(failure: &Failure, format: Format) -> ExitCode {
-    match format {
-        // The result already names each job with its reason.
-        Format::Json if matches!(failure, Failure::Jobs { .. }) => {}
-        Format::Text => eprint!("{}", render(failure)),
-        // A reader of standard output that went away leaves nobody to tell.
-        Format::Json => drop(output::json(&body(failure))),
-    }
-    ExitCode::from(failure.code())
-}
-
-fn render(failure: &Failure) -> String {
-    let handler = GraphicalReportHandler::new_themed(theme());
-    let mut text = String::new();
-    match handler.render_report(&mut text, failure) {
-        Ok(()) => text.lines().map(|line| format!("{}\n", line.trim_end())).collect(),
-        Err(_) => format!("{failure}\n"),
-    }
-}
-
-/// Returns colours only for a terminal that wants them.
-fn theme() -> GraphicalTheme {
-    use std::io::IsTerminal;
-    let wants_colour = std::env::var_os("NO_COLOR").is_none();
-    match io::stderr().is_terminal() && wants_colour {
-        true => GraphicalTheme::unicode(),
-        false => GraphicalTheme::unicode_nocolor(),
-    }
-}
-
-fn detail(diagnostic: &dyn Diagnostic) -> Detail {
-    Detail {
-        kind: diagnostic.code().map(|code| code.to_string()).unwrap_or_default(),
-        message: diagnostic.to_string(),
-        hint: diagnostic.help().map(|help| help.to_string()).unwrap_or_default(),
-    }
-}
-
-fn place(problem: &Problem) -> Place {
-    Place {
-        file: problem.file().to_owned(),
-        line: problem.line(),
-        column: problem.column(),
-        detail: detail(problem),
-    }
-}
-
-fn body(failure: &Failure) -> Body {
-    let problems = match failure {
-        Failure::Report(report) => report.problems().iter().map(place).collect(),
-        _ => Vec::new(),
-    };
-    let (version, keys) = match failure {
-        Failure::Request(client::Error::Conflict(conflict)) => {
-            (Some(conflict.version), conflict.keys.clone())
-        }
-        Failure::NotInForce { version, .. } => (Some(*version), Vec::new()),
-        _ => (None, Vec::new()),
-    };
-    Body { error: detail(failure), problems, version, keys }
-}
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -108,12 +108,27 @@
 fn a_conflict_names_the_version_and_the_keys() {
     let conflict = json!({
         "error": {"kind": "conflict", "message": "a newer version exists", "hint": ""},
-        "version": 5, "keys": ["service.orders.rate"],
+        "version": 5, "keys": ["service.orders"],
+    });
+    let mut seen = folder();
+    seen.policy.max_queue += 2;
+    let mut theirs = seen.clone();
+    theirs.policy.max_queue += 1;
+    theirs.teams.values_mut().for_each(|team| team.weight += 1);
+    let mut proposed = false;
+    let fake = Fake::start(move |request| match &request.method {
+        Method::Post => {
+            proposed = true;
+            (409, conflict.clone())
+        }
+        _ if proposed => (200, configuration(5, &theirs)),
+        _ => (200, configuration(4, &seen)),
     });
-    let fake = instance(empty(), (409, conflict), status(&[]));
     let (code, body) = result(&apply(&fake.address(), &[]));
     assert_eq!(code, 4, "{body}");
-    assert_eq!((&body["version"], &body["keys"]), (&json!(5), &json!(["service.orders.rate"])));
+    assert_eq!((&body["version"], &body["keys"]), (&json!(5), &json!(["service.orders"])));
+    assert_eq!(body["theirs"], json!(["team.shop.weight", "policy.max_queue"]));
+    assert_eq!(body["both"], json!(["policy.max_queue"]));
 }
 
 #[test]
