--- a/crates/config/tests/folders.rs
+++ b/crates/config/tests/folders.rs
@@ -8,7 +8,7 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
-use sycamorerill_config::{Fault, Folder};
+use sycamorerill_config::{Fault, Folder, parse_jobs};
 
 /// Settings of one generated file, by field of one of two teams.
 type Settings = BTreeMap<(&'static str, &'static str), u32>;
@@ -84,6 +84,10 @@
             let index = u.choose_index(files.len())?;
             mutate(u, &mut files[index].1)?;
         }
+        for (name, text) in &files {
+            // Only that it answers: these are no jobs.
+            let _ = parse_jobs(name, text);
+        }
         if let Err(report) = Folder::from_files(files.clone()).check() {
             assert!(!report.problems().is_empty());
             for problem in report.problems() {
