--- a/crates/cli/src/commands/penalties.rs
+++ b/crates/cli/src/commands/penalties.rs
@@ -10,6 +10,10 @@
 use crate::client::{Address, Client, Period};
 use crate::failure::Failure;
 use crate::output::{self, Format, Table};
+use crate::word;
+
+/// Milliseconds in one minute, the grain in which misses are counted.
+const MS_PER_MINUTE: u64 = 60_000;
 
 /// Settles the penalties of a period by target, team or service.
 #[derive(Debug, FromArgs)]
@@ -17,14 +21,14 @@
     subcommand,
     name = "penalties",
     example = "{command_name} --from 2026-11-01 --to 2026-12-01 --by team --format csv",
-    note = "Times are UTC. The period begins at --from and ends before --to."
+    note = "Times are UTC, in whole minutes. The period begins at --from and ends before --to."
 )]
 pub(crate) struct Args {
     /// first instant, as 2026-11-01 or 2026-11-01T06:00:00Z
     #[argh(option)]
     pub(crate) from: Moment,
-    /// end of the period, now when missing
-    #[argh(option, default = "Moment::now()")]
+    /// end of the period, that of the present minute when missing
+    #[argh(option, default = "Moment::end_of_minute()")]
     pub(crate) to: Moment,
     /// target, team or service
     #[argh(option, default = "Grouping::Target")]
@@ -41,14 +45,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Moment(u64);
 
-/// Error for a text that is no instant.
-#[derive(Debug, thiserror::Error)]
-#[error("`{0}` is not a time, expected 2026-11-01 or 2026-11-01T06:00:00Z")]
-pub(crate) struct MomentError(String);
-
 impl Moment {
-    fn now() -> Self {
-        Self::from(SystemTime::now())
+    /// Returns the end of the present minute.
+    fn end_of_minute() -> Self {
+        let Self(now) = Self::from(SystemTime::now());
+        Self((now / MS_PER_MINUTE + 1) * MS_PER_MINUTE)
     }
 }
 
@@ -60,12 +61,13 @@
 }
 
 impl FromStr for Moment {
-    type Err = MomentError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, MomentError> {
+    fn from_str(text: &str) -> Result<Self, word::Error> {
         let whole = format!("{text}T00:00:00Z");
         let time = humantime::parse_rfc3339(text).or_else(|_| humantime::parse_rfc3339(&whole));
-        time.map(Self::from).map_err(|_| MomentError(text.to_owned()))
+        time.map(Self::from)
+            .map_err(|_| word::Error::new(text, "a time", "2026-11-01 or 2026-11-01T06:00:00Z"))
     }
 }
 
@@ -78,11 +80,6 @@
     Csv,
 }
 
-/// Error for a word that names no form.
-#[derive(Debug, thiserror::Error)]
-#[error("`{0}` is not a format, expected text, json or csv")]
-pub(crate) struct FormError(String);
-
 impl Form {
     /// Returns the format in which failures are printed.
     pub(crate) fn failures(self) -> Format {
@@ -94,14 +91,14 @@
 }
 
 impl FromStr for Form {
-    type Err = FormError;
+    type Err = word::Error;
 
-    fn from_str(text: &str) -> Result<Self, FormError> {
+    fn from_str(text: &str) -> Result<Self, word::Error> {
         match text {
             "text" => Ok(Self::Text),
             "json" => Ok(Self::Json),
             "csv" => Ok(Self::Csv),
-            _ => Err(FormError(text.to_owned())),
+            _ => Err(word::Error::new(text, "a format", "text, json or csv")),
         }
     }
 }
--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -108,12 +108,27 @@
 fn a_conflict_names_the_version_and_the_keys() {
     let conflict = json!({
         "error": {"kind": "conflict", "message": "a newer version exists", "hint": ""},
-        "version": 5, "keys": ["service.orders.rate"],
+        "version": 5, "keys": ["service.orders"],
+    });
+    let mut seen = folder();
+    seen.policy.max_queue += 2;
+    let mut theirs = seen.clone();
+    theirs.policy.max_queue += 1;
+    theirs.teams.values_mut().for_each(|team| team.weight += 1);
+    let mut proposed = false;
+    let fake = Fake::start(move |request| match &request.method {
+        Method::Post => {
+            proposed = true;
+            (409, conflict.clone())
+        }
+        _ if proposed => (200, configuration(5, &theirs)),
+        _ => (200, configuration(4, &seen)),
     });
-    let fake = instance(empty(), (409, conflict), status(&[]));
     let (code, body) = result(&apply(&fake.address(), &[]));
     assert_eq!(code, 4, "{body}");
-    assert_eq!((&body["version"], &body["keys"]), (&json!(5), &json!(["service.orders.rate"])));
+    assert_eq!((&body["version"], &body["keys"]), (&json!(5), &json!(["service.orders"])));
+    assert_eq!(body["theirs"], json!(["team.shop.weight", "policy.max_queue"]));
+    assert_eq!(body["both"], json!(["policy.max_queue"]));
 }
 
 #[test]
@@ -129,16 +144,19 @@
 }
 
 #[test]
-fn a_lost_answer_is_recognised_when_the_folder_was_accepted() {
+fn a_lost_answer_is_recognised_when_the_folder_is_accepted_late() {
     let mut proposed = false;
+    let mut looks = 0;
     let fake = Fake::start(move |request| match (&request.method, request.path.as_str()) {
         (Method::Post, "/v1/config") => {
             assert!(!proposed, "a proposal must not be sent twice");
             proposed = true;
             (504, json!({"error": {"kind": "unknown", "message": "the write was lost"}}))
         }
-        (Method::Get, "/v1/config") if proposed => (200, configuration(1, &folder())),
-        (Method::Get, "/v1/config") => (200, empty()),
+        (Method::Get, "/v1/config") => {
+            looks += u32::from(proposed);
+            (200, if looks < 3 { empty() } else { configuration(1, &folder()) })
+        }
         _ => (200, status(&[("a", "alive", 1)])),
     });
     let (code, body) = result(&apply(&fake.address(), &[]));
@@ -162,10 +180,12 @@
             proposed = true;
             (504, json!({"error": {"kind": "unknown", "message": "the write was lost"}}))
         }
-        _ if proposed => (200, configuration(1, &other)),
-        _ => (200, empty()),
+        (Method::Get, "/v1/config") if proposed => (200, configuration(1, &other)),
+        (Method::Get, "/v1/config") => (200, empty()),
+        _ => (200, status(&[("a", "alive", 1)])),
     });
-    assert_eq!(result(&apply(&fake.address(), &[])).0, 6);
+    let (code, body) = result(&apply(&fake.address(), &[]));
+    assert_eq!((code, &body["error"]["kind"]), (6, &json!("unknown")), "{body}");
 }
 
 #[test]
