tasks: faults found by random histories

- A task that was adopted from a worker and is off already was never placed again.
- A stale task that still ran was not counted against its worker, so a worker of 6 cores was given 8.
What runs without a hold is now reserved until it is off.
- At most a third of the workers is in quarantine at a time, at most 15 minutes; before, one class that fails everywhere could shut a small cell for an hour.
- Racks are counted from the present list.

--- a/crates/tasks/src/cell/fleet.rs
+++ b/crates/tasks/src/cell/fleet.rs
@@ -1,5 +1,6 @@
 //! Configuration, the list of workers, and what both allow.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use sycamorerill_core::clock::Time;
@@ -71,10 +72,13 @@
     fn count_shapes(&mut self) {
         self.shapes.clear();
         self.capacity = Size::ZERO;
+        let mut racks = BTreeSet::new();
         for (_, entry) in self.workers.iter().filter(|(_, entry)| entry.listed) {
             *self.shapes.entry(entry.size).or_default() += 1;
             self.capacity += entry.size;
+            racks.insert(entry.rack);
         }
+        self.racks = racks.len() as u32;
         if let (true, Some(domain)) =
             (self.shapes.is_empty(), self.config.domains.get(&self.domain))
         {
@@ -149,7 +153,7 @@
         let (most, found) = match job.spread {
             Spread::None => return Ok(()),
             Spread::Worker(most) => (most, self.shapes.values().sum()),
-            Spread::Rack(most) => (most, self.workers.racks() as u32),
+            Spread::Rack(most) => (most, self.racks),
         };
         let need = job.tasks.div_ceil(most.max(1));
         if most == 0 || (found > 0 && need > found) {
--- a/crates/tasks/src/cell/step.rs
+++ b/crates/tasks/src/cell/step.rs
@@ -54,7 +54,7 @@
     }
 
     /// Lets a task wait: at once, or after a while where an attempt has just failed.
-    fn wait(&mut self, now: Time, key: key::Task, input: Input) {
+    pub(super) fn wait(&mut self, now: Time, key: key::Task, input: Input) {
         if input != Input::Fault {
             self.make_ready(now, key);
             return;
--- a/crates/tasks/src/cell/word.rs
+++ b/crates/tasks/src/cell/word.rs
@@ -14,6 +14,9 @@
 use crate::life::{Input, State};
 use crate::worker::{self, Fault, Held, Hold, Intent, Phase, Report, Token, Worth};
 
+/// One worker in so many may be in quarantine at a time.
+const QUARANTINED_PART: usize = 3;
+
 impl Cell {
     pub(super) fn reported(
         &mut self,
@@ -36,6 +39,7 @@
         entry.lapsed = false;
         entry.size = report.size;
         entry.extras.clear();
+        entry.foreign = Size::ZERO;
         let renew = now + self.settings.heartbeat;
         entry.link.set_renew_at(entry.link.renew_at().min(renew));
         self.take_held(now, key, &report, out);
@@ -59,7 +63,8 @@
             listed.insert(held.token);
             self.take_word(now, worker, held, out);
         }
-        let Some(entry) = self.workers.entry(worker) else { return };
+        let Some(entry) = self.workers.entry_mut(worker) else { return };
+        entry.sum_up();
         let answered = report.answers;
         let missing = entry.holds.iter().filter(|(token, hold)| {
             let sent = hold.sent != 0 && hold.sent <= answered;
@@ -169,6 +174,7 @@
         entry.extras.push(if held.phase.is_off() {
             worker::Command::Ack { task, token }
         } else {
+            entry.foreign += held.size;
             worker::Command::Stop { task, token, checkpoint: false }
         });
     }
@@ -327,9 +333,10 @@
         let Some(job) = self.jobs.entry(key.job()) else { return Input::Fault };
         let class = job.class;
         let most = self.classes.get(&class).map_or(1, |class| class.attempts.max(1));
+        let may = self.may_quarantine(now);
         let Some(entry) = self.workers.entry_mut(worker) else { return Input::Fault };
         let name = entry.name.clone();
-        let absolved = self.faults.failed(class, key, &mut entry.standing, now);
+        let absolved = self.faults.failed(class, key, &mut entry.standing, may, now);
         let until = entry.standing.until();
         let Some(task) = self.jobs.task_mut(key) else { return Input::Fault };
         task.attempts += 1;
@@ -337,6 +344,7 @@
         if absolved.is_some() {
             self.counts.quarantined += 1;
             self.timer.set(until, Wake::Worker(worker));
+            self.quarantined.insert(worker);
             let worker = name.clone();
             out.push(Command::Decision(Decision::Quarantined { worker, until }));
         }
@@ -352,6 +360,16 @@
         if last { Input::Exhausted } else { Input::Fault }
     }
 
+    /// Reports whether so few workers are in quarantine that one more is bearable.
+    fn may_quarantine(&mut self, now: Time) -> bool {
+        let workers = &self.workers;
+        self.quarantined.retain(|key| {
+            workers.entry(*key).is_some_and(|entry| entry.standing.is_quarantined(now))
+        });
+        let bearable = self.workers.len() / QUARANTINED_PART;
+        self.quarantined.len() < bearable.max(1)
+    }
+
     /// A task is off its worker.
     pub(super) fn off(
         &mut self,
@@ -369,7 +387,12 @@
         if input == Input::Lost {
             self.counts.lost += 1;
         }
+        let before = task.state;
         self.step(now, key, input);
+        if before.is_queued() && before == before.next(input) {
+            // A task that was adopted and is off already goes on waiting.
+            self.wait(now, key, input);
+        }
         self.end_if_done(now, key.job(), out);
     }
 }
--- a/crates/tasks/src/learn/fault.rs
+++ b/crates/tasks/src/learn/fault.rs
@@ -19,7 +19,7 @@
 /// Evidence at which a worker is quarantined: odds of 1,000 to 1.
 const QUARANTINE_EVIDENCE: f64 = 6.9;
 /// First and longest time in quarantine.
-const QUARANTINE: (Span, Span) = (Span::from_secs(60), Span::from_secs(3_600));
+const QUARANTINE: (Span, Span) = (Span::from_secs(60), Span::from_secs(900));
 
 /// Evidence against one worker.
 #[derive(Clone, Debug, Default)]
@@ -81,12 +81,14 @@
         class: key::Class,
         task: key::Task,
         standing: &mut Standing,
+        may_quarantine: bool,
         now: Time,
     ) -> Option<Vec<key::Task>> {
         let ratio = BROKEN_RATE / self.rate(class);
         standing.evidence = (standing.evidence + ratio.ln()).max(0.0);
         standing.blamed.push(task);
-        if standing.evidence < QUARANTINE_EVIDENCE {
+        standing.evidence = standing.evidence.min(QUARANTINE_EVIDENCE);
+        if standing.evidence < QUARANTINE_EVIDENCE || !may_quarantine {
             self.observe(class, true);
             return None;
         }
--- a/crates/tasks/src/worker/table.rs
+++ b/crates/tasks/src/worker/table.rs
@@ -38,6 +38,8 @@
     pub(crate) link: Link,
     pub(crate) holds: BTreeMap<Token, Hold>,
     pub(crate) reserved: Size,
+    /// Size of running tasks that are being stopped and that no hold stands for.
+    pub(crate) foreign: Size,
     /// Commands for tasks that the cell doesn't know or that are superseded.
     pub(crate) extras: Vec<Command>,
     pub(crate) standing: Standing,
@@ -67,7 +69,7 @@
     /// Recomputes what is reserved from the holds.
     pub(crate) fn sum_up(&mut self) {
         let counted = self.holds.values().filter(|hold| hold.counted);
-        self.reserved = counted.fold(Size::ZERO, |sum, hold| sum + hold.size);
+        self.reserved = counted.fold(self.foreign, |sum, hold| sum + hold.size);
     }
 
     /// Returns the parts of the worker's cores that each class has, at the present shares.
@@ -130,6 +132,7 @@
             link: Link::new(now),
             holds: BTreeMap::new(),
             reserved: Size::ZERO,
+            foreign: Size::ZERO,
             extras: Vec::new(),
             standing: Standing::default(),
             indexed: None,
@@ -144,10 +147,6 @@
         key::Rack(self.racks.number(name))
     }
 
-    pub(crate) fn racks(&self) -> usize {
-        self.racks.len()
-    }
-
     pub(crate) fn find(&self, name: &WorkerName) -> Option<key::Worker> {
         let key = key::Worker(self.names.find(name)?);
         self.entries.contains_key(&key).then_some(key)
@@ -165,6 +164,10 @@
         self.entries.iter().map(|(key, entry)| (*key, entry))
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     pub(crate) fn keys(&self) -> Vec<key::Worker> {
         self.entries.keys().copied().collect()
     }
