--- /dev/null
+++ b/crates/tasks/benches/tasks/cost.rs
@@ -0,0 +1,131 @@
+//! Processor time of one placement.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde_json::{Value, json};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{Epoch, Incarnation};
+use sycamorerill_core::model::Urgency;
+use sycamorerill_tasks::cell::{Cell, Command, Decision, Event, Settings};
+use sycamorerill_tasks::job::{Job, Request, Spread};
+use sycamorerill_tasks::worker::{self, Report, Worker};
+
+use crate::deployment::{Deployment, WORKER};
+
+/// Placements that are timed.
+const PLACEMENTS: u32 = 8_000;
+/// Tasks of a job.
+const TASKS: u32 = 50;
+
+struct Bench {
+    cell: Cell,
+    now: Time,
+    placed: u32,
+    exchanges: Vec<(sycamorerill_core::id::WorkerName, worker::Exchange)>,
+}
+
+impl Bench {
+    fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.cell.handle(self.now, event, &mut out);
+        for command in out {
+            match command {
+                Command::Journal(record) => self.tell(Event::Durable(record.sequence)),
+                Command::Exchange { worker, exchange } => self.exchanges.push((worker, exchange)),
+                Command::Decision(Decision::Placed { .. }) => self.placed += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Answers every exchange with what was started.
+    fn answer(&mut self) {
+        for (name, exchange) in std::mem::take(&mut self.exchanges) {
+            let held = exchange.commands.iter().filter_map(held).collect();
+            let report = Report {
+                epoch: exchange.epoch,
+                answers: exchange.number,
+                at: worker::Instant::new(Incarnation(1), self.now),
+                size: WORKER,
+                held,
+            };
+            self.tell(Event::Reported { worker: name, report });
+        }
+    }
+
+    fn submit(&mut self, number: u32) {
+        let classes = ["cut-list", "knot-pattern", "packing-slip", "render"];
+        let job = Job {
+            name: format!("j{number}").parse().unwrap(),
+            class: classes[number as usize % classes.len()].parse().unwrap(),
+            team: "crew".parse().unwrap(),
+            urgency: Urgency::Urgent,
+            tasks: TASKS,
+            size: None,
+            run_time_ms: None,
+            deadline: None,
+            spread: Spread::None,
+            never: Vec::new(),
+        };
+        let request = Request { id: "r".into() };
+        self.tell(Event::Submit { job, request });
+    }
+}
+
+fn held(command: &worker::Command) -> Option<worker::Held> {
+    let worker::Command::Start { task, token, attempt, size, class, .. } = command else {
+        return None;
+    };
+    Some(worker::Held {
+        task: task.clone(),
+        token: *token,
+        attempt: *attempt,
+        size: *size,
+        class: class.clone(),
+        phase: worker::Phase::Running,
+        usage: None,
+    })
+}
+
+/// Times placements among `workers` workers that are half full.
+pub(crate) fn run(workers: u32, seed: u64) -> Value {
+    let settings = Settings { headroom: 0.0, ..Settings::default() };
+    let cell = Cell::new(settings, "vejle-a".parse().unwrap(), Epoch(1), seed);
+    let mut bench = Bench { cell, now: Time::from_ms(1), placed: 0, exchanges: Vec::new() };
+    bench.tell(Event::Configured(Arc::new(Deployment::Ropes.config())));
+    let list = (0..workers).map(|index| Worker {
+        name: format!("w{index}").parse().unwrap(),
+        rack: format!("rack{}", index / 8).parse().unwrap(),
+        size: WORKER,
+        leaving: false,
+    });
+    bench.tell(Event::Workers(list.collect()));
+    bench.answer();
+    let most = PLACEMENTS.min(workers * 10);
+    let mut number = 0;
+    // Warm up: a part of what is timed.
+    while bench.placed < most / 4 {
+        number += 1;
+        bench.submit(number);
+        bench.answer();
+    }
+    let before = bench.placed;
+    let start = Instant::now();
+    while bench.placed < most {
+        number += 1;
+        bench.now += Span::from_ms(1);
+        bench.submit(number);
+        bench.answer();
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let placed = f64::from(bench.placed - before);
+    json!({
+        "scenario": "placement-cost",
+        "wall": true,
+        "workers": workers,
+        "placements": placed,
+        "us_per_placement": (seconds / placed * 1e7).round() / 10.0,
+        "placements_per_s": (placed / seconds).round(),
+    })
+}
--- /dev/null
+++ b/crates/tasks/benches/tasks/main.rs
@@ -0,0 +1,46 @@
+//! Measures the decisions on tasks: `cargo bench --bench tasks -- --seed N`.
+//!
+//! Prints one JSON object a line. Lines with `"wall":true` give processor time
+//! of this machine; all others are virtual time and equal for equal seeds.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic, dead_code)]
+
+#[path = "../../tests/fake/mod.rs"]
+mod fake;
+
+mod cost;
+mod deployment;
+mod measure;
+mod policy;
+mod scenario;
+
+use deployment::Deployment;
+use policy::Policy;
+use scenario::Scenario;
+
+/// Returns the value after `name` on the command line.
+fn option(name: &str) -> Option<String> {
+    let mut args = std::env::args().skip_while(|arg| arg != name);
+    args.nth(1)
+}
+
+fn main() {
+    let seed = option("--seed").map_or(1, |seed| seed.parse().unwrap());
+    let only = option("--only");
+    let wanted = |name: &str| only.as_deref().is_none_or(|only| name.contains(only));
+    for deployment in Deployment::ALL {
+        for scenario in Scenario::ALL {
+            if !wanted(scenario.name()) {
+                continue;
+            }
+            for policy in Policy::ALL {
+                println!("{}", measure::run(deployment, scenario, policy, seed));
+            }
+        }
+    }
+    if wanted("cost") {
+        for workers in [65, 1_000, 10_000, 34_000] {
+            println!("{}", cost::run(workers, seed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tasks/benches/tasks/measure.rs
@@ -0,0 +1,103 @@
+//! One run of a scenario under a policy, and its figures.
+
+use serde_json::{Value, json};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::model::Urgency;
+
+use crate::deployment::{ALONE_MS, Deployment, TARGET_SLOWDOWN};
+use crate::fake::World;
+use crate::policy::Policy;
+use crate::scenario::{Load, Scenario};
+
+/// Seconds in which the services start and nothing is measured.
+const START_S: u64 = 10;
+
+/// Runs a scenario and returns its figures.
+pub(crate) fn run(deployment: Deployment, scenario: Scenario, policy: Policy, seed: u64) -> Value {
+    let truths = scenario.truths(deployment);
+    let mut world = World::new(deployment.config(), policy.settings(), truths, seed);
+    world.strict = false;
+    for worker in deployment.fleet() {
+        world.workers.insert(worker.name.clone(), worker);
+    }
+    world.take_over();
+    world.run(Span::from_secs(2));
+    let mut load = Load::new(deployment, seed);
+    load.services(&mut world);
+    world.run(Span::from_secs(START_S));
+    let mut slowdowns = Vec::new();
+    for second in 0..scenario.seconds() {
+        scenario.step(second, &mut world, &mut load);
+        world.run(Span::from_secs(1));
+        sample(&world, &mut slowdowns);
+    }
+    figures(deployment, scenario, policy, &mut world, slowdowns)
+}
+
+/// Takes the slowdown of each executor of the service.
+fn sample(world: &World, slowdowns: &mut Vec<f64>) {
+    let service = "service".parse().unwrap();
+    for worker in world.workers.values() {
+        let executors = worker.active().filter(|(_, run)| run.class == service).count();
+        let slowdown = worker.slowdown_of(&service, &world.truths);
+        slowdowns.extend(std::iter::repeat_n(slowdown, executors));
+    }
+}
+
+fn percentile(sorted: &[u64], part: f64) -> u64 {
+    let at = (sorted.len() as f64 * part) as usize;
+    sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0)
+}
+
+fn waits(world: &World, urgency: Option<Urgency>) -> (u64, u64, usize) {
+    let started = Time::ZERO + Span::from_secs(START_S);
+    let waits = world.tally.waited.iter().filter(|(at, _, _)| *at > started);
+    let wanted = waits.filter(|(_, found, _)| urgency.is_none_or(|wanted| *found == wanted));
+    let mut waits: Vec<u64> = wanted.map(|(_, _, waited)| *waited).collect();
+    waits.sort_unstable();
+    (percentile(&waits, 0.5), percentile(&waits, 0.99), waits.len())
+}
+
+fn figures(
+    deployment: Deployment,
+    scenario: Scenario,
+    policy: Policy,
+    world: &mut World,
+    mut slowdowns: Vec<f64>,
+) -> Value {
+    slowdowns.sort_unstable_by(f64::total_cmp);
+    let p99 = slowdowns[(slowdowns.len() as f64 * 0.99) as usize];
+    let misses = slowdowns.iter().filter(|slowdown| **slowdown > TARGET_SLOWDOWN).count();
+    let miss_share = misses as f64 / slowdowns.len() as f64;
+    let (p50_ms, p99_ms, starts) = waits(world, None);
+    let (urgent_p50_ms, urgent_p99_ms, urgent_starts) = waits(world, Some(Urgency::Urgent));
+    let missed = world.tally.missed.len();
+    let ended = world.tally.ended.keys().filter(|job| !world.tally.missed.contains_key(*job));
+    json!({
+        "scenario": scenario.name(),
+        "deployment": deployment.name(),
+        "policy": policy.name(),
+        "service_p99_ms": round(p99 * ALONE_MS),
+        "target_ms": ALONE_MS * TARGET_SLOWDOWN,
+        "miss_share": round(miss_share),
+        "batch_core_s": world.tally.work.round(),
+        "deadlines_met": ended.count(),
+        "deadlines_missed": missed,
+        "evictions": world.tally.evictions,
+        "throttles": world.tally.throttles,
+        "lost_core_s": world.tally.work_lost.round(),
+        "crew_core_s": world.tally.team_work("crew").round(),
+        "starts": starts,
+        "start_p50_ms": p50_ms,
+        "start_p99_ms": p99_ms,
+        "urgent_starts": urgent_starts,
+        "urgent_p50_ms": urgent_p50_ms,
+        "urgent_p99_ms": urgent_p99_ms,
+        "quarantines": world.tally.quarantines,
+        "violations": world.checks.total(),
+    })
+}
+
+fn round(value: f64) -> f64 {
+    (value * 10_000.0).round() / 10_000.0
+}
--- a/crates/tasks/tests/fake/world.rs
+++ b/crates/tasks/tests/fake/world.rs
@@ -45,6 +45,8 @@
     pub(crate) quarantines: u64,
     /// Batch work finished, as core-seconds.
     pub(crate) work: f64,
+    /// The same by team, the first part of the name of its jobs.
+    pub(crate) teams: BTreeMap<String, f64>,
     /// Batch work that was done and lost, as core-seconds.
     pub(crate) work_lost: f64,
 }
@@ -351,13 +353,22 @@
 }
 
 impl Tally {
+    /// Returns the batch work finished for a team, as core-seconds.
+    pub(crate) fn team_work(&self, team: &str) -> f64 {
+        self.teams.get(team).copied().unwrap_or_default()
+    }
+
     fn forgotten(&mut self, run: &super::worker::Run, truths: &Truths) {
         use sycamorerill_tasks::worker::Phase;
         let declared = truths.declared.get(&run.class).copied().unwrap_or(run.size);
         let cores = truths.of(&run.class).uses(declared).cpu().as_cores();
         let work = cores * run.done.as_ms_f64() / 1_000.0;
         match run.phase {
-            Phase::Finished => self.work += work,
+            Phase::Finished => {
+                self.work += work;
+                let team = run.task.as_str().split('-').next().unwrap_or_default();
+                *self.teams.entry(team.to_owned()).or_default() += work;
+            }
             Phase::Checkpointed(_) => {}
             _ => self.work_lost += work,
         }
