--- a/crates/calls/src/router/event.rs
+++ b/crates/calls/src/router/event.rs
@@ -103,6 +103,16 @@
     }
 }
 
+value! {
+    /// Why a record could not be made to last.
+    pub enum Refusal {
+        /// The store cannot be reached, or its answer was lost.
+        Down,
+        /// The shard of the key has another owner now.
+        Fenced,
+    }
+}
+
 /// One thing that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -181,6 +191,8 @@
     KeyRefused {
         /// Call whose key was to be journaled.
         call: CallId,
+        /// Why it could not be journaled.
+        refusal: Refusal,
     },
     /// The probe of [`super::Command::Probe`] came to an end.
     Probed {
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -5,7 +5,7 @@
 
 use super::entry::State;
 use super::wake::Timer;
-use super::{Command, Outcome, Reason, Router, Why};
+use super::{Command, Outcome, Reason, Refusal, Router, Why};
 use crate::keys::{Found, Record, Shard};
 
 impl Router {
@@ -95,11 +95,23 @@
         }
     }
 
-    /// Refuses a call whose key could not be made to last.
-    pub(crate) fn key_refused(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
+    /// Ends a call whose key could not be made to last.
+    ///
+    /// When the shard has another owner, an earlier call with the key may have run
+    /// there. When the store is down this request has not run, and an earlier one
+    /// with the key has not either, unless the shard was lost unnoticed.
+    pub(crate) fn key_refused(
+        &mut self,
+        now: Time,
+        id: CallId,
+        refusal: Refusal,
+        out: &mut Vec<Command>,
+    ) {
         let journaling = self.calls.get(&id).is_some_and(|entry| entry.state == State::Journaling);
-        if journaling {
-            self.refuse(now, id, Reason::StoreDown, out);
+        match refusal {
+            _ if !journaling => {}
+            Refusal::Down => self.refuse(now, id, Reason::StoreDown, out),
+            Refusal::Fenced => self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out),
         }
     }
 }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -28,7 +28,7 @@
 use sycamorerill_core::model::Config;
 
 pub use command::{Choice, Command, Decision, Outcome, Reason, Why};
-pub use event::{Answer, Call, Event, Executor, InProgress, PeerAnswer};
+pub use event::{Answer, Call, Event, Executor, InProgress, PeerAnswer, Refusal};
 pub use settings::Settings;
 pub use status::{Load, Status};
 
@@ -104,7 +104,9 @@
             }
             Event::PeerGone { name } => self.peers.gone(&name),
             Event::KeyDurable { call } => self.key_durable(now, call, out),
-            Event::KeyRefused { call } => self.key_refused(now, call, out),
+            Event::KeyRefused { call, refusal } => {
+                self.key_refused(now, call, refusal, out);
+            }
             Event::Probed { executor, healthy, .. } => self.probed(now, &executor, healthy, out),
             Event::Abandoned { call } => self.abandoned(now, call, out),
             Event::Tick => {}
