--- /dev/null
+++ b/crates/calls/benches/calls/main.rs
@@ -0,0 +1,60 @@
+//! Measures the decisions on calls in virtual time, and their cost on the wall clock.
+//!
+//! `cargo bench --bench calls -- --seed N [--only SCENARIO]` prints one JSON object a
+//! line. All lines but those with `"wall":true` are the same for the same seed.
+
+#![allow(clippy::expect_used)]
+
+mod owned;
+mod scenario;
+mod shares;
+mod sim;
+mod tally;
+mod tokens;
+mod wall;
+
+use std::io::Write;
+
+use scenario::Scenario;
+use sim::{Policy, Sim};
+
+/// What the command line asks for.
+#[derive(Debug, Default)]
+struct Arguments {
+    seed: u64,
+    only: Option<String>,
+}
+
+fn arguments() -> Arguments {
+    let mut found = Arguments { seed: 1, only: None };
+    let mut words = std::env::args().skip(1);
+    while let Some(word) = words.next() {
+        match word.as_str() {
+            "--seed" => found.seed = words.next().and_then(|n| n.parse().ok()).unwrap_or(1),
+            "--only" => found.only = words.next(),
+            _ => {}
+        }
+    }
+    found
+}
+
+fn main() -> std::io::Result<()> {
+    let arguments = arguments();
+    let mut out = std::io::stdout().lock();
+    let wanted = |name: &str| arguments.only.as_deref().is_none_or(|only| only == name);
+    for scenario in Scenario::all() {
+        if !wanted(scenario.name) {
+            continue;
+        }
+        for policy in Policy::ALL.into_iter().filter(|policy| scenario.covers(*policy)) {
+            let line = Sim::new(scenario.clone(), policy, arguments.seed).run();
+            writeln!(out, "{line}")?;
+        }
+    }
+    if wanted("decision") {
+        for line in wall::lines(arguments.seed) {
+            writeln!(out, "{line}")?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/calls/benches/calls/wall.rs
@@ -0,0 +1,131 @@
+//! Cost of one decision on the wall clock, over the number of executors.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+use sycamorerill_calls::router::{
+    Answer, Call, Command, Event, Executor, InProgress, Router, Settings,
+};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{CallId, Epoch};
+use sycamorerill_core::model::{Config, Service, Team, Urgency};
+use sycamorerill_core::rate::PerSecond;
+use sycamorerill_core::size::Size;
+
+const SIZES: [usize; 3] = [50, 500, 5_000];
+const ROUNDS: usize = 400_000;
+const SLOTS: u32 = 8;
+/// Time from the send of a request to its answer.
+const RUN_MS: f64 = 20.0;
+/// Requests that are out for each executor while measuring.
+const OUT_PER_EXECUTOR: usize = 4;
+/// Calls for each executor before measuring.
+const WARM_UP_PER_EXECUTOR: usize = 16;
+
+fn name<T: std::str::FromStr<Err = impl std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("names of the bench are well formed")
+}
+
+fn config() -> Config {
+    let service = Service {
+        name: name("quote"),
+        team: name("desk"),
+        urgency: Urgency::Normal,
+        idempotent: true,
+        deadline: Span::from_ms(250),
+        longest_run: Span::from_ms(500),
+        slots: SLOTS,
+        max_body: 1 << 20,
+        key_retention: Span::from_secs(3_600),
+        rate: PerSecond(10_000.0),
+    };
+    let team = Team { name: name("desk"), weight: 1, quota: Size::ZERO, borrow: true };
+    Config {
+        services: [(name("quote"), service)].into(),
+        teams: [(name("desk"), team)].into(),
+        ..Config::default()
+    }
+}
+
+fn router(executors: usize, seed: u64) -> Router {
+    let mut router = Router::new(Settings { domain: Some(name("d0")), ..Default::default() }, seed);
+    let mut out = Vec::new();
+    let list = (0..executors).map(|number| Executor {
+        name: name(&format!("executor-{number}")),
+        service: name("quote"),
+        domain: name(&format!("d{}", number % 3)),
+        slots: SLOTS,
+        leaving: false,
+    });
+    let list: Vec<Executor> = list.collect();
+    let names: Vec<_> = list.iter().map(|executor| executor.name.clone()).collect();
+    router.handle(Time::ZERO, Event::Configured(config().into()), &mut out);
+    router.handle(Time::ZERO, Event::Listed(list), &mut out);
+    for executor in names {
+        let in_progress = InProgress::Known(0);
+        let event = Event::Owned { executor, epoch: Epoch(1), in_progress };
+        router.handle(Time::ZERO, event, &mut out);
+    }
+    router
+}
+
+/// Measures arrivals and answers while a part of the slots stays occupied.
+fn measure(executors: usize, seed: u64) -> Value {
+    let mut router = router(executors, seed);
+    let gap_ms = RUN_MS / (executors * OUT_PER_EXECUTOR) as f64;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut out = Vec::with_capacity(16);
+    let mut pending = std::collections::VecDeque::new();
+    let (service, team) = (name("quote"), name("desk"));
+    let (mut arrive_ns, mut answer_ns, mut measured) = (0_u128, 0_u128, 0_u128);
+    let warm_up = executors * WARM_UP_PER_EXECUTOR;
+    for round in 0..ROUNDS + warm_up {
+        let now = Time::ZERO + Span::from_ms_f64(round as f64 * gap_ms);
+        let call = Call {
+            id: CallId(round as u64),
+            service: Clone::clone(&service),
+            team: Clone::clone(&team),
+            urgency: Urgency::ALL[rng.usize(0..4)],
+            deadline: now + Span::from_ms(250),
+            idempotent: true,
+            key: None,
+            claimed: false,
+            hops: 0,
+        };
+        let before = Instant::now();
+        router.handle(now, Event::Arrived(call), &mut out);
+        let arrived = before.elapsed().as_nanos();
+        for command in out.drain(..) {
+            if let Command::Send { call, attempt, .. } = command {
+                pending.push_back((call, attempt));
+            }
+        }
+        // New executors get few calls at a time until some were answered.
+        let out_per_executor = if round < warm_up { 1 } else { OUT_PER_EXECUTOR };
+        if pending.len() <= executors * out_per_executor {
+            continue;
+        }
+        let Some((call, attempt)) = pending.pop_front() else { continue };
+        let answer = Answer::Whole { status: 200 };
+        let before = Instant::now();
+        router.handle(now, Event::Answered { call, attempt, answer }, &mut out);
+        let answered = before.elapsed().as_nanos();
+        out.clear();
+        if round >= warm_up {
+            answer_ns += answered;
+            arrive_ns += arrived;
+            measured += 1;
+        }
+    }
+    let mean_us = |ns: u128| (ns / measured.max(1)) as f64 / 1_000.0;
+    json!({
+        "scenario": "decision", "executors": executors, "seed": seed, "wall": true,
+        "calls": measured as u64, "arrival_us": mean_us(arrive_ns),
+        "answer_us": mean_us(answer_ns), "call_us": mean_us(arrive_ns + answer_ns),
+    })
+}
+
+/// Returns one line for each number of executors.
+pub(crate) fn lines(seed: u64) -> Vec<Value> {
+    SIZES.into_iter().map(|executors| measure(executors, seed)).collect()
+}
