calls: take the load of a peer from calls and answers

Heartbeats 100 ms old sent forwarded calls to peers that were full. The load of the service now comes along with each forwarded call and its answer, which costs no message.

--- a/crates/calls/benches/calls/owned.rs
+++ b/crates/calls/benches/calls/owned.rs
@@ -301,12 +301,23 @@
             net.tally.forwards += 1;
         }
         net.message(1, REQUEST_BYTES);
+        self.piggyback(net, node, to);
         let id = self.enter(to, Origin { call: number, from: Some((node, life, call, attempt)) });
         let call = self.call(net, id, number, deadline, hops, claimed);
         let event = Note::Event(Box::new(Event::Arrived(call)));
         self.note(net, to, delay_ms(node, to), event);
     }
 
+    /// Sends the load of a node along with a call or an answer.
+    fn piggyback(&mut self, net: &mut Net, node: usize, to: usize) {
+        let event = Event::PeerLoad {
+            name: self.names.instances[node].clone(),
+            service: self.names.service.clone(),
+            load: self.nodes[node].router.load(&self.names.service),
+        };
+        self.note(net, to, delay_ms(node, to), Note::Event(Box::new(event)));
+    }
+
     fn enter(&mut self, node: usize, origin: Origin) -> CallId {
         let entry = &mut self.nodes[node];
         entry.next_id += 1;
@@ -385,6 +396,7 @@
             Outcome::Unknown(_) => PeerAnswer::Unknown,
         };
         net.message(1, ANSWER_BYTES);
+        self.piggyback(net, node, to);
         let event = Event::PeerAnswered { call, attempt, answer };
         let note = Note::Event(Box::new(event));
         net.after(delay_ms(node, to), Item::Note { node: to, life, note });
--- a/crates/calls/benches/calls/sim.rs
+++ b/crates/calls/benches/calls/sim.rs
@@ -48,7 +48,7 @@
     pub(crate) const ALL: [Self; 6] =
         [Self::Owned, Self::Random, Self::RoundRobin, Self::Least, Self::Borrow, Self::Blocks];
 
-    fn as_str(self) -> &'static str {
+    pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Owned => "owned",
             Self::Random => "shares-random",
--- a/crates/calls/src/peers.rs
+++ b/crates/calls/src/peers.rs
@@ -51,6 +51,16 @@
         self.peers.insert(name, Peer { domain, status, sent: BTreeMap::new() });
     }
 
+    /// Takes the load of one service in, which is newer than the last heartbeat.
+    pub(crate) fn told(&mut self, name: &InstanceName, service: &ServiceName, load: Load) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        peer.sent.remove(service);
+        match peer.status.services.get_mut(service) {
+            Some(known) => *known = load,
+            None => drop(peer.status.services.insert(service.clone(), load)),
+        }
+    }
+
     pub(crate) fn gone(&mut self, name: &InstanceName) {
         self.peers.remove(name);
     }
--- a/crates/calls/src/router/event.rs
+++ b/crates/calls/src/router/event.rs
@@ -9,7 +9,7 @@
 use sycamorerill_core::model::{Config, Urgency};
 use sycamorerill_core::{data, value};
 
-use super::{Reason, Status};
+use super::{Load, Reason, Status};
 use crate::keys;
 
 data! {
@@ -177,6 +177,15 @@
         /// Load of the peer.
         status: Status,
     },
+    /// The load of one service at a peer, which came along with a call or an answer.
+    PeerLoad {
+        /// Name of the peer.
+        name: InstanceName,
+        /// Service that the load is of.
+        service: ServiceName,
+        /// Load of the service there.
+        load: Load,
+    },
     /// A peer is not heard of any more.
     PeerGone {
         /// Name of the peer.
--- a/crates/calls/src/router/forward.rs
+++ b/crates/calls/src/router/forward.rs
@@ -93,7 +93,12 @@
         }
     }
 
-    fn forward_waiting_of(&mut self, now: Time, name: &ServiceName, out: &mut Vec<Command>) {
+    pub(crate) fn forward_waiting_of(
+        &mut self,
+        now: Time,
+        name: &ServiceName,
+        out: &mut Vec<Command>,
+    ) {
         loop {
             let Some(service) = self.services.get_mut(name) else { return };
             let Some(id) = service.queue.peek(now) else { return };
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -102,6 +102,10 @@
                 self.peers.heard(name, domain, status);
                 self.forward_waiting(now, out);
             }
+            Event::PeerLoad { name, service, load } => {
+                self.peers.told(&name, &service, load);
+                self.forward_waiting_of(now, &service, out);
+            }
             Event::PeerGone { name } => self.peers.gone(&name),
             Event::KeyDurable { call } => self.key_durable(now, call, out),
             Event::KeyRefused { call, refusal } => {
@@ -123,7 +127,8 @@
         Status { draining: self.draining, services: loads.collect() }
     }
 
-    fn load(&self, name: &ServiceName) -> Load {
+    /// Returns the load of one service, to go along with calls and answers to peers.
+    pub fn load(&self, name: &ServiceName) -> Load {
         let total = self.fleet.total(name);
         Load {
             free: total.free,
