--- a/crates/daemon/src/hub/calls/arrival.rs
+++ b/crates/daemon/src/hub/calls/arrival.rs
@@ -113,7 +113,7 @@
             urgency: urgency.unwrap_or(service.urgency),
             budget,
             elapsed: milliseconds(&head, "x-elapsed-ms")?.unwrap_or_default(),
-            idempotent: service.idempotent,
+            idempotent: service.idempotent || is_safe(&head.method),
             key: key(&head, &path, &body)?,
             origin: head.field("x-request-id").map(str::to_owned),
             media: head.field("content-type").unwrap_or_default().to_owned(),
@@ -160,6 +160,11 @@
     config.services.get::<ServiceName>(&name).ok_or_else(unknown)
 }
 
+/// Reports whether a request of this method only reads.
+fn is_safe(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD")
+}
+
 fn check_body(service: &Service, body: &Bytes) -> Result<(), Error> {
     let found = u64::try_from(body.len()).unwrap_or(u64::MAX);
     if found <= service.max_body {
--- a/crates/daemon/src/hub/control/mod.rs
+++ b/crates/daemon/src/hub/control/mod.rs
@@ -265,6 +265,14 @@
         there.map(|row| row.instance).filter(move |instance| *instance != own)
     }
 
+    /// Reports whether another instance could take over what is owned here.
+    fn has_receiver(&self) -> bool {
+        let status = self.parts.agent.status(self.parts.shared.clock.now());
+        let own = &self.parts.hello.instance;
+        let mut others = status.instances.iter().filter(|row| row.instance != *own);
+        others.any(|row| matches!(row.standing, Standing::Joining | Standing::Serving))
+    }
+
     /// Runs a wait for several instances on a thread of its own.
     pub(super) fn gather(&mut self, wait: impl FnOnce() + Send + 'static) {
         self.gathers.run(wait);
@@ -288,8 +296,13 @@
     }
 
     fn check_drained(&mut self) {
-        let done = self.drain.begun && self.drain.calls_finished && self.parts.agent.held() == 0;
-        if done && self.waiting.is_empty() {
+        if !self.drain.begun || !self.drain.calls_finished {
+            return;
+        }
+        // The last instance to leave has nobody to hand over to. What it owns is taken
+        // over by the next one to start, as its address refuses connections then.
+        let handed_over = self.parts.agent.held() == 0 || !self.has_receiver();
+        if handed_over && self.waiting.is_empty() {
             // The other end is gone when the drain time is over.
             let _ = self.parts.done.try_send(super::End::Drained);
         }
--- a/crates/daemon/src/peer/connection.rs
+++ b/crates/daemon/src/peer/connection.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
+use std::rc::Weak;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -27,7 +28,7 @@
 /// [`Error::NotSent`] when it cannot be reached in time.
 pub(super) async fn connect(
     address: SocketAddr,
-    executor: &LocalExecutor<'static>,
+    spawner: &Weak<LocalExecutor<'static>>,
 ) -> Result<peer::peer::Client, Error> {
     let connecting = pin!(Async::<TcpStream>::connect(address));
     let stream = match select(connecting, pin!(Timer::after(CONNECT_TIME))).await {
@@ -44,7 +45,10 @@
     let network = VatNetwork::new(reader, writer, Side::Client, Default::default());
     let mut system = RpcSystem::new(Box::new(network), None);
     let client = system.bootstrap(Side::Server);
-    executor.spawn(system).detach();
+    match spawner.upgrade() {
+        Some(executor) => executor.spawn(system).detach(),
+        None => return Err(Error::NotSent("the instance has stopped".to_owned())),
+    }
     Ok(client)
 }
 
--- a/crates/daemon/src/peer/transport.rs
+++ b/crates/daemon/src/peer/transport.rs
@@ -5,7 +5,7 @@
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -70,9 +70,11 @@
         let builder = thread::Builder::new().name("peers".to_owned());
         let thread = builder.spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
-            let accepting = accept(listener, own.clone(), handler, Rc::clone(&executor));
+            // A task that owned its executor would never be dropped.
+            let spawner = Rc::downgrade(&executor);
+            let accepting = accept(listener, own.clone(), handler, spawner.clone());
             executor.spawn(accepting).detach();
-            let sending = send(requests, own, Rc::clone(&executor));
+            let sending = send(requests, own, spawner);
             executor.spawn(sending).detach();
             // Ends with an error when the channel is closed.
             let _ = block_on(executor.run(stopping.recv()));
@@ -116,10 +118,14 @@
     listener: Async<TcpListener>,
     own: Hello,
     handler: Arc<dyn Handler>,
-    executor: Rc<LocalExecutor<'static>>,
+    spawner: Weak<LocalExecutor<'static>>,
 ) {
     loop {
-        match listener.accept().await {
+        let next = listener.accept().await;
+        let Some(executor) = spawner.upgrade() else {
+            return;
+        };
+        match next {
             Ok((stream, _)) => {
                 let serving = server::serve(stream, own.clone(), Arc::clone(&handler));
                 executor.spawn(serving).detach();
@@ -135,12 +141,15 @@
 /// Clients of the peers by address.
 type Clients = RefCell<BTreeMap<SocketAddr, peer::peer::Client>>;
 
-async fn send(requests: Receiver<Outgoing>, own: Hello, executor: Rc<LocalExecutor<'static>>) {
+async fn send(requests: Receiver<Outgoing>, own: Hello, spawner: Weak<LocalExecutor<'static>>) {
     let clients: Rc<Clients> = Rc::default();
     while let Ok(outgoing) = requests.recv().await {
+        let Some(executor) = spawner.upgrade() else {
+            return;
+        };
         let clients = Rc::clone(&clients);
         let own = own.clone();
-        let spawner = Rc::clone(&executor);
+        let spawner = Weak::clone(&spawner);
         let one = async move {
             let Outgoing { to, request, timeout, done } = outgoing;
             let reply = exchange(&clients, &spawner, &own, to, &request, timeout).await;
@@ -155,7 +164,7 @@
 
 async fn exchange(
     clients: &Clients,
-    executor: &LocalExecutor<'static>,
+    spawner: &Weak<LocalExecutor<'static>>,
     own: &Hello,
     to: SocketAddr,
     request: &Request,
@@ -167,7 +176,7 @@
     let client = match known {
         Some(client) => client,
         None => {
-            let client = connection::connect(to, executor).await?;
+            let client = connection::connect(to, spawner).await?;
             clients.borrow_mut().insert(to, client.clone());
             client
         }
--- a/crates/fakes/src/deployment/mod.rs
+++ b/crates/fakes/src/deployment/mod.rs
@@ -63,7 +63,7 @@
     /// Returns the deployment of the heaters: 3 failure domains, 50 workers and 50 executors.
     pub fn heaters() -> Self {
         let domains = ["tshwane", "johannesburg", "ekurhuleni"];
-        Self::new("gauteng", "bookings", &domains).scaled(50, 50)
+        Self::new("gauteng", "booking", &domains).scaled(50, 50)
     }
 
     /// Returns the deployment with other numbers of workers and executors, spread evenly.
--- a/crates/fakes/src/executor/call.rs
+++ b/crates/fakes/src/executor/call.rs
@@ -65,7 +65,7 @@
         let mut runs = vec![Ran::Identity(identity.to_owned())];
         let key = request.header(headers::KEY);
         runs.extend(key.map(|key| Ran::Key(key.to_owned())));
-        runs.extend(of_body(&request.body));
+        runs.extend(of_body(&asked(request)));
         for ran in runs {
             let times = {
                 let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
@@ -115,6 +115,15 @@
     if rng.f64() < faults.cut { Reply::Cut(response) } else { Reply::Whole(response) }
 }
 
+/// Returns what a request asks for: its body, or the end of its path if it has none.
+fn asked(request: &Incoming) -> Bytes {
+    if request.body.is_empty() {
+        let end = request.uri.path().rsplit('/').next().unwrap_or_default();
+        return Bytes::copy_from_slice(end.as_bytes());
+    }
+    request.body.clone()
+}
+
 /// Returns the body of the request, or its path if it has none.
 fn echo(request: &Incoming) -> Bytes {
     if request.body.is_empty() {
