--- a/crates/control/src/agent/plane.rs
+++ b/crates/control/src/agent/plane.rs
@@ -259,6 +259,7 @@
         if state == State::Down {
             let sequences = self.journal.withdraw();
             if !sequences.is_empty() {
+                self.ownership.redraw_snapshots();
                 out.emit(Command::Withdrawn { sequences });
             }
         }
@@ -391,8 +392,8 @@
     draining: bool,
 ) -> ownership::Context<'a> {
     let guard = session.guard();
-    let (last, durable) = (journal.last(), journal.durable());
-    ownership::Context { now, members, guard, last, durable, draining }
+    let (last, settled) = (journal.last(), journal.settled());
+    ownership::Context { now, members, guard, last, settled, draining }
 }
 
 fn config_context<'a>(
--- a/crates/control/src/journal/machine.rs
+++ b/crates/control/src/journal/machine.rs
@@ -103,9 +103,12 @@
         self.last
     }
 
-    /// Returns the last sequence that lasts; withdrawn ones below it do not.
-    pub(crate) const fn durable(&self) -> Sequence {
-        self.durable
+    /// Returns the sequence up to which every record lasts or was withdrawn.
+    pub(crate) fn settled(&self) -> Sequence {
+        match self.waiting.is_empty() && self.flight.is_none() {
+            true => self.last,
+            false => self.durable,
+        }
     }
 
     pub(crate) const fn settings(&self) -> &Settings {
--- a/crates/control/src/ownership/handover.rs
+++ b/crates/control/src/ownership/handover.rs
@@ -48,7 +48,7 @@
             let State::Released { to, flush, .. } = &held.state else { continue };
             let Some(member) = context.members.members().get(to) else { continue };
             let Some(entry) = self.rows.get(shard) else { continue };
-            if context.durable < *flush || rows.len() >= self.settings.moves_at_once {
+            if context.settled < *flush || rows.len() >= self.settings.moves_at_once {
                 continue;
             }
             let receiver = session::Name { instance: to.clone(), incarnation: member.incarnation };
--- a/crates/control/src/ownership/machine.rs
+++ b/crates/control/src/ownership/machine.rs
@@ -36,7 +36,7 @@
     Look(session::Name),
     Challenge(session::Name),
     Recovery(u64),
-    Object(Shard),
+    Object(Shard, Sequence),
     Orphan(session::Name),
     Forget,
 }
@@ -47,7 +47,7 @@
     pub(crate) members: &'a mut membership::Machine,
     pub(crate) guard: Option<Check>,
     pub(crate) last: Sequence,
-    pub(crate) durable: Sequence,
+    pub(crate) settled: Sequence,
     pub(crate) draining: bool,
 }
 
@@ -180,7 +180,7 @@
                 let done = self.recoveries.handle(job, response, out);
                 self.recovered(done, out);
             }
-            Purpose::Object(shard) => self.snapshots.stored(shard),
+            Purpose::Object(shard, up_to) => self.snapshots.stored(shard, up_to),
             Purpose::Orphan(session) => {
                 self.orphans.scanned(&session, response, context.guard.as_ref(), out);
             }
--- a/crates/control/src/ownership/snapshots.rs
+++ b/crates/control/src/ownership/snapshots.rs
@@ -51,9 +51,9 @@
         self.drafts.remove(&shard);
     }
 
-    pub(super) fn stored(&mut self, shard: Shard) {
+    pub(super) fn stored(&mut self, shard: Shard, up_to: Sequence) {
         if let Some(draft) = self.drafts.get_mut(&shard) {
-            draft.stored = true;
+            draft.stored |= draft.snapshot.up_to == up_to;
         }
     }
 }
@@ -68,6 +68,17 @@
         }
     }
 
+    /// Drops drafts that may contain records which were withdrawn.
+    pub(crate) fn redraw_snapshots(&mut self) {
+        let unsent = |(_, draft): &(&Shard, &Draft)| !draft.sent;
+        let stale: Vec<Shard> =
+            self.snapshots.drafts.iter().filter(unsent).map(|(shard, _)| *shard).collect();
+        for shard in stale {
+            self.snapshots.drafts.remove(&shard);
+            self.snapshots.want(shard);
+        }
+    }
+
     /// Asks for the content of wanted snapshots and sends what has come.
     pub(super) fn tick_snapshots(&mut self, context: &Context<'_>, out: &mut Out<'_>) {
         let now = context.now;
@@ -89,11 +100,15 @@
             self.snapshots.wanted.insert(shard);
         }
         for (shard, draft) in &mut self.snapshots.drafts {
-            if !draft.sent && context.durable >= draft.snapshot.up_to {
+            if !draft.sent && context.settled >= draft.snapshot.up_to {
                 draft.sent = true;
                 let key = draft.snapshot.object.clone();
                 let request = Request::PutObject { key, bytes: draft.bytes.clone() };
-                out.store(Priority::Snapshots, Purpose::Object(*shard), request);
+                out.store(
+                    Priority::Snapshots,
+                    Purpose::Object(*shard, draft.snapshot.up_to),
+                    request,
+                );
             }
         }
     }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -357,11 +357,7 @@
     }
 
     /// A shard of slots must not be at work in any other process, paused or not.
-    fn check_gained(
-        &mut self,
-        instance: &InstanceName,
-        shard: Shard,
-    ) {
+    fn check_gained(&mut self, instance: &InstanceName, shard: Shard) {
         if shard.kind != Kind::Slots {
             return;
         }
