control: scenarios of each agreement action under each fault of the store

Takeover, commit, hand-over, apply and the count of penalties, each with the store down, slow, answering after a loss, and cut off from half of the instances; recovery from torn, corrupt and missing pieces; pauses, cuts and restarts. What they found and what was changed:

- an instance cut off from the store still passed for serving, as news that lowers a standing did not replace older news; each change now has a number;
- such an owner's keys and cells are now challenged and taken over;
- a takeover waited for the next scan when peers knew of newer owners;
- an instance that the list drops in the first minute was not believed gone;

--- a/crates/control/src/agent/plane.rs
+++ b/crates/control/src/agent/plane.rs
@@ -162,12 +162,13 @@
                 self.session_changed(now, change, out);
             }
             Purpose::Ownership(purpose) => {
+                let steady = self.is_steady(now);
                 let mut context = ownership_context(
                     now,
                     &mut self.members,
                     &self.session,
                     &self.journal,
-                    self.draining,
+                    (self.draining, steady),
                 );
                 if self.ownership.handle(purpose, response, &mut context, out) {
                     self.session.recheck(now, out);
@@ -215,8 +216,14 @@
         self.tick_store(now, out);
         self.tick_session(now, out);
         self.tick_members(now, out);
-        let mut context =
-            ownership_context(now, &mut self.members, &self.session, &self.journal, self.draining);
+        let steady = self.is_steady(now);
+        let mut context = ownership_context(
+            now,
+            &mut self.members,
+            &self.session,
+            &self.journal,
+            (self.draining, steady),
+        );
         self.ownership.tick(&mut context, out);
         self.tick_journal(now, out);
         let context = config_context(now, &self.members, out);
@@ -277,12 +284,21 @@
     fn tick_members(&mut self, now: Time, out: &mut Out<'_>) {
         let standing = self.standing(now);
         let own = self.members.own();
-        own.standing = standing;
+        if own.standing != standing {
+            // Among news of one incarnation the higher life count holds.
+            own.life += 1;
+            own.standing = standing;
+        }
         own.version = self.config.version();
         own.owners = self.ownership.table().digest();
         self.members.tick(now, &mut self.rng, out);
     }
 
+    /// Reports whether the store has been up for a while.
+    fn is_steady(&self, now: Time) -> bool {
+        self.store == State::Up && now.since(self.store_since) >= STORE_PATIENCE
+    }
+
     fn standing(&self, now: Time) -> Standing {
         let cut_off = self.store == State::Down && now.since(self.store_since) >= STORE_PATIENCE;
         match (self.draining, self.session.is_open() && !cut_off) {
@@ -389,11 +405,11 @@
     members: &'a mut membership::Machine,
     session: &session::Machine,
     journal: &journal::Machine,
-    draining: bool,
+    (draining, steady): (bool, bool),
 ) -> ownership::Context<'a> {
     let guard = session.guard();
     let (last, settled) = (journal.last(), journal.settled());
-    ownership::Context { now, members, guard, last, settled, draining }
+    ownership::Context { now, members, guard, last, settled, draining, steady }
 }
 
 fn config_context<'a>(
--- a/crates/control/src/membership/machine.rs
+++ b/crates/control/src/membership/machine.rs
@@ -8,7 +8,6 @@
 
 use super::{Evidence, Listing, Member, News, Settings, Standing};
 use crate::agent::{Beat, Decision, Out};
-use crate::ownership::{self, Shard};
 use crate::session;
 
 /// News in one heartbeat.
@@ -35,7 +34,8 @@
     pub(super) own: Own,
     pub(super) members: BTreeMap<InstanceName, Member>,
     pub(super) listed: BTreeSet<InstanceName>,
-    pub(super) absent_since: BTreeMap<InstanceName, Time>,
+    /// Instances that the list lacks, with the instant from which it is believed.
+    pub(super) absent: BTreeMap<InstanceName, Time>,
     pub(super) watch: BTreeMap<InstanceName, Time>,
     pub(super) ticked: Time,
     pub(super) next_beat: Time,
@@ -49,7 +49,7 @@
             own,
             members: BTreeMap::new(),
             listed: BTreeSet::new(),
-            absent_since: BTreeMap::new(),
+            absent: BTreeMap::new(),
             watch: BTreeMap::new(),
             ticked: Time::ZERO,
             next_beat: Time::ZERO,
@@ -101,9 +101,13 @@
             })
     }
 
-    /// Reports whether the owner of a shard, as peers tell it, is suspected.
-    pub(crate) fn suspects_owner(&self, table: &ownership::Table, shard: Shard) -> bool {
-        table.owner(shard).is_some_and(|owner| self.suspects(&owner.session))
+    /// Reports whether a session has said for a while that it cannot reach the store.
+    pub(crate) fn lacks_store(&self, now: Time, session: &session::Name) -> bool {
+        self.members.get(&session.instance).is_some_and(|member| {
+            member.incarnation == session.incarnation
+                && member.standing == Standing::Joining
+                && now.since(member.since) >= self.settings.suspect_after
+        })
     }
 
     /// Returns the failure domain of this instance.
@@ -204,28 +208,24 @@
             listings.iter().map(|listing| listing.instance.clone()).collect();
         let own = self.own.name.instance.clone();
         named.iter().filter(|name| **name != own).for_each(|name| self.introduce(now, name));
-        let dropped: Vec<InstanceName> = self.listed.difference(&named).cloned().collect();
         for name in self.members.keys() {
+            // The list may lack an instance that has just started; one that it named
+            // and drops is believed at once.
+            let lag = match self.listed.contains(name) {
+                true => Span::ZERO,
+                false => self.settings.list_lag,
+            };
             match named.contains(name) {
-                true => _ = self.absent_since.remove(name),
-                false => _ = self.absent_since.entry(name.clone()).or_insert(now),
+                true => _ = self.absent.remove(name),
+                false => _ = self.absent.entry(name.clone()).or_insert(now + lag),
             }
         }
-        dropped.iter().for_each(|name| self.unlist(now, name));
         self.listed = named;
         self.check_unlisted(now, out);
     }
 
-    /// Marks an instance as absent for long enough, as the list did name it.
-    fn unlist(&mut self, now: Time, name: &InstanceName) {
-        self.absent_since.insert(name.clone(), now - self.settings.list_lag);
-    }
-
     pub(super) fn check_unlisted(&mut self, now: Time, out: &mut Out<'_>) {
-        let lag = self.settings.list_lag;
-        let absent = |name: &InstanceName| {
-            self.absent_since.get(name).is_some_and(|since| now.since(*since) >= lag)
-        };
+        let absent = |name: &InstanceName| self.absent.get(name).is_some_and(|from| now >= *from);
         let silent = |member: &Member| member.standing == Standing::Suspect;
         let gone: Vec<session::Name> = (self.members.iter())
             .filter(|(name, member)| silent(member) && absent(name))
--- a/crates/control/src/membership/member.rs
+++ b/crates/control/src/membership/member.rs
@@ -55,7 +55,7 @@
         pub instance: InstanceName,
         /// Incarnation that the news is about.
         pub incarnation: Incarnation,
-        /// Number of suspicions that the incarnation has contradicted.
+        /// Number of changes that the incarnation has made to its own standing.
         pub life: u64,
         /// Standing of the incarnation.
         pub standing: Standing,
@@ -90,7 +90,7 @@
         pub since: Time,
         /// Evidence that the incarnation is gone.
         pub evidence: Option<Evidence>,
-        /// Number of suspicions that the incarnation has contradicted.
+        /// Number of changes that the incarnation has made to its own standing.
         pub life: u64,
     }
 }
--- a/crates/control/src/ownership/machine.rs
+++ b/crates/control/src/ownership/machine.rs
@@ -49,6 +49,15 @@
     pub(crate) last: Sequence,
     pub(crate) settled: Sequence,
     pub(crate) draining: bool,
+    /// Whether the store has been up for a while.
+    pub(crate) steady: bool,
+}
+
+impl Context<'_> {
+    /// Reports whether a session may have ended or lost the store.
+    pub(super) fn doubts(&self, session: &session::Name) -> bool {
+        self.members.suspects(session) || self.members.lacks_store(self.now, session)
+    }
 }
 
 /// A write of shard rows whose answer is awaited.
--- a/crates/control/src/ownership/plan.rs
+++ b/crates/control/src/ownership/plan.rs
@@ -80,7 +80,11 @@
         let owners: BTreeSet<session::Name> =
             self.rows.values().map(|entry| entry.row.owner.clone()).collect();
         let members = &*context.members;
-        self.successions.retain(|session| owners.contains(session) && members.suspects(session));
+        let now = context.now;
+        let doubted = |session: &session::Name| {
+            members.suspects(session) || members.lacks_store(now, session)
+        };
+        self.successions.retain(|session| owners.contains(session) && doubted(session));
     }
 
     fn candidates(&self, context: &Context<'_>) -> Candidates {
@@ -111,10 +115,9 @@
             let told = self.table.owner(shard).map_or(Epoch(0), |owner| owner.epoch);
             let read = self.rows.get(&shard).map_or(Epoch(0), |entry| entry.row.epoch);
             if told > read {
-                // Peers know more than the last scan; the row decides.
-                if context.members.suspects_owner(&self.table, shard) {
-                    self.fetch.insert(shard);
-                }
+                // Peers know more than the last scan; the rows decide.
+                let session = self.table.owner(shard).map(|owner| owner.session.clone());
+                self.dirty |= session.is_some_and(|session| context.doubts(&session));
                 continue;
             }
             if self.may_claim(shard, owner.as_ref(), context) {
@@ -139,7 +142,7 @@
         match (context.members.evidence(owner), shard.kind) {
             (Some(evidence), _) => settled && self.waited(owner, evidence, context),
             (None, Kind::Slots) => false,
-            (None, Kind::Keys | Kind::Cell) => settled && context.members.suspects(owner),
+            (None, Kind::Keys | Kind::Cell) => settled && context.steady && context.doubts(owner),
         }
     }
 
--- a/crates/control/src/ownership/recoveries.rs
+++ b/crates/control/src/ownership/recoveries.rs
@@ -78,7 +78,11 @@
                     let (epoch, way) = (held.epoch, held.way);
                     let carried = self.carries.remove(&shard);
                     let carry = carried.filter(|(at, _)| *at == epoch).map(|(_, carry)| carry);
-                    self.snapshots.recovered(shard, &recovered);
+                    // A snapshot frees the journals of earlier owners for deletion.
+                    let journals = self.rows.get(&shard).map_or(0, |it| it.row.journals.len());
+                    if journals > 1 {
+                        self.snapshots.want(shard);
+                    }
                     out.emit(Command::Gained(Gained { shard, epoch, way, carry, recovered }));
                 }
                 Err(failure) => {
--- a/crates/control/src/ownership/snapshots.rs
+++ b/crates/control/src/ownership/snapshots.rs
@@ -9,7 +9,7 @@
 use super::{Row, Shard, Snapshot, key};
 use crate::agent::{Command, Out};
 use crate::codec;
-use crate::journal::{Recovered, Sequence};
+use crate::journal::Sequence;
 use crate::store::{Check, Expected, Key, Priority, Request, Transaction};
 
 /// Time after which a snapshot that was asked for is asked for again.
@@ -34,17 +34,13 @@
 }
 
 impl Snapshots {
-    /// Wants a snapshot of a shard whose recovery had to read a journal.
-    pub(super) fn recovered(&mut self, shard: Shard, recovered: &Recovered) {
-        if !recovered.records.is_empty() {
+    /// Wants a snapshot of a shard unless one is under way.
+    pub(super) fn want(&mut self, shard: Shard) {
+        if !self.asked.contains_key(&shard) && !self.drafts.contains_key(&shard) {
             self.wanted.insert(shard);
         }
     }
 
-    pub(super) fn want(&mut self, shard: Shard) {
-        self.wanted.insert(shard);
-    }
-
     pub(super) fn forget(&mut self, shard: Shard) {
         self.wanted.remove(&shard);
         self.asked.remove(&shard);
--- /dev/null
+++ b/crates/control/tests/scenarios.rs
@@ -0,0 +1,326 @@
+//! Scripted scenarios: each agreement action under each fault of the store.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod cluster;
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::str::FromStr;
+
+use bytes::Bytes;
+use cluster::{Cluster, name};
+use datadriven::TestCase;
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome};
+use sycamorerill_control::journal::Need;
+use sycamorerill_control::ownership::{Kind, Shard};
+use sycamorerill_control::penalties::{By, Minute, Settle, SettleId};
+use sycamorerill_core::clock::Span;
+use sycamorerill_core::id::{InstanceName, Version};
+
+struct World {
+    cluster: Cluster,
+    names: Vec<InstanceName>,
+    domains: BTreeMap<InstanceName, String>,
+    payload: u64,
+    seen: usize,
+}
+
+struct Args<'a>(&'a TestCase);
+
+impl Args<'_> {
+    fn text(&self, key: &str) -> Option<String> {
+        self.0.args.get(key).and_then(|values| values.first().cloned())
+    }
+
+    fn number<T: FromStr>(&self, key: &str, default: T) -> T {
+        self.text(key).map_or(default, |text| text.parse().ok().expect("a number"))
+    }
+
+    fn span(&self, key: &str) -> Span {
+        self.text(key).map_or(Span::ZERO, |text| text.parse().expect("a span"))
+    }
+
+    fn names(&self, key: &str) -> Vec<InstanceName> {
+        let values = self.0.args.get(key).cloned().unwrap_or_default();
+        values.iter().map(|value| name(value)).collect()
+    }
+
+    fn name(&self, key: &str) -> InstanceName {
+        self.names(key).first().expect("an instance").clone()
+    }
+
+    fn shard(&self) -> Shard {
+        let text = self.text("shard").expect("a shard");
+        let (kind, number) = text.split_once('.').expect("kind.number");
+        let kind = Kind::ALL.into_iter().find(|known| known.as_str() == kind).expect("a kind");
+        Shard { kind, number: number.parse().expect("a number") }
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let mut cluster = Cluster::new(7);
+        cluster.template.ownership.slots = 6;
+        cluster.template.ownership.keys = 6;
+        cluster.template.ownership.cells = vec!["d1".parse().unwrap(), "d2".parse().unwrap()];
+        cluster.template.journal.snapshot_bytes = 256;
+        Self { cluster, names: Vec::new(), domains: BTreeMap::new(), payload: 0, seen: 0 }
+    }
+
+    fn command(&mut self, case: &TestCase) -> String {
+        let args = Args(case);
+        match case.directive.as_str() {
+            "start" => self.start(&args),
+            "restart" => self.restart(&args.name("on")),
+            "run" => {
+                self.cluster.run(args.span("for"));
+                String::new()
+            }
+            "kill" => {
+                self.cluster.kill(&args.name("on"));
+                String::new()
+            }
+            "pause" => {
+                self.cluster.pause(&args.name("on"), args.span("for"));
+                String::new()
+            }
+            "drain" => {
+                self.cluster.event(&args.name("on"), Event::Drain);
+                String::new()
+            }
+            "cut" | "join" => {
+                let cut = case.directive == "cut";
+                self.cluster.set_cut(&args.names("from"), &args.names("to"), cut);
+                String::new()
+            }
+            "store" => self.store(&args),
+            "append" => self.append(&args),
+            "await" => self.await_owner(&args),
+            "owners" => self.owners(),
+            "apply" => self.apply(&args),
+            "versions" => self.versions(),
+            "miss" => self.miss(&args),
+            "settle" => self.settle(&args),
+            "log" => self.log(&args),
+            "keys" => self.keys(&args),
+            "damage" => {
+                let key = args.text("key").expect("a key").replace('.', "/");
+                self.cluster.store.damage(&key, &args.text("how").expect("how"));
+                String::new()
+            }
+            "unlist" => {
+                self.cluster.list();
+                self.cluster.listed.remove(&args.name("on"));
+                self.cluster.list();
+                String::new()
+            }
+            "check" => self.check(),
+            other => panic!("unknown command {other}"),
+        }
+    }
+
+    fn start(&mut self, args: &Args<'_>) -> String {
+        let count: usize = args.number("count", 4);
+        self.names = (0..count).map(|n| name(&format!("n{n}"))).collect();
+        for (at, one) in self.names.clone().iter().enumerate() {
+            let domain = if at < count.div_ceil(2) { "d1" } else { "d2" };
+            self.domains.insert(one.clone(), domain.to_owned());
+            self.cluster.start(one, domain, &self.names);
+        }
+        self.cluster.run(Span::from_secs(5));
+        self.owners()
+    }
+
+    fn restart(&mut self, one: &InstanceName) -> String {
+        let domain = self.domains.get(one).cloned().unwrap_or_else(|| "d1".to_owned());
+        self.cluster.kill(one);
+        self.cluster.start(one, &domain, &self.names);
+        String::new()
+    }
+
+    fn store(&mut self, args: &Args<'_>) -> String {
+        let faults = &mut self.cluster.faults;
+        faults.down = args.text("down").is_some_and(|on| on == "yes");
+        faults.slow = args.span("slow");
+        faults.lose = args.number("lose", 0.0);
+        faults.late = args.number("late", 0.0);
+        self.cluster.cut_store = args.names("cut").into_iter().collect();
+        String::new()
+    }
+
+    fn holder(&self, shard: Shard) -> Option<InstanceName> {
+        self.holder_but(shard, &[])
+    }
+
+    fn holder_but(&self, shard: Shard, not: &[InstanceName]) -> Option<InstanceName> {
+        let serves = |name: &&InstanceName| self.cluster.nodes[*name].serving.contains_key(&shard);
+        self.cluster.nodes.keys().filter(|name| !not.contains(name)).find(serves).cloned()
+    }
+
+    fn append(&mut self, args: &Args<'_>) -> String {
+        let shard = args.shard();
+        let now = self.cluster.now;
+        let Some(one) = self.holder(shard) else { return "nobody owns the shard\n".into() };
+        let need = if args.0.args.contains_key("later") { Need::Later } else { Need::Now };
+        let mut text = String::new();
+        for _ in 0..args.number("count", 1) {
+            self.payload += 1;
+            let node = self.cluster.nodes.get_mut(&one).unwrap();
+            if let Err(refused) = node.append(now, shard, self.payload, need) {
+                text = format!("refused: {refused}\n");
+            }
+        }
+        self.cluster.event(&one, Event::Tick);
+        self.cluster.run(args.span("wait"));
+        let node = &self.cluster.nodes[&one];
+        writeln!(text, "{one}: {} last, {} wait", node.durable.len(), node.waiting.len()).unwrap();
+        text
+    }
+
+    /// Waits until another instance has the shard at work.
+    fn await_owner(&mut self, args: &Args<'_>) -> String {
+        let shard = args.shard();
+        let not = args.names("not");
+        let start = self.cluster.now;
+        let limit = args.span("for");
+        while self.cluster.now.since(start) < limit {
+            if let Some(one) = self.holder_but(shard, &not) {
+                let records = self.cluster.nodes[&one].serving[&shard].1.len();
+                let took = self.cluster.now.since(start).as_ms();
+                return format!("{shard} at work on {one} after {took}ms, {records} records\n");
+            }
+            self.cluster.run(Span::from_ms(10));
+        }
+        format!("{shard} idle for {}ms\n", limit.as_ms())
+    }
+
+    fn owners(&mut self) -> String {
+        let mut text = String::new();
+        for (name, node) in &self.cluster.nodes {
+            let shards: Vec<String> = node.serving.keys().map(ToString::to_string).collect();
+            let state = if node.alive { "" } else { " (ended)" };
+            writeln!(text, "{name}{state}: {}", shards.join(" ")).unwrap();
+        }
+        text
+    }
+
+    fn apply(&mut self, args: &Args<'_>) -> String {
+        self.payload += 1;
+        let id = ApplyId(self.payload);
+        let one = args.name("on");
+        let keys: Digests = (args.0.args.get("keys").cloned().unwrap_or_default().iter())
+            .map(|pair| {
+                let (key, digest) = pair.split_once('.').expect("key.digest");
+                (key.to_owned(), digest.parse().expect("a digest"))
+            })
+            .collect();
+        let seen = Version(args.number("seen", 0));
+        let bytes = Bytes::from(format!("content {}", id.0));
+        let apply = Apply { id, seen, author: "operator".into(), keys, bytes };
+        self.cluster.event(&one, Event::Apply(apply));
+        self.cluster.run(args.span("wait"));
+        match self.cluster.outcomes.get(&id) {
+            None => "no answer yet\n".into(),
+            Some((_, Outcome::Conflict { current, keys })) => {
+                let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+                format!("conflict with {current}: {}\n", keys.join(" "))
+            }
+            Some((_, Outcome::Accepted(version))) => format!("accepted as {version}\n"),
+            Some((_, outcome)) => format!("{}\n", outcome.as_str()),
+        }
+    }
+
+    fn versions(&self) -> String {
+        let versions =
+            self.names.iter().map(|name| format!("{name}={}", self.cluster.version(name)));
+        versions.collect::<Vec<_>>().join(" ") + "\n"
+    }
+
+    fn miss(&mut self, args: &Args<'_>) -> String {
+        for one in args.names("on") {
+            for subject in 0..args.number("count", 1) {
+                let subject = args.number("subject", 0) + subject;
+                self.cluster.miss(&one, subject, args.number("minute", 0));
+            }
+        }
+        String::new()
+    }
+
+    fn settle(&mut self, args: &Args<'_>) -> String {
+        self.payload += 1;
+        let id = SettleId(self.payload);
+        let by: By = args.text("by").unwrap_or("target".into()).parse().expect("a grouping");
+        let settle = Settle { id, from: Minute(0), to: Minute(args.number("to", 1_000)), by };
+        self.cluster.event(&args.name("on"), Event::Settle(settle));
+        self.cluster.run(Span::from_secs(3));
+        match self.cluster.settled.remove(&id) {
+            None => "no answer yet\n".into(),
+            Some(Err(failure)) => format!("{failure}\n"),
+            Some(Ok(settled)) => {
+                let mut text = String::new();
+                for total in settled.totals {
+                    let (name, misses, amount) = (total.name, total.misses, total.amount);
+                    writeln!(text, "{name}: {misses} misses, {amount}").unwrap();
+                }
+                writeln!(text, "total {}, {} pending", settled.amount, settled.pending).unwrap();
+                text
+            }
+        }
+    }
+
+    /// Prints the decisions since the last look that contain a word.
+    fn log(&mut self, args: &Args<'_>) -> String {
+        let words = args.0.args.get("with").cloned().unwrap_or_default();
+        let mut text = String::new();
+        for (_, name, line) in &self.cluster.log[self.seen..] {
+            if words.iter().any(|word| line.contains(word.as_str())) {
+                writeln!(text, "{name}: {line}").unwrap();
+            }
+        }
+        self.seen = self.cluster.log.len();
+        text
+    }
+
+    fn keys(&self, args: &Args<'_>) -> String {
+        let prefix = args.text("prefix").unwrap_or_default();
+        self.cluster.store.keys(&prefix).join("\n") + "\n"
+    }
+
+    /// Reports whether every shard is at work once, holds what lasts, and nothing is wrong.
+    fn check(&mut self) -> String {
+        let mut text = String::new();
+        for shard in self.cluster.template.ownership.shards() {
+            let serves = |node: &&cluster::Node| node.serving.contains_key(&shard);
+            let count = self.cluster.nodes.values().filter(serves).count();
+            if count != 1 {
+                writeln!(text, "{shard} is at work on {count}").unwrap();
+            }
+        }
+        for (shard, payload) in self.cluster.all_durable() {
+            let Some(one) = self.holder(shard) else { continue };
+            let held = &self.cluster.nodes[&one].serving[&shard].1;
+            let times = held.iter().filter(|one| **one == payload).count();
+            if times != 1 {
+                writeln!(text, "{shard} holds record {payload} {times} times").unwrap();
+            }
+        }
+        for wrong in self.cluster.wrong() {
+            writeln!(text, "{wrong}").unwrap();
+        }
+        if text.is_empty() { "ok\n".into() } else { text }
+    }
+}
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut world = World::new();
+        file.run(|case| {
+            if case.directive == "start" {
+                world = World::new();
+            }
+            world.command(case)
+        });
+    });
+}
--- a/crates/schema/schema/journal.capnp
+++ b/crates/schema/schema/journal.capnp
@@ -146,7 +146,7 @@
   incarnation @1 :UInt64;
   standing @2 :UInt8;
   domain @3 :Text;
-  # Grows each time that the instance contradicts a suspicion.
+  # Grows each time that the instance changes or confirms its own standing.
   life @4 :UInt64;
 }
 
