--- a/crates/control/src/ownership/machine.rs
+++ b/crates/control/src/ownership/machine.rs
@@ -36,7 +36,7 @@
     Look(session::Name),
     Challenge(session::Name),
     Recovery(u64),
-    Object(Shard),
+    Object(Shard, Sequence),
     Orphan(session::Name),
     Forget,
 }
@@ -47,8 +47,17 @@
     pub(crate) members: &'a mut membership::Machine,
     pub(crate) guard: Option<Check>,
     pub(crate) last: Sequence,
-    pub(crate) durable: Sequence,
+    pub(crate) settled: Sequence,
     pub(crate) draining: bool,
+    /// Whether the store has been up for a while.
+    pub(crate) steady: bool,
+}
+
+impl Context<'_> {
+    /// Reports whether a session may have ended or lost the store.
+    pub(super) fn doubts(&self, session: &session::Name) -> bool {
+        self.members.suspects(session) || self.members.lacks_store(self.now, session)
+    }
 }
 
 /// A write of shard rows whose answer is awaited.
@@ -180,7 +189,7 @@
                 let done = self.recoveries.handle(job, response, out);
                 self.recovered(done, out);
             }
-            Purpose::Object(shard) => self.snapshots.stored(shard),
+            Purpose::Object(shard, up_to) => self.snapshots.stored(shard, up_to),
             Purpose::Orphan(session) => {
                 self.orphans.scanned(&session, response, context.guard.as_ref(), out);
             }
--- a/crates/control/src/ownership/snapshots.rs
+++ b/crates/control/src/ownership/snapshots.rs
@@ -9,7 +9,7 @@
 use super::{Row, Shard, Snapshot, key};
 use crate::agent::{Command, Out};
 use crate::codec;
-use crate::journal::{Recovered, Sequence};
+use crate::journal::Sequence;
 use crate::store::{Check, Expected, Key, Priority, Request, Transaction};
 
 /// Time after which a snapshot that was asked for is asked for again.
@@ -34,26 +34,22 @@
 }
 
 impl Snapshots {
-    /// Wants a snapshot of a shard whose recovery had to read a journal.
-    pub(super) fn recovered(&mut self, shard: Shard, recovered: &Recovered) {
-        if !recovered.records.is_empty() {
+    /// Wants a snapshot of a shard unless one is under way.
+    pub(super) fn want(&mut self, shard: Shard) {
+        if !self.asked.contains_key(&shard) && !self.drafts.contains_key(&shard) {
             self.wanted.insert(shard);
         }
     }
 
-    pub(super) fn want(&mut self, shard: Shard) {
-        self.wanted.insert(shard);
-    }
-
     pub(super) fn forget(&mut self, shard: Shard) {
         self.wanted.remove(&shard);
         self.asked.remove(&shard);
         self.drafts.remove(&shard);
     }
 
-    pub(super) fn stored(&mut self, shard: Shard) {
+    pub(super) fn stored(&mut self, shard: Shard, up_to: Sequence) {
         if let Some(draft) = self.drafts.get_mut(&shard) {
-            draft.stored = true;
+            draft.stored |= draft.snapshot.up_to == up_to;
         }
     }
 }
@@ -68,6 +64,17 @@
         }
     }
 
+    /// Drops drafts that may contain records which were withdrawn.
+    pub(crate) fn redraw_snapshots(&mut self) {
+        let unsent = |(_, draft): &(&Shard, &Draft)| !draft.sent;
+        let stale: Vec<Shard> =
+            self.snapshots.drafts.iter().filter(unsent).map(|(shard, _)| *shard).collect();
+        for shard in stale {
+            self.snapshots.drafts.remove(&shard);
+            self.snapshots.want(shard);
+        }
+    }
+
     /// Asks for the content of wanted snapshots and sends what has come.
     pub(super) fn tick_snapshots(&mut self, context: &Context<'_>, out: &mut Out<'_>) {
         let now = context.now;
@@ -89,11 +96,15 @@
             self.snapshots.wanted.insert(shard);
         }
         for (shard, draft) in &mut self.snapshots.drafts {
-            if !draft.sent && context.durable >= draft.snapshot.up_to {
+            if !draft.sent && context.settled >= draft.snapshot.up_to {
                 draft.sent = true;
                 let key = draft.snapshot.object.clone();
                 let request = Request::PutObject { key, bytes: draft.bytes.clone() };
-                out.store(Priority::Snapshots, Purpose::Object(*shard), request);
+                out.store(
+                    Priority::Snapshots,
+                    Purpose::Object(*shard, draft.snapshot.up_to),
+                    request,
+                );
             }
         }
     }
