--- a/crates/config/src/problem/fault.rs
+++ b/crates/config/src/problem/fault.rs
@@ -194,7 +194,7 @@
     #[error(transparent)]
     Urgency(#[from] UrgencyError),
     /// Not a whole number in range.
-    #[error("`{0}` is out of range, expected a whole number from 1 to {max}", max = u32::MAX)]
+    #[error("`{0}` is not a decimal whole number from 0 to {max}", max = u32::MAX)]
     Count(String),
     /// Zero where work would never run.
     #[error("`{0}` is zero, expected more")]
