--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod service;
 mod settings;
 mod status;
+mod text;
 mod wake;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +32,7 @@
 pub use event::{Answer, Call, Event, Executor, InProgress, PeerAnswer, Refusal};
 pub use settings::Settings;
 pub use status::{Load, Status};
+pub use text::ReasonError;
 
 use crate::{fleet, keys, peers};
 use entry::{Entry, Flight};
@@ -102,6 +104,10 @@
                 self.peers.heard(name, domain, status);
                 self.forward_waiting(now, out);
             }
+            Event::PeerLoad { name, service, load } => {
+                self.peers.told(&name, &service, load);
+                self.forward_waiting_of(now, &service, out);
+            }
             Event::PeerGone { name } => self.peers.gone(&name),
             Event::KeyDurable { call } => self.key_durable(now, call, out),
             Event::KeyRefused { call, refusal } => {
@@ -123,7 +129,8 @@
         Status { draining: self.draining, services: loads.collect() }
     }
 
-    fn load(&self, name: &ServiceName) -> Load {
+    /// Returns the load of one service, to go along with calls and answers to peers.
+    pub fn load(&self, name: &ServiceName) -> Load {
         let total = self.fleet.total(name);
         Load {
             free: total.free,
@@ -134,6 +141,11 @@
         }
     }
 
+    /// Returns records from which a shard of keys can be restored in place of its journal.
+    pub fn key_records(&self, now: Time, shard: keys::Shard) -> Vec<keys::Record> {
+        self.ledger.records(now, shard)
+    }
+
     /// Returns the number of calls that have not come to an end.
     pub fn in_progress(&self) -> usize {
         self.calls.len()
--- a/crates/tasks/src/cell/mod.rs
+++ b/crates/tasks/src/cell/mod.rs
@@ -11,6 +11,7 @@
 mod interfere;
 mod jobs;
 pub(crate) mod key;
+mod list;
 mod message;
 mod place;
 mod reclaim;
@@ -19,6 +20,7 @@
 mod status;
 mod step;
 mod submit;
+mod text;
 mod timer;
 mod transfer;
 mod word;
@@ -33,6 +35,7 @@
 use sycamorerill_core::model::{Class, Config};
 use sycamorerill_core::size::Size;
 
+pub use self::list::{Listed, Standing};
 pub use self::message::{Cause, Command, Decision, Event, Miss, Reply};
 pub use self::settings::{Interference, Placement, Settings};
 pub use self::status::{Counts, Status};
@@ -87,12 +90,15 @@
     shapes: BTreeMap<Size, u32>,
     /// Quota in this cell of each team, and whether it may borrow.
     quotas: BTreeMap<key::Team, (Size, bool)>,
+    /// Racks with listed workers.
+    racks: u32,
     capacity: Size,
     used: Size,
     sizes: Sizes,
     pairs: Pairs,
     mixes: BTreeMap<key::Worker, Mixes>,
     faults: Faults,
+    quarantined: BTreeSet<key::Worker>,
     /// Evictions that may still be made now.
     eviction_tokens: f64,
     eviction_filled: Time,
@@ -135,12 +141,14 @@
             held: BTreeMap::new(),
             shapes: BTreeMap::new(),
             quotas: BTreeMap::new(),
+            racks: 0,
             capacity: Size::ZERO,
             used: Size::ZERO,
             sizes: Sizes::default(),
             pairs: Pairs::default(),
             mixes: BTreeMap::new(),
             faults: Faults::default(),
+            quarantined: BTreeSet::new(),
             eviction_tokens: 1.0,
             eviction_filled: Time::ZERO,
             tokens: 0,
