tasks: restrict neighbours by parts of the slowdown that a service is allowed

Limits are now parts of the allowed slowdown, lower for the least urgent work; pressing jobs may use the room up to the restriction.

--- a/crates/tasks/benches/tasks/policy.rs
+++ b/crates/tasks/benches/tasks/policy.rs
@@ -54,13 +54,13 @@
 fn eager() -> Interference {
     let steps = Interference::default();
     Interference {
-        low: steps.high,
+        relieve: steps.restrict,
         confirm: 1,
         settle: Span::ZERO,
         calm: Span::ZERO,
         shares: Vec::new(),
         budget: false,
-        stop: steps.high,
+        stop: 0.0,
         ..steps
     }
 }
--- a/crates/tasks/src/cell/interfere.rs
+++ b/crates/tasks/src/cell/interfere.rs
@@ -35,7 +35,7 @@
         }
         let Some(slowdown) = self.worst_service(now, key) else { return };
         let Settings { interference, .. } = &self.settings;
-        let (high, low, confirm) = (interference.high, interference.low, interference.confirm);
+        let (high, low, confirm) = (interference.high(), interference.low(), interference.confirm);
         let Some(entry) = self.workers.entry_mut(key) else { return };
         if slowdown > low {
             entry.slow_at = now;
@@ -70,9 +70,7 @@
                 grown.push((*token, hold.size.max(seen)));
             }
         }
-        if self.settings.placement == super::Placement::FirstFit
-            || self.settings.placement == super::Placement::Spread
-        {
+        if self.settings.placement != super::Placement::Learned {
             return;
         }
         for (token, size) in grown {
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -31,6 +31,10 @@
 /// Deviations by which the slowdown of a service is reckoned above its mean.
 const CAUTION: f64 = 0.5;
 
+/// Run times before the latest start within which a task is placed beside services in spite
+/// of what it does to them.
+const PRESSING_RUNS: f64 = 1.0;
+
 /// What is looked for.
 #[derive(Clone, Copy, Debug)]
 struct Need {
@@ -40,6 +44,7 @@
     size: Size,
     avoid: Option<key::Worker>,
     service: bool,
+    urgency: Urgency,
     /// Whether the task may be placed where a service will be slower than allowed.
     pressing: bool,
 }
@@ -130,7 +135,7 @@
         let job = self.jobs.entry(position.job)?;
         let task = *job.ready.first()?;
         let run = self.sizes.run(job.class, job.run_time);
-        let soon = job.deadline < Time::MAX && position.start.since(now) < run.scale(0.5);
+        let soon = job.deadline < Time::MAX && position.start.since(now) < run.scale(PRESSING_RUNS);
         Some(Need {
             job: position.job,
             task,
@@ -138,15 +143,16 @@
             size: self.size_for(job.class, job.size),
             avoid: job.tasks.get(task as usize).and_then(|task| task.avoid),
             service: self.is_service(job.class),
-            pressing: position.urgency == Urgency::Urgent || (soon && !position.hopeless),
+            urgency: position.urgency,
+            pressing: soon && !position.hopeless,
         })
     }
 
     /// Returns the size to reserve for a task of declared size `declared`.
     pub(super) fn size_for(&self, class: key::Class, declared: Size) -> Size {
         match self.settings.placement {
-            Placement::FirstFit | Placement::Spread => declared,
-            Placement::Learned | Placement::Apart => {
+            Placement::FirstFit | Placement::Spread | Placement::Apart => declared,
+            Placement::Learned => {
                 let margin = self.config.policy.size_margin;
                 let learned = self.sizes.size(class, declared, margin);
                 self.clip(learned, declared)
@@ -169,20 +175,20 @@
 
     fn within_quota(&self, position: Position, size: Size) -> bool {
         let held = self.held.get(&position.team).copied().unwrap_or_default();
-        if share_of(held + size, self.quota(position.team)) <= 1.0 {
-            return true;
+        let within = share_of(held + size, self.quota(position.team)) <= 1.0;
+        if !within && !self.may_borrow(position.team) {
+            return false;
         }
         let free = self.capacity.cpu().0.saturating_sub(self.used.cpu().0 + size.cpu().0);
         let keep = self.capacity.cpu().0 as f64 * self.settings.headroom;
-        let room = free as f64 >= keep || position.urgency == Urgency::Urgent;
-        self.may_borrow(position.team) && room
+        free as f64 >= keep || position.urgency > Urgency::Low
     }
 
     fn choose(&mut self, now: Time, need: &Need) -> Option<key::Worker> {
         match self.settings.placement {
-            Placement::FirstFit => self.first_fit(need),
+            Placement::FirstFit | Placement::Apart => self.first_fit(need),
             Placement::Spread => self.most_room(need),
-            Placement::Learned | Placement::Apart => self.cheapest(now, need),
+            Placement::Learned => self.cheapest(now, need),
         }
     }
 
@@ -242,7 +248,7 @@
         let mut mix =
             self.mixes.get(&key).and_then(|mixes| mixes.last()).cloned().unwrap_or_default();
         learn::add(&mut mix, need.class, learn::part(need.size.cpu(), entry.size.cpu()));
-        let place = self.settings.interference.place;
+        let place = self.settings.interference.place_limit(need.urgency, need.pressing);
         for (class, _) in &mix {
             let service = self.is_service(*class);
             if !service && *class != need.class {
@@ -254,7 +260,7 @@
                 continue;
             }
             let excess = (mean + CAUTION * deviation - place).max(0.0);
-            if excess > 0.0 && !need.service && !need.pressing {
+            if excess > 0.0 && !need.service {
                 return None;
             }
             cost += SERVICE_COST * (mean - 1.0) + EXCESS_COST * excess;
--- a/crates/tasks/src/cell/settings.rs
+++ b/crates/tasks/src/cell/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a cell.
 
 use sycamorerill_core::clock::Span;
+use sycamorerill_core::model::Urgency;
 
 /// How workers are chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -12,7 +13,8 @@
     FirstFit,
     /// The worker with most room for the declared size.
     Spread,
-    /// By learned size, services and batch work never on one worker.
+    /// The first worker by name with room for the declared size that has no task of the
+    /// other kind, where services are one kind and batch work the other.
     Apart,
 }
 
@@ -45,7 +47,7 @@
     pub max_waiting: u64,
     /// Time for which the names of ended jobs are kept.
     pub keep_ended: Span,
-    /// Part of the cell's cores that borrowing teams leave free.
+    /// Part of the cell's cores that the least urgent work leaves free.
     pub headroom: f64,
     /// When and how interference is acted on.
     pub interference: Interference,
@@ -58,15 +60,21 @@
 pub struct Interference {
     /// Whether it is acted on at all.
     pub act: bool,
-    /// Slowdown of a service above which its neighbours are restricted.
-    pub high: f64,
-    /// Slowdown of a service below which restrictions are lifted.
-    pub low: f64,
-    /// Consecutive reports above `high` before a step.
+    /// Slowdown up to which a service meets its target.
+    pub allowed: f64,
+    /// Part of the allowed slowdown above which neighbours are restricted.
+    pub restrict: f64,
+    /// Part of the allowed slowdown below which restrictions are lifted.
+    pub relieve: f64,
+    /// Part of the allowed slowdown up to which ordinary tasks are placed beside a service.
+    pub place: f64,
+    /// The same for the least urgent tasks.
+    pub place_low: f64,
+    /// Consecutive reports above `restrict` before a step.
     pub confirm: u32,
     /// Time from one step on a worker to the next.
     pub settle: Span,
-    /// Time below `low` before a restriction is lifted.
+    /// Time below `relieve` before a restriction is lifted.
     pub calm: Span,
     /// Shares to which a task is throttled before it is moved, falling.
     pub shares: Vec<f64>,
@@ -74,8 +82,34 @@
     pub budget: bool,
     /// Slowdown of a service above which a task that can't be checkpointed is stopped.
     pub stop: f64,
-    /// Expected slowdown of a service up to which tasks are placed beside it.
-    pub place: f64,
+}
+
+impl Interference {
+    /// Returns the slowdown of a service above which its neighbours are restricted.
+    pub fn high(&self) -> f64 {
+        self.slowdown(self.restrict)
+    }
+
+    /// Returns the slowdown of a service below which restrictions are lifted.
+    pub fn low(&self) -> f64 {
+        self.slowdown(self.relieve)
+    }
+
+    /// Returns the expected slowdown of a service up to which a task is placed beside it.
+    ///
+    /// A task is pressing when it would otherwise miss its deadline.
+    pub fn place_limit(&self, urgency: Urgency, pressing: bool) -> f64 {
+        match urgency {
+            Urgency::Urgent => f64::INFINITY,
+            _ if pressing => self.high(),
+            Urgency::Low => self.slowdown(self.place_low),
+            Urgency::Normal | Urgency::High => self.slowdown(self.place),
+        }
+    }
+
+    fn slowdown(&self, part: f64) -> f64 {
+        1.0 + part * (self.allowed - 1.0)
+    }
 }
 
 impl Default for Settings {
@@ -105,15 +139,17 @@
     fn default() -> Self {
         Self {
             act: true,
-            high: 1.3,
-            low: 1.12,
+            allowed: 1.5,
+            restrict: 0.8,
+            relieve: 0.5,
+            place: 0.7,
+            place_low: 0.5,
             confirm: 2,
             settle: Span::from_secs(8),
             calm: Span::from_secs(30),
             shares: vec![0.5, 0.25],
             budget: true,
             stop: 2.0,
-            place: 1.2,
         }
     }
 }
--- a/crates/tasks/tests/fake/worker.rs
+++ b/crates/tasks/tests/fake/worker.rs
@@ -50,6 +50,8 @@
     pub(crate) ahead: Span,
     /// Whether it fails all that it starts.
     pub(crate) broken: bool,
+    /// Runs that were acknowledged since this was last taken.
+    pub(crate) forgotten: Vec<Run>,
     epoch: Epoch,
     number: u64,
     now: Time,
@@ -65,6 +67,7 @@
             incarnation: Incarnation(1),
             ahead: Span::ZERO,
             broken: false,
+            forgotten: Vec::new(),
             epoch: Epoch(0),
             number: 0,
             now: Time::ZERO,
@@ -173,7 +176,7 @@
             }
             Command::Ack { token, .. } => {
                 if self.runs.get(token).is_some_and(|run| run.phase.is_off()) {
-                    self.runs.remove(token);
+                    self.forgotten.extend(self.runs.remove(token));
                 }
             }
         }
--- a/crates/tasks/tests/fake/world.rs
+++ b/crates/tasks/tests/fake/world.rs
@@ -277,14 +277,14 @@
             return self.push(TIMEOUT, Action::Tell { owner, event });
         };
         worker.advance(self.now, &self.truths);
-        let before: BTreeMap<Token, super::worker::Run> = worker.runs.clone();
+        let before: BTreeSet<Token> = worker.runs.keys().copied().collect();
         let report = worker.exchange(exchange, &self.truths);
-        for (token, run) in worker.runs.iter().filter(|(token, _)| !before.contains_key(token)) {
+        for (token, run) in worker.runs.iter().filter(|(token, _)| !before.contains(token)) {
             self.checks.started(*token, run);
         }
-        for (_, run) in before.iter().filter(|(token, _)| !worker.runs.contains_key(token)) {
-            self.checks.forgotten(run);
-            self.tally.forgotten(run, &self.truths);
+        for run in std::mem::take(&mut worker.forgotten) {
+            self.checks.forgotten(&run);
+            self.tally.forgotten(&run, &self.truths);
         }
         if self.rng.f64() < self.faults.unanswered {
             let event = Event::Unreachable(name);
