--- a/crates/tasks/benches/tasks/main.rs
+++ b/crates/tasks/benches/tasks/main.rs
@@ -21,7 +21,7 @@
 /// Returns the value after `name` on the command line.
 fn option(name: &str) -> Option<String> {
     let mut args = std::env::args().skip_while(|arg| arg != name);
-    args.nth(1)
+    args.nth(1).filter(|value| !value.starts_with("--"))
 }
 
 fn main() {
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -80,7 +80,7 @@
 
     /// Moves blocked jobs back into the queue: the first half by rank, the others in turn.
     fn return_blocked(&mut self) {
-        let half = self.settings.tries / 2;
+        let half = self.settings.blocked_tries / 2;
         let mut back: Vec<Position> = self.blocked.iter().rev().take(half).copied().collect();
         let last = back.last().copied();
         let from = self.cursor.filter(|cursor| last.is_none_or(|last| *cursor < last)).or(last);
--- a/crates/tasks/src/cell/settings.rs
+++ b/crates/tasks/src/cell/settings.rs
@@ -35,6 +35,8 @@
     pub candidates: usize,
     /// Jobs that are tried in one step.
     pub tries: usize,
+    /// Jobs that found no room before and are tried again when some is freed.
+    pub blocked_tries: usize,
     /// Time after which jobs that found no room are tried again.
     pub retry: Span,
     /// First wait before a task that failed is tried again; it doubles with each attempt.
@@ -122,6 +124,7 @@
             lease_margin: Span::from_ms(2_000),
             candidates: 16,
             tries: 256,
+            blocked_tries: 32,
             retry: Span::from_ms(500),
             backoff: Span::from_secs(5),
             max_backoff: Span::from_secs(300),
