calls: hedge late idempotent calls, off by default

A second attempt goes out when the first is later than nearly all are, if a tenth of the slots is free and the budget allows.

The gain holds only for executors that differ, which ejection already covers, so the budget stays 0 until an operator sets one.

--- a/crates/calls/benches/calls/owned.rs
+++ b/crates/calls/benches/calls/owned.rs
@@ -14,7 +14,7 @@
     Attempt, CallId, DomainName, Epoch, ExecutorName, InstanceName, ServiceName, TeamName,
 };
 use sycamorerill_core::model::{Config, Service, Team, Urgency};
-use sycamorerill_core::rate::PerSecond;
+use sycamorerill_core::rate::{PerSecond, Share};
 use sycamorerill_core::size::Size;
 
 use crate::scenario::Fault;
@@ -81,6 +81,7 @@
     /// Node that an executor is to be handed to.
     wanted: Vec<Option<usize>>,
     epoch: u64,
+    hedge_budget: Share,
     out: Vec<Command>,
 }
 
@@ -137,7 +138,7 @@
 }
 
 impl Owned {
-    pub(crate) fn new(net: &mut Net) -> Self {
+    pub(crate) fn new(net: &mut Net, hedge_budget: f64) -> Self {
         let names = names();
         let config = Arc::new(config(&names));
         let mut owned = Self {
@@ -146,6 +147,7 @@
             owners: vec![None; EXECUTORS],
             wanted: vec![None; EXECUTORS],
             epoch: 0,
+            hedge_budget: Share::new(hedge_budget),
             out: Vec::new(),
             names,
         };
@@ -167,6 +169,7 @@
         let settings = Settings {
             instance: Some(self.names.instances[node].clone()),
             domain: Some(self.names.domains[domain(node)].clone()),
+            hedge_budget: self.hedge_budget,
             ..Settings::default()
         };
         Node {
--- a/crates/calls/benches/calls/scenario.rs
+++ b/crates/calls/benches/calls/scenario.rs
@@ -71,6 +71,7 @@
         let keys = matches!(self.fault, Fault::StoreDown | Fault::Keys);
         match policy {
             Policy::Owned => true,
+            Policy::Hedged => matches!(self.fault, Fault::None | Fault::SlowExecutor),
             _ if keys => false,
             _ => calm || !sharing,
         }
--- a/crates/calls/benches/calls/sim.rs
+++ b/crates/calls/benches/calls/sim.rs
@@ -32,11 +32,15 @@
 pub(crate) const FLOOD_TEAM: usize = 4;
 const FLOOD_FACTOR: f64 = 10.0;
 const SLOW_FACTOR: f64 = 10.0;
+/// Part of the calls that may be hedged where hedging is measured.
+const HEDGE_BUDGET: f64 = 0.05;
 
 /// Way to share slots and to choose among them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Policy {
     Owned,
+    /// As owned, with second attempts beside late ones.
+    Hedged,
     Random,
     RoundRobin,
     Least,
@@ -45,12 +49,20 @@
 }
 
 impl Policy {
-    pub(crate) const ALL: [Self; 6] =
-        [Self::Owned, Self::Random, Self::RoundRobin, Self::Least, Self::Borrow, Self::Blocks];
+    pub(crate) const ALL: [Self; 7] = [
+        Self::Owned,
+        Self::Hedged,
+        Self::Random,
+        Self::RoundRobin,
+        Self::Least,
+        Self::Borrow,
+        Self::Blocks,
+    ];
 
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Owned => "owned",
+            Self::Hedged => "owned-hedged",
             Self::Random => "shares-random",
             Self::RoundRobin => "shares-round-robin",
             Self::Least => "shares-least-outstanding",
@@ -163,7 +175,12 @@
         let site = &mut self.executors[executor];
         site.running += 1;
         let over = site.running > SLOTS;
-        let run_ms = self.calls[call as usize].run_ms * if site.slow { SLOW_FACTOR } else { 1.0 };
+        // A further attempt draws anew, so that hedging is judged at its best.
+        let run_ms = match self.calls[call as usize].runs {
+            0 => self.calls[call as usize].run_ms,
+            _ => run_ms(&mut self.rng),
+        };
+        let run_ms = run_ms * if site.slow { SLOW_FACTOR } else { 1.0 };
         self.tally.overcommits += u64::from(over);
         let entry = &mut self.calls[call as usize];
         entry.runs += 1;
@@ -326,7 +343,8 @@
             busy: 0,
         };
         let nodes = match policy {
-            Policy::Owned => Nodes::Owned(Box::new(Owned::new(&mut net))),
+            Policy::Owned => Nodes::Owned(Box::new(Owned::new(&mut net, 0.0))),
+            Policy::Hedged => Nodes::Owned(Box::new(Owned::new(&mut net, HEDGE_BUDGET))),
             Policy::Random => Nodes::Shares(Shares::new(Pick::Random)),
             Policy::RoundRobin => Nodes::Shares(Shares::new(Pick::RoundRobin)),
             Policy::Least => Nodes::Shares(Shares::new(Pick::Least)),
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -128,14 +128,19 @@
         entry.avoid = Some(index);
         let attempt = Attempt(entry.attempts);
         let deadline = entry.call.deadline;
-        let declared = self.config.services.get(&entry.call.service);
+        let service = entry.call.service.clone();
+        let declared = self.config.services.get(&service);
         let longest_run = declared.map(|service| service.longest_run).unwrap_or_default();
         let flight = Flight { target: Target::Executor(index), sent: now };
         self.flights.insert((id, attempt), flight);
         self.fleet.change(index, |executor| executor.in_flight += 1);
         self.set_timer(id, deadline, Timer::Deadline(id));
-        let choice = Choice::Send(name.clone());
+        let choice = match why {
+            Why::Late => Choice::Hedge(name.clone()),
+            _ => Choice::Send(name.clone()),
+        };
         out.push(Command::Send { call: id, attempt, executor: name, deadline, longest_run });
         out.push(Command::Decision(Decision { call: id, choice, why }));
+        self.plan_hedge(now, id, &service);
     }
 }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod event;
 mod forward;
+mod hedge;
 mod keyed;
 mod own;
 mod service;
--- a/crates/calls/src/router/wake.rs
+++ b/crates/calls/src/router/wake.rs
@@ -17,6 +17,8 @@
     Start(CallId),
     /// The caller wants its answer by now.
     Deadline(CallId),
+    /// The first attempt takes longer than nearly all do.
+    Hedge(CallId),
     /// Calls that may have occupied slots have ended.
     Hold { index: Index, slots: u32, serial: u64 },
     /// An ejected executor is to be probed.
@@ -95,6 +97,7 @@
                 }
                 self.overdue(now, id, out);
             }
+            Timer::Hedge(id) => self.hedge(now, id, out),
             Timer::Hold { index, slots, .. } => self.end_hold(now, index, slots, out),
             Timer::Probe(index) => self.probe(now, index, out),
             Timer::HandOver(index) => self.hand_over(index, out),
