--- a/crates/calls/src/peers.rs
+++ b/crates/calls/src/peers.rs
@@ -97,6 +97,11 @@
         None
     }
 
+    /// Reports whether any peer has slots that take calls, free or not.
+    pub(crate) fn any_usable(&self, service: &ServiceName) -> bool {
+        self.peers.values().filter_map(|peer| peer.load(service)).any(|load| load.usable > 0)
+    }
+
     /// Returns the peer with the shortest queue for its slots, and the calls per slot there.
     pub(crate) fn shortest(&self, service: &ServiceName) -> Option<(&InstanceName, f64)> {
         let per_slot = |peer: &Peer| {
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -49,8 +49,7 @@
     ) {
         let may_run_until = match answer {
             Answer::Unknown => Some(self.longest_end(now, service.as_ref())),
-            Answer::Expired => Some(now + self.settings.flight),
-            Answer::Whole { .. } | Answer::Refused | Answer::NotSent => None,
+            Answer::Whole { .. } | Answer::Refused | Answer::NotSent | Answer::Expired => None,
         };
         self.fleet.change(index, |executor| {
             executor.in_flight = executor.in_flight.saturating_sub(1);
@@ -120,11 +119,11 @@
             }
             PeerAnswer::NotRun(reason) => {
                 self.peers.full(&peer, &service);
-                self.not_run(now, id, reason, out);
+                self.not_run_by_peer(now, id, reason, out);
             }
             PeerAnswer::NotSent => {
                 self.peers.full(&peer, &service);
-                self.not_run(now, id, Reason::NotSent, out);
+                self.not_run_by_peer(now, id, Reason::NotSent, out);
             }
             PeerAnswer::Unknown => self.lost(now, id, Reason::PeerUnknown, out),
         }
@@ -149,6 +148,19 @@
         self.refuse(now, id, reason, out);
     }
 
+    /// Goes on with a call that a peer did not run, which cost no executor anything.
+    fn not_run_by_peer(&mut self, now: Time, id: CallId, reason: Reason, out: &mut Vec<Command>) {
+        let Some(entry) = self.calls.get(&id) else { return };
+        let elsewhere = matches!(reason, Reason::NoExecutor | Reason::NotSent);
+        let key_owner_said_so = entry.needs_key() && !entry.keyed;
+        let waits = entry.open == 0 && entry.state != State::Told;
+        let again = entry.attempts < self.settings.max_attempts;
+        if elsewhere && !key_owner_said_so && waits && again {
+            return self.place(now, id, Why::Retry, out);
+        }
+        self.not_run(now, id, reason, out);
+    }
+
     /// Goes on with a call after an attempt that may have run.
     fn lost(&mut self, now: Time, id: CallId, reason: Reason, out: &mut Vec<Command>) {
         let Some(entry) = self.calls.get_mut(&id) else { return };
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -79,7 +79,7 @@
         let Some(entry) = self.calls.get(&id) else { return };
         let (service, team) = (entry.call.service.clone(), entry.call.team.clone());
         let (urgency, deadline) = (entry.call.urgency, entry.call.deadline);
-        if self.fleet.total(&service).owned == 0 && self.peers.len() == 0 {
+        if self.is_stuck(&service, entry.call.hops) {
             return self.refuse(now, id, Reason::NoExecutor, out);
         }
         let profile = self.profile(&service, &team);
@@ -96,6 +96,14 @@
         out.push(Command::Decision(Decision { call: id, choice: Choice::Wait, why: Why::Busy }));
     }
 
+    /// Reports whether a call that waits here would wait for nothing.
+    fn is_stuck(&self, service: &ServiceName, hops: u8) -> bool {
+        let total = self.fleet.total(service);
+        let elsewhere = self.peers.any_usable(service);
+        let forwarded = hops > 0;
+        total.owned == total.ejected && (forwarded || !elsewhere)
+    }
+
     /// Sends waiting calls while slots are free.
     pub(crate) fn pump(&mut self, now: Time, service: &ServiceName, out: &mut Vec<Command>) {
         while self.fleet.choose(service).is_some() {
@@ -131,6 +139,7 @@
         let service = entry.call.service.clone();
         let declared = self.config.services.get(&service);
         let longest_run = declared.map(|service| service.longest_run).unwrap_or_default();
+        let longest_run = longest_run + self.settings.flight;
         let flight = Flight { target: Target::Executor(index), sent: now };
         self.flights.insert((id, attempt), flight);
         self.fleet.change(index, |executor| executor.in_flight += 1);
--- a/crates/calls/src/router/command.rs
+++ b/crates/calls/src/router/command.rs
@@ -159,7 +159,8 @@
             executor: ExecutorName,
             /// Instant by which the caller wants the answer.
             deadline: Time,
-            /// Time after the write at which an answer that has not come is `Expired`.
+            /// Longest run with the time on the way: an answer that has not come this long
+            /// after the write is reported as `Expired`.
             longest_run: Span,
         },
         /// Forward the call to the peer and report [`super::Event::PeerAnswered`] once.
@@ -170,7 +171,7 @@
             attempt: Attempt,
             /// Peer to forward to.
             peer: InstanceName,
-            /// Instant by which the caller wants the answer.
+            /// Instant by which the peer has to answer, before the caller's deadline.
             deadline: Time,
             /// Hops to carry along.
             hops: u8,
--- a/crates/calls/src/router/event.rs
+++ b/crates/calls/src/router/event.rs
@@ -76,7 +76,7 @@
         NotSent,
         /// The connection is closed without a whole answer; the request may be running.
         Unknown,
-        /// The longest run has passed since the request was written, without an answer.
+        /// No answer came within the time given with the send, which no run outlasts.
         Expired,
     }
 }
--- a/crates/calls/src/router/forward.rs
+++ b/crates/calls/src/router/forward.rs
@@ -73,6 +73,8 @@
         entry.state = State::Sent;
         let attempt = Attempt(entry.attempts);
         let deadline = entry.call.deadline;
+        // The peer's answer has to be here in time, so it gets less.
+        let deadline_there = deadline - self.settings.far.times(2);
         let hops = entry.call.hops + 1;
         let claimed = entry.call.claimed || entry.keyed;
         let service = entry.call.service.clone();
@@ -81,7 +83,14 @@
         self.peers.forwarded(&peer, &service);
         self.set_timer(id, deadline, Timer::Deadline(id));
         let choice = Choice::Forward(peer.clone());
-        out.push(Command::Forward { call: id, attempt, peer, deadline, hops, claimed });
+        out.push(Command::Forward {
+            call: id,
+            attempt,
+            peer,
+            deadline: deadline_there,
+            hops,
+            claimed,
+        });
         out.push(Command::Decision(Decision { call: id, choice, why }));
     }
 
--- a/crates/calls/tests/world/commands.rs
+++ b/crates/calls/tests/world/commands.rs
@@ -6,18 +6,11 @@
     pub(crate) fn carry_out(&mut self, node: usize, command: Command) {
         let incarnation = self.nodes[node].incarnation;
         match command {
-            Command::Send { call, attempt, executor, .. } => {
+            Command::Send { call, attempt, executor, longest_run, .. } => {
                 let global = self.nodes[node].origins[&call].global();
                 let executor = executor_number(&executor);
-                let request = Request {
-                    node,
-                    incarnation,
-                    call,
-                    attempt,
-                    global,
-                    executor,
-                    duplicate: false,
-                };
+                let request =
+                    Request { node, incarnation, call, attempt, global, executor, longest_run };
                 self.schedule(Span::ZERO, Item::Write(request));
             }
             Command::Forward { call, attempt, peer, deadline, hops, claimed } => {
@@ -76,6 +69,7 @@
             let event = Event::PeerAnswered { call, attempt, answer };
             return self.schedule(Span::ZERO, Item::Deliver(node, incarnation, event));
         }
+        self.tell_load(node, to);
         let origin = Origin::Peer { node, incarnation, call, attempt, global };
         let issued = self.issued[&global].clone();
         let id = self.enter(to, origin);
@@ -85,6 +79,17 @@
         self.schedule(after, Item::Deliver(to, to_incarnation, event));
     }
 
+    /// Sends the load of a node along with a call or an answer.
+    fn tell_load(&mut self, node: usize, to: usize) {
+        let Some(router) = &self.nodes[node].router else { return };
+        let service = name("quote");
+        let load = router.load(&service);
+        let event = Event::PeerLoad { name: instance_name(node), service, load };
+        let incarnation = self.nodes[to].incarnation;
+        let after = self.hop();
+        self.schedule(after, Item::Deliver(to, incarnation, event));
+    }
+
     pub(crate) fn enter(&mut self, node: usize, origin: Origin) -> CallId {
         let target = &mut self.nodes[node];
         target.next_call += 1;
@@ -153,6 +158,7 @@
 
     pub(crate) fn reply(&mut self, node: usize, call: CallId, outcome: Outcome) {
         self.note_superseded(node, call);
+        let from = node;
         match self.nodes[node].origins[&call].clone() {
             Origin::Caller(global) => self.tell(global, outcome),
             Origin::Peer { node, incarnation, call, attempt, .. } => {
@@ -162,6 +168,7 @@
                     Outcome::NotRun(reason) => PeerAnswer::NotRun(reason),
                     Outcome::Unknown(_) => PeerAnswer::Unknown,
                 };
+                self.tell_load(from, node);
                 let event = Event::PeerAnswered { call, attempt, answer };
                 let after = self.hop();
                 self.schedule(after, Item::Deliver(node, incarnation, event));
--- a/crates/calls/tests/world/executors.rs
+++ b/crates/calls/tests/world/executors.rs
@@ -73,7 +73,7 @@
         }
         let after = self.hop();
         self.sent_while.entry(request.executor).or_default().push(self.now);
-        self.schedule(LONGEST_RUN, Item::Expire(request.clone()));
+        self.schedule(request.longest_run, Item::Expire(request.clone()));
         self.schedule(after, Item::Begin(request));
     }
 
--- a/crates/calls/tests/world/faults.rs
+++ b/crates/calls/tests/world/faults.rs
@@ -115,6 +115,13 @@
         }
     }
 
+    /// Tells a node that nobody owns any shard of the keys.
+    pub(crate) fn lose_key_owner(&mut self, node: usize) {
+        for shard in 0..SHARDS {
+            self.event(node, Event::KeysMoved { shard: Shard(shard), owner: None });
+        }
+    }
+
     /// Ends all faults and lets everything come to an end; checks what must hold then.
     pub(crate) fn settle(&mut self) {
         self.faults = Faults::default();
--- a/crates/calls/tests/world/mod.rs
+++ b/crates/calls/tests/world/mod.rs
@@ -106,7 +106,7 @@
     attempt: Attempt,
     global: u64,
     executor: usize,
-    duplicate: bool,
+    longest_run: Span,
 }
 
 #[derive(Clone, Debug)]
