--- a/crates/calls/benches/calls/scenario.rs
+++ b/crates/calls/benches/calls/scenario.rs
@@ -11,6 +11,8 @@
     None,
     /// One team offers ten times the capacity at this urgency for some seconds.
     Flood(Urgency),
+    /// As a flood, by the team that has the most ordinary work as well.
+    OwnFlood(Urgency),
     /// One executor takes ten times as long for each call.
     SlowExecutor,
     /// The executors and the entry instances of one failure domain are lost.
@@ -56,6 +58,14 @@
                 measured_ms: 5_000.0,
                 ..Self::new("flood-urgent", 0.7, Fault::Flood(Urgency::Urgent))
             },
+            Self {
+                measured_ms: 5_000.0,
+                ..Self::new("flood-own-low", 0.7, Fault::OwnFlood(Urgency::Low))
+            },
+            Self {
+                measured_ms: 5_000.0,
+                ..Self::new("flood-own-urgent", 0.7, Fault::OwnFlood(Urgency::Urgent))
+            },
             Self::new("slow-executor", 0.7, Fault::SlowExecutor),
             Self::new("domain-lost", 0.55, Fault::DomainLost),
             Self { measured_ms: 30_000.0, ..Self::new("replaced", 0.7, Fault::Replaced) },
@@ -69,10 +79,11 @@
         let sharing = matches!(policy, Policy::Borrow | Policy::Blocks);
         let calm = matches!(self.fault, Fault::None | Fault::Flood(_));
         let keys = matches!(self.fault, Fault::StoreDown | Fault::Keys);
+        let own_flood = matches!(self.fault, Fault::OwnFlood(_));
         match policy {
             Policy::Owned => true,
             Policy::Hedged => matches!(self.fault, Fault::None | Fault::SlowExecutor),
-            _ if keys => false,
+            _ if keys || own_flood => false,
             _ => calm || !sharing,
         }
     }
--- a/crates/calls/benches/calls/sim.rs
+++ b/crates/calls/benches/calls/sim.rs
@@ -264,10 +264,17 @@
             self.after(gap_ms, Item::Arrival { flood });
         }
         let urgency = match self.scenario.fault {
-            Fault::Flood(urgency) if flood => urgency,
+            Fault::Flood(urgency) | Fault::OwnFlood(urgency) if flood => urgency,
             _ => Urgency::ALL[draw(&mut self.work, &URGENCY_PARTS)],
         };
-        let team = if flood { FLOOD_TEAM } else { draw(&mut self.work, &TEAM_PARTS) };
+        let team = match self.scenario.fault {
+            Fault::OwnFlood(_) if flood => 0,
+            _ if flood => FLOOD_TEAM,
+            _ => draw(&mut self.work, &TEAM_PARTS),
+        };
+        // Ordinary calls of the flow that floods cannot be told from the flood.
+        let of_flow = self.scenario.fault == Fault::OwnFlood(urgency) && team == 0;
+        let flood = flood || of_flow;
         let keyed = self.work.f64() < self.scenario.keyed;
         let measured = self.is_measured();
         self.tally.offer(urgency, flood, measured);
@@ -358,7 +365,9 @@
         self.net.after(0.0, Item::Arrival { flood: false });
         let start_ms = self.net.scenario.warm_up_ms;
         match self.net.scenario.fault {
-            Fault::Flood(_) => self.net.after(start_ms, Item::Arrival { flood: true }),
+            Fault::Flood(_) | Fault::OwnFlood(_) => {
+                self.net.after(start_ms, Item::Arrival { flood: true });
+            }
             Fault::SlowExecutor => self.net.executors[7].slow = true,
             Fault::DomainLost | Fault::Replaced => {
                 self.net.after(start_ms + 1_000.0, Item::Fault { step: 0 });
