--- a/crates/calls/benches/calls/sim.rs
+++ b/crates/calls/benches/calls/sim.rs
@@ -32,11 +32,15 @@
 pub(crate) const FLOOD_TEAM: usize = 4;
 const FLOOD_FACTOR: f64 = 10.0;
 const SLOW_FACTOR: f64 = 10.0;
+/// Part of the calls that may be hedged where hedging is measured.
+const HEDGE_BUDGET: f64 = 0.05;
 
 /// Way to share slots and to choose among them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Policy {
     Owned,
+    /// As owned, with second attempts beside late ones.
+    Hedged,
     Random,
     RoundRobin,
     Least,
@@ -45,12 +49,20 @@
 }
 
 impl Policy {
-    pub(crate) const ALL: [Self; 6] =
-        [Self::Owned, Self::Random, Self::RoundRobin, Self::Least, Self::Borrow, Self::Blocks];
+    pub(crate) const ALL: [Self; 7] = [
+        Self::Owned,
+        Self::Hedged,
+        Self::Random,
+        Self::RoundRobin,
+        Self::Least,
+        Self::Borrow,
+        Self::Blocks,
+    ];
 
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Owned => "owned",
+            Self::Hedged => "owned-hedged",
             Self::Random => "shares-random",
             Self::RoundRobin => "shares-round-robin",
             Self::Least => "shares-least-outstanding",
@@ -163,7 +175,12 @@
         let site = &mut self.executors[executor];
         site.running += 1;
         let over = site.running > SLOTS;
-        let run_ms = self.calls[call as usize].run_ms * if site.slow { SLOW_FACTOR } else { 1.0 };
+        // A further attempt draws anew, so that hedging is judged at its best.
+        let run_ms = match self.calls[call as usize].runs {
+            0 => self.calls[call as usize].run_ms,
+            _ => run_ms(&mut self.rng),
+        };
+        let run_ms = run_ms * if site.slow { SLOW_FACTOR } else { 1.0 };
         self.tally.overcommits += u64::from(over);
         let entry = &mut self.calls[call as usize];
         entry.runs += 1;
@@ -247,10 +264,17 @@
             self.after(gap_ms, Item::Arrival { flood });
         }
         let urgency = match self.scenario.fault {
-            Fault::Flood(urgency) if flood => urgency,
+            Fault::Flood(urgency) | Fault::OwnFlood(urgency) if flood => urgency,
             _ => Urgency::ALL[draw(&mut self.work, &URGENCY_PARTS)],
         };
-        let team = if flood { FLOOD_TEAM } else { draw(&mut self.work, &TEAM_PARTS) };
+        let team = match self.scenario.fault {
+            Fault::OwnFlood(_) if flood => 0,
+            _ if flood => FLOOD_TEAM,
+            _ => draw(&mut self.work, &TEAM_PARTS),
+        };
+        // Ordinary calls of the flow that floods cannot be told from the flood.
+        let of_flow = self.scenario.fault == Fault::OwnFlood(urgency) && team == 0;
+        let flood = flood || of_flow;
         let keyed = self.work.f64() < self.scenario.keyed;
         let measured = self.is_measured();
         self.tally.offer(urgency, flood, measured);
@@ -326,7 +350,8 @@
             busy: 0,
         };
         let nodes = match policy {
-            Policy::Owned => Nodes::Owned(Box::new(Owned::new(&mut net))),
+            Policy::Owned => Nodes::Owned(Box::new(Owned::new(&mut net, 0.0))),
+            Policy::Hedged => Nodes::Owned(Box::new(Owned::new(&mut net, HEDGE_BUDGET))),
             Policy::Random => Nodes::Shares(Shares::new(Pick::Random)),
             Policy::RoundRobin => Nodes::Shares(Shares::new(Pick::RoundRobin)),
             Policy::Least => Nodes::Shares(Shares::new(Pick::Least)),
@@ -340,7 +365,9 @@
         self.net.after(0.0, Item::Arrival { flood: false });
         let start_ms = self.net.scenario.warm_up_ms;
         match self.net.scenario.fault {
-            Fault::Flood(_) => self.net.after(start_ms, Item::Arrival { flood: true }),
+            Fault::Flood(_) | Fault::OwnFlood(_) => {
+                self.net.after(start_ms, Item::Arrival { flood: true });
+            }
             Fault::SlowExecutor => self.net.executors[7].slow = true,
             Fault::DomainLost | Fault::Replaced => {
                 self.net.after(start_ms + 1_000.0, Item::Fault { step: 0 });
