daemon: give up drained executors once, load command for running instances

Cause: a draining router hands executors over by itself before their shard is asked for; the shard then waited for executors that would not be drained again, so a graceful shutdown ran into its 30 s limit. Change: only executors that are still held are waited for; `load` sends the demo's steady load to running instances.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -4,7 +4,7 @@
 
 use argh::{EarlyExit, FromArgs};
 
-use crate::commands::{apply, cancel, check, demo, drain, jobs, penalties, status, submit};
+use crate::commands::{apply, cancel, check, demo, drain, jobs, load, penalties, status, submit};
 use crate::failure::WRONG_USE;
 use crate::output::Format;
 
@@ -41,6 +41,7 @@
     Cancel(cancel::Args),
     Drain(drain::Args),
     Penalties(penalties::Args),
+    Load(load::Args),
     Demo(demo::Args),
 }
 
@@ -56,6 +57,7 @@
             Command::Cancel(args) => args.format,
             Command::Drain(args) => args.format,
             Command::Penalties(args) => args.format.failures(),
+            Command::Load(args) => args.format,
             Command::Demo(args) => args.format,
         }
     }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod demo;
 pub(crate) mod drain;
 pub(crate) mod jobs;
+pub(crate) mod load;
 pub(crate) mod penalties;
 pub(crate) mod status;
 pub(crate) mod submit;
@@ -25,6 +26,7 @@
         Command::Cancel(args) => cancel::run(args),
         Command::Drain(args) => drain::run(args),
         Command::Penalties(args) => penalties::run(args),
+        Command::Load(args) => load::run(args),
         Command::Demo(args) => Ok(crate::demo::run(args)?),
     }
 }
--- a/crates/cli/src/demo/faults.rs
+++ b/crates/cli/src/demo/faults.rs
@@ -7,9 +7,8 @@
 use sycamorerill_fakes::faults::{Fault, Select, Service, Work};
 
 use super::Error;
-use super::callers::{FLOOD_BEGINS, FLOOD_ENDS};
 use super::fleet::Fleet;
-use super::plan::Plan;
+use super::plan::{FLOOD_BEGINS, FLOOD_ENDS, Plan};
 use super::progress::Progress;
 
 /// Instance that is stopped abruptly.
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -4,15 +4,12 @@
 //! run on loopback while faults come and go. What happened is counted at the
 //! stand-ins and at the callers, and compared with what the entry instances say.
 
-mod callers;
 mod faults;
 mod fleet;
 mod jobs;
-mod outcome;
 mod plan;
 mod progress;
 mod report;
-mod tally;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,7 +17,6 @@
 use miette::Diagnostic;
 use sycamorerill_fakes::Platform;
 
-use self::callers::Callers;
 use self::faults::Timeline;
 use self::fleet::Fleet;
 use self::jobs::Jobs;
@@ -29,6 +25,7 @@
 use self::report::Report;
 use crate::commands::demo::Args;
 use crate::failure::Failure;
+use crate::load::Callers;
 use crate::output::{self, Format};
 
 /// Longest wait for the accepted jobs after the load has ended.
@@ -89,7 +86,7 @@
     fleet.configure(&plan)?;
     progress.say("carrying calls and jobs");
     let begun = Instant::now();
-    let callers = Callers::start(&plan, &fleet, begun)?;
+    let callers = Callers::start(plan.load(fleet.callers()), begun)?;
     let jobs = Jobs::start(&plan, &fleet, begun)?;
     Timeline::new(&plan).play(&platform, &fleet, begun, &progress)?;
     let calls = callers.finish();
--- a/crates/cli/src/demo/plan.rs
+++ b/crates/cli/src/demo/plan.rs
@@ -1,19 +1,21 @@
 //! What the demonstration plays, from its arguments.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use sycamorerill_core::clock::Span;
 use sycamorerill_fakes::{Deployment as Sizes, ServiceTime, Settings};
 
 use crate::commands::demo::{Args, Deployment};
+use crate::load;
 
 /// How many times faster than declared tasks run.
 const SPEED_UP: f64 = 30.0;
-/// Calls a second before and beside the flood.
-const CALLS_A_SECOND: u32 = 400;
-/// Callers of the steady load.
-const STEADY_CALLERS: u32 = 160;
+/// Part of the run at which the flood begins.
+pub(super) const FLOOD_BEGINS: f64 = 0.65;
+/// Part of the run at which the flood ends.
+pub(super) const FLOOD_ENDS: f64 = 0.78;
 /// Callers of the flood; each sends its next call when the last has ended.
 const FLOOD_CALLERS: u32 = 900;
 /// Jobs submitted over the run.
@@ -77,12 +79,6 @@
     pub(super) work: &'static [Work],
     /// Number of jobs.
     pub(super) jobs: u32,
-    /// Calls a second of the steady load.
-    pub(super) rate: u32,
-    /// Callers of the steady load.
-    pub(super) steady: u32,
-    /// Callers of the flood.
-    pub(super) flood: u32,
     sizes: Sizes,
     files: Files,
 }
@@ -106,9 +102,6 @@
             within,
             work,
             jobs: JOBS,
-            rate: CALLS_A_SECOND,
-            steady: STEADY_CALLERS,
-            flood: FLOOD_CALLERS,
             sizes,
             files,
         }
@@ -134,6 +127,21 @@
         }
     }
 
+    /// Returns what the callers do at entry instances with these callers' addresses.
+    pub(super) fn load(&self, instances: Vec<SocketAddr>) -> load::Settings {
+        load::Settings {
+            instances,
+            service: self.service.to_owned(),
+            within: self.within,
+            seed: self.seed,
+            length: self.length,
+            flood: FLOOD_CALLERS,
+            flood_begins: self.at(FLOOD_BEGINS),
+            flood_ends: self.at(FLOOD_ENDS),
+            ..load::Settings::default()
+        }
+    }
+
     /// Returns an instant of the run as a part of its length.
     pub(super) fn at(&self, part: f64) -> Duration {
         self.length.mul_f64(part)
--- a/crates/cli/src/demo/report.rs
+++ b/crates/cli/src/demo/report.rs
@@ -4,9 +4,9 @@
 use sycamorerill_fakes::{Platform, Ran};
 
 use super::jobs::{Submitted, finished};
-use super::tally::Calls;
 use crate::commands::demo::Args;
 use crate::failure::Failure;
+use crate::load::Calls;
 use crate::output::{self, Table};
 
 /// Tasks as counted by the submitter and at the workers.
--- a/crates/cli/src/failure/mod.rs
+++ b/crates/cli/src/failure/mod.rs
@@ -44,6 +44,13 @@
     #[error("the period is empty, --from must be earlier than --to")]
     #[diagnostic(code(empty_period))]
     Period,
+    /// No entry instance is named whose callers' address is to be loaded.
+    #[error("no address to send calls to is named")]
+    #[diagnostic(
+        code(no_caller),
+        help("give --caller IP:PORT, the address for callers of an entry instance")
+    )]
+    Callers,
     /// A request failed.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -108,7 +115,7 @@
             Self::Report(_) => REFUSED,
             Self::Folder(sycamorerill_config::Error::Unreadable { .. }) => WRONG_USE,
             Self::Folder(_) => REFUSED,
-            Self::Settings(_) | Self::Period => WRONG_USE,
+            Self::Settings(_) | Self::Callers | Self::Period => WRONG_USE,
             Self::Request(error) => request_code(error),
             Self::Conflict { .. } => CONFLICT,
             Self::NotInForce { .. } => UNKNOWN,
--- a/crates/cli/src/demo/callers.rs
+++ b/crates/cli/src/load/callers.rs
@@ -1,6 +1,5 @@
 //! Callers: a steady load, and a flood for a part of the run.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
@@ -8,10 +7,8 @@
 
 use fastrand::Rng;
 
-use super::Error;
-use super::fleet::Fleet;
+use super::Settings;
 use super::outcome::{Ended, Outcome, Sending, Told};
-use super::plan::Plan;
 use super::tally::{Calls, Tally};
 
 /// Longest wait for the answer to one sending.
@@ -26,22 +23,15 @@
 const FLOOD_PAUSE: Duration = Duration::from_millis(60);
 /// Stack of a caller's thread in bytes.
 const STACK: usize = 256 * 1024;
-/// Part of the run at which the flood begins.
-pub(super) const FLOOD_BEGINS: f64 = 0.65;
-/// Part of the run at which the flood ends.
-pub(super) const FLOOD_ENDS: f64 = 0.78;
-/// Part of the steady calls that are reads, in hundredths.
-const READS: u32 = 60;
 
 /// All callers.
-pub(super) struct Callers {
+pub(crate) struct Callers {
     threads: Vec<JoinHandle<Tally>>,
 }
 
 /// One caller.
 struct Caller {
-    plan: Arc<Plan>,
-    instances: Vec<SocketAddr>,
+    settings: Arc<Settings>,
     agent: ureq::Agent,
     rng: Rng,
     next: Arc<AtomicU64>,
@@ -58,16 +48,17 @@
 
 impl Callers {
     /// Starts all callers.
-    pub(super) fn start(
-        plan: &Arc<Plan>,
-        fleet: &Arc<Fleet>,
-        begun: Instant,
-    ) -> Result<Self, Error> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a thread cannot be started.
+    pub(crate) fn start(settings: Settings, begun: Instant) -> std::io::Result<Self> {
+        let settings = Arc::new(settings);
         let next = Arc::new(AtomicU64::new(0));
         let mut threads = Vec::new();
-        for index in 0..plan.steady + plan.flood {
-            let is_flood = index >= plan.steady;
-            let caller = Caller::new(plan, fleet, u64::from(index), &next);
+        for index in 0..settings.steady + settings.flood {
+            let is_flood = index >= settings.steady;
+            let caller = Caller::new(&settings, u64::from(index), &next);
             let builder = thread::Builder::new().name("caller".to_owned()).stack_size(STACK);
             let thread = builder
                 .spawn(move || if is_flood { caller.flood(begun) } else { caller.steady(begun) })?;
@@ -77,7 +68,7 @@
     }
 
     /// Waits for the callers' last calls and returns what they counted.
-    pub(super) fn finish(self) -> Calls {
+    pub(crate) fn finish(self) -> Calls {
         let mut all = Tally::default();
         for thread in self.threads {
             match thread.join() {
@@ -90,7 +81,7 @@
 }
 
 impl Caller {
-    fn new(plan: &Arc<Plan>, fleet: &Fleet, index: u64, next: &Arc<AtomicU64>) -> Self {
+    fn new(settings: &Arc<Settings>, index: u64, next: &Arc<AtomicU64>) -> Self {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(ANSWER_TIME))
@@ -98,10 +89,9 @@
             .max_idle_connections_per_host(1)
             .build();
         Self {
-            plan: Arc::clone(plan),
-            instances: fleet.callers(),
+            settings: Arc::clone(settings),
             agent: config.into(),
-            rng: Rng::with_seed(plan.seed.wrapping_mul(1_000_003).wrapping_add(index)),
+            rng: Rng::with_seed(settings.seed.wrapping_mul(1_000_003).wrapping_add(index)),
             next: Arc::clone(next),
             tally: Tally::default(),
         }
@@ -109,30 +99,30 @@
 
     /// Sends the calls of the steady load, each at its instant.
     fn steady(mut self, begun: Instant) -> Tally {
-        let interval = Duration::from_secs(1) / self.plan.rate;
+        let interval = Duration::from_secs(1) / self.settings.rate;
         loop {
             let number = self.next.fetch_add(1, Ordering::Relaxed);
             let number = u32::try_from(number).unwrap_or(u32::MAX);
             let at = interval.saturating_mul(number);
-            if at >= self.plan.length {
+            if at >= self.settings.length {
                 return self.tally;
             }
             thread::sleep((begun + at).saturating_duration_since(Instant::now()));
-            let reads = self.rng.u32(..100) < READS;
-            let id = format!("s{}-{number}", self.plan.seed);
+            let reads = self.rng.u32(..100) < self.settings.reads;
+            let id = format!("s{}-{number}", self.settings.seed);
             self.make(Call { id, reads, urgency: "high" });
         }
     }
 
     /// Sends calls of low urgency one after the other while the flood lasts.
     fn flood(mut self, begun: Instant) -> Tally {
-        let begins = begun + self.plan.at(FLOOD_BEGINS);
-        let ends = begun + self.plan.at(FLOOD_ENDS);
+        let begins = begun + self.settings.flood_begins;
+        let ends = begun + self.settings.flood_ends;
         thread::sleep(begins.saturating_duration_since(Instant::now()));
         let caller = self.rng.u64(..);
         let mut number = 0_u64;
         while Instant::now() < ends {
-            let id = format!("f{}-{caller:x}-{number}", self.plan.seed);
+            let id = format!("f{}-{caller:x}-{number}", self.settings.seed);
             number += 1;
             self.make(Call { id, reads: true, urgency: "low" });
             thread::sleep(FLOOD_PAUSE);
@@ -156,13 +146,14 @@
         }
         let ended = Ended { told, took: first.elapsed() };
         let flood = call.urgency == "low";
-        self.tally.note(&self.plan, &call.id, flood, ended);
+        self.tally.note(self.settings.within, &call.id, flood, ended);
     }
 
     fn send(&mut self, call: &Call, first: Instant) -> Sending {
-        let instance = self.instances[self.rng.usize(..self.instances.len())];
+        let instances = &self.settings.instances;
+        let instance = instances[self.rng.usize(..instances.len())];
         let elapsed = first.elapsed().as_secs_f64() * 1_000.0;
-        let service = self.plan.service;
+        let service = &self.settings.service;
         let url = format!("http://{instance}/call/{service}/{}", call.id);
         let sent = if call.reads {
             let request = self.agent.get(&url);
--- a/crates/cli/src/demo/tally.rs
+++ b/crates/cli/src/load/tally.rs
@@ -6,9 +6,9 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use sycamorerill_core::api::Failure;
+use sycamorerill_core::clock::Span;
 
 use super::outcome::{Ended, Outcome};
-use super::plan::Plan;
 
 /// Longest latency that is told apart, in microseconds.
 const LONGEST_US: u64 = 60_000_000;
@@ -94,7 +94,7 @@
 
 impl Tally {
     /// Counts a call that has ended.
-    pub(super) fn note(&mut self, plan: &Plan, id: &str, flood: bool, ended: Ended) {
+    pub(super) fn note(&mut self, within: Span, id: &str, flood: bool, ended: Ended) {
         self.sent += 1;
         self.steady_sent += u64::from(!flood);
         let Some(told) = ended.told else {
@@ -121,7 +121,7 @@
         }
         let stated = told.stated_ms.unwrap_or(f64::MAX);
         let took = ended.took.as_secs_f64() * 1_000.0;
-        let late = stated > plan.within.as_ms_f64();
+        let late = stated > within.as_ms_f64();
         self.missed += u64::from(late || told.outcome != Outcome::Answered);
         self.overstated += u64::from(stated > took);
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod demo;
 mod failure;
+mod load;
 mod output;
 mod word;
 
--- a/crates/daemon/src/hub/calls/slots.rs
+++ b/crates/daemon/src/hub/calls/slots.rs
@@ -134,9 +134,11 @@
             call!([self.parts.control], released(shard, Bytes::new()));
             return;
         };
-        let told = held.told.clone();
-        held.releasing = Some(told.clone());
-        for executor in told {
+        // A draining router gives executors up by itself, some before the shard is.
+        let drained = held.leaving.keys().cloned().collect();
+        let left: BTreeSet<ExecutorName> = held.told.difference(&drained).cloned().collect();
+        held.releasing = Some(left.clone());
+        for executor in left {
             self.drive(cx, Event::Released { executor });
         }
         if let Some(carry) = self.slots.finish(shard) {
