--- a/crates/fakes/src/server/listener.rs
+++ b/crates/fakes/src/server/listener.rs
@@ -15,10 +15,16 @@
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::{Domain, Protocol, Socket, Type};
 
 use super::connection::{Connection, Incoming};
 use super::reply::Reply;
 
+/// Connections that wait to be accepted.
+///
+/// The 128 of the standard library overflow when several hundred clients connect
+/// at once; some then wait a second for the next try, and some are reset.
+const BACKLOG: i32 = 4_096;
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -42,7 +48,11 @@
 impl Server {
     /// Binds the address, which a handler may need before requests come.
     pub(crate) fn bind(listen: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
-        let listener = TcpListener::bind(listen)?;
+        let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&listen.into())?;
+        socket.listen(BACKLOG)?;
+        let listener = TcpListener::from(socket);
         let address = listener.local_addr()?;
         Ok((listener, address))
     }
--- a/crates/fakes/tests/executors.rs
+++ b/crates/fakes/tests/executors.rs
@@ -7,7 +7,7 @@
 use std::thread;
 
 use bytes::Bytes;
-use common::{executor, platform, quick, wait_until};
+use common::{PATIENCE, executor, platform, quick, wait_until};
 use sycamorerill_core::clock::Span;
 use sycamorerill_fakes::faults::{Execute, Select};
 use sycamorerill_fakes::{Fault, Ran};
@@ -24,7 +24,7 @@
         body: Bytes::from(format!("body of {identity}")),
         content_type: Some("text/plain".to_owned()),
         identity: identity.to_owned(),
-        budget: Span::from_secs(10),
+        budget: PATIENCE,
         ..Call::default()
     }
 }
@@ -165,3 +165,18 @@
     assert_eq!((counts.ran_twice, counts.keys_ran_twice), (1, 2));
     assert_eq!(platform.runs(&Ran::Key("booking-7".to_owned())), 3);
 }
+
+#[test]
+fn six_hundred_calls_at_once_are_all_answered() {
+    let platform = platform(quick());
+    let whole = thread::scope(|scope| {
+        let begin = |index| {
+            let client = executor(&platform, &format!("x-vejle-a-{:02}", index % 16 + 1));
+            scope.spawn(move || client.call(&call(&format!("burst-{index}"), 100)))
+        };
+        let callers: Vec<_> = (0..600).map(begin).collect();
+        let answers = callers.into_iter().map(|caller| caller.join().unwrap());
+        answers.filter(|answer| matches!(answer, Answer::Whole { status: 200, .. })).count()
+    });
+    assert_eq!(whole, 600);
+}
