--- a/crates/control/tests/scenarios.rs
+++ b/crates/control/tests/scenarios.rs
@@ -284,7 +284,10 @@
 
     fn keys(&self, args: &Args<'_>) -> String {
         let prefix = args.text("prefix").unwrap_or_default();
-        self.cluster.store.keys(&prefix).join("\n") + "\n"
+        match self.cluster.store.keys(&prefix) {
+            keys if keys.is_empty() => "none\n".into(),
+            keys => keys.join("\n") + "\n",
+        }
     }
 
     /// Reports whether every shard is at work once, holds what lasts, and nothing is wrong.
