control: choose owners anew only for changed members

With 900 instances and 1,024 shards a full choice is about a million hashes. Only shards whose owner left are chosen anew among all; others are compared with the instances that came.

--- a/crates/control/src/membership/machine.rs
+++ b/crates/control/src/membership/machine.rs
@@ -39,6 +39,8 @@
     pub(super) watch: BTreeMap<InstanceName, Time>,
     pub(super) ticked: Time,
     pub(super) next_beat: Time,
+    /// Grows with each change of a standing.
+    pub(super) revision: u64,
     news: BTreeMap<InstanceName, (News, u32)>,
 }
 
@@ -53,6 +55,7 @@
             watch: BTreeMap::new(),
             ticked: Time::ZERO,
             next_beat: Time::ZERO,
+            revision: 0,
             news: BTreeMap::new(),
         };
         peers.iter().for_each(|peer| machine.introduce(Time::ZERO, peer));
@@ -67,6 +70,11 @@
         &mut self.own
     }
 
+    /// Returns a number that grows with each change of a standing.
+    pub(crate) const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns the number of instances that run, this one included.
     pub(crate) fn size(&self) -> usize {
         let runs = |member: &&Member| !matches!(member.standing, Standing::Gone);
@@ -136,6 +144,7 @@
             member.incarnation = session.incarnation;
             member.evidence = None;
             member.standing = Standing::Joining;
+            self.revision += 1;
             member.heard = now;
             member.since = now;
         }
@@ -175,6 +184,7 @@
         if member.incarnation == news.incarnation && member.standing == Standing::Suspect {
             member.standing = news.standing;
             member.since = now;
+            self.revision += 1;
             out.decide(Decision::Standing {
                 instance: news.instance.clone(),
                 standing: news.standing,
@@ -196,6 +206,7 @@
         }
         member.evidence = Some(evidence);
         member.standing = Standing::Gone;
+        self.revision += 1;
         member.since = now;
         let news = member_news(&session.instance, member);
         self.spread(news);
@@ -284,6 +295,7 @@
         member.incarnation = news.incarnation;
         member.life = news.life;
         member.standing = news.standing;
+        self.revision += 1;
         member.domain = news.domain.clone();
         self.spread(news.clone());
     }
--- a/crates/control/src/membership/watch.rs
+++ b/crates/control/src/membership/watch.rs
@@ -76,6 +76,7 @@
             out.emit(Command::Probe { session });
             if member.standing != Standing::Suspect {
                 member.standing = Standing::Suspect;
+                self.revision += 1;
                 member.since = now;
                 silent.push(member_news(name, member));
             }
--- a/crates/control/src/ownership/choice.rs
+++ b/crates/control/src/ownership/choice.rs
@@ -1,6 +1,6 @@
 //! Which instance should own a shard: rendezvous hashing over the serving members.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sycamorerill_core::id::{DomainName, InstanceName};
 
@@ -19,9 +19,17 @@
 #[derive(Debug, Default)]
 pub(super) struct Choices {
     candidates: Candidates,
+    writers: Candidates,
     chosen: BTreeMap<Shard, InstanceName>,
 }
 
+/// Instances among which an owner is chosen, and how they have changed.
+struct Pool<'a> {
+    now: &'a Candidates,
+    added: Vec<&'a InstanceName>,
+    removed: BTreeSet<&'a InstanceName>,
+}
+
 impl Choices {
     /// Chooses anew where the candidates have changed.
     pub(super) fn update(&mut self, settings: &Settings, candidates: Candidates) {
@@ -29,9 +37,23 @@
             return;
         }
         let writers = writers(settings, &candidates);
-        let choose = |shard| Some((shard, choose(settings, shard, &candidates, &writers)?.clone()));
-        self.chosen = settings.shards().filter_map(choose).collect();
+        let all = Pool::new(&self.candidates, &candidates);
+        let few = Pool::new(&self.writers, &writers);
+        let mut chosen = BTreeMap::new();
+        for shard in settings.shards() {
+            let before = self.chosen.get(&shard);
+            let choice = match shard.kind {
+                Kind::Slots => all.choose(shard, before),
+                Kind::Keys => few.choose(shard, before),
+                Kind::Cell => cell(settings, shard, &candidates, &writers),
+            };
+            if let Some(choice) = choice {
+                chosen.insert(shard, choice.clone());
+            }
+        }
+        self.chosen = chosen;
         self.candidates = candidates;
+        self.writers = writers;
     }
 
     /// Returns the instance that should own a shard.
@@ -45,23 +67,38 @@
     }
 }
 
-/// Returns the instance that should own a shard.
-fn choose<'a>(
+impl<'a> Pool<'a> {
+    fn new(before: &'a Candidates, now: &'a Candidates) -> Self {
+        Self {
+            now,
+            added: now.keys().filter(|name| !before.contains_key(*name)).collect(),
+            removed: before.keys().filter(|name| !now.contains_key(*name)).collect(),
+        }
+    }
+
+    /// Chooses among all only where the instance chosen before has gone.
+    fn choose(&self, shard: Shard, before: Option<&'a InstanceName>) -> Option<&'a InstanceName> {
+        match before {
+            Some(before) if !self.removed.contains(before) => {
+                best(shard, self.added.iter().copied().chain([before]))
+            }
+            _ => best(shard, self.now.keys()),
+        }
+    }
+}
+
+/// Returns the owner of a cell, inside of its failure domain where there is one.
+///
+/// A domain that is cut off then goes on by itself.
+fn cell<'a>(
     settings: &Settings,
     shard: Shard,
     candidates: &'a Candidates,
     writers: &'a Candidates,
 ) -> Option<&'a InstanceName> {
-    match shard.kind {
-        Kind::Slots => best(shard, candidates.keys()),
-        Kind::Keys => best(shard, writers.keys()),
-        Kind::Cell => {
-            // A domain that is cut off goes on with an owner inside of it.
-            let domain = settings.cells.get(shard.number as usize);
-            let inside = candidates.iter().filter(|(_, at)| Some(*at) == domain);
-            best(shard, inside.map(|(name, _)| name)).or_else(|| best(shard, writers.keys()))
-        }
-    }
+    let domain = settings.cells.get(shard.number as usize);
+    let inside = candidates.iter().filter(|(_, at)| Some(*at) == domain);
+    best(shard, inside.map(|(name, _)| name)).or_else(|| best(shard, writers.keys()))
 }
 
 /// Returns the instances that keep journals, at most as many as the settings allow.
@@ -83,5 +120,5 @@
 ) -> Option<&'a InstanceName> {
     let key = u64::from(shard.kind.code()) << 32 | u64::from(shard.number);
     let key = (key + 1).wrapping_mul(SPREAD);
-    instances.max_by_key(|name| score(key, name))
+    instances.max_by_key(|name| (score(key, name), *name))
 }
--- a/crates/control/src/ownership/machine.rs
+++ b/crates/control/src/ownership/machine.rs
@@ -92,6 +92,8 @@
     pub(super) carries: BTreeMap<Shard, (Epoch, Bytes)>,
     pub(super) unacknowledged: BTreeMap<Shard, (Handed, Time)>,
     pub(super) choices: Choices,
+    /// Revision of the members and own draining that the choices are for.
+    pub(super) basis: Option<(u64, bool)>,
     pub(super) replan: bool,
     pub(super) next_plan: Time,
     pub(super) better: BTreeMap<Shard, (InstanceName, Time)>,
@@ -121,6 +123,7 @@
             carries: BTreeMap::new(),
             unacknowledged: BTreeMap::new(),
             choices: Choices::default(),
+            basis: None,
             replan: true,
             next_plan: Time::ZERO,
             better: BTreeMap::new(),
--- a/crates/control/src/ownership/plan.rs
+++ b/crates/control/src/ownership/plan.rs
@@ -55,8 +55,12 @@
     fn plan(&mut self, guard: &Check, context: &mut Context<'_>, out: &mut Out<'_>) {
         self.replan = false;
         self.next_plan = context.now + PLAN_INTERVAL;
-        let candidates = self.candidates(context);
-        self.choices.update(&self.settings, candidates);
+        let basis = Some((context.members.revision(), context.draining));
+        if self.basis != basis {
+            self.basis = basis;
+            let candidates = self.candidates(context);
+            self.choices.update(&self.settings, candidates);
+        }
         let claims = self.claims(context);
         if !self.claim(claims, guard, context, out) {
             self.rebalance(context, out);
