--- a/crates/tasks/src/cell/interfere.rs
+++ b/crates/tasks/src/cell/interfere.rs
@@ -247,38 +247,31 @@
         hold.counted && running && !self.is_service(hold.class)
     }
 
-    /// Takes tasks off a worker that holds more than fits.
+    /// Takes tasks off a worker whose tasks use more memory than it has.
+    ///
+    /// Too much processor time slows tasks down, which is acted on as interference.
     fn make_fit(&mut self, now: Time, key: key::Worker, out: &mut Vec<Command>) {
         let Some(entry) = self.workers.entry(key) else { return };
-        let mut over = entry.reserved;
-        let mut off: Vec<(Token, bool)> = Vec::new();
-        let mut batch: Vec<(Urgency, bool, Token)> = Vec::new();
-        if over.fits(entry.size) {
+        let stays = |hold: &&Hold| hold.counted && matches!(hold.intent, Intent::Run(_));
+        let used = entry.holds.values().filter(stays).map(Hold::memory);
+        let mut used = used.fold(0, |sum: u64, memory| sum.saturating_add(memory.0));
+        let most = entry.size.memory().0;
+        if used <= most {
             return;
         }
-        for (token, hold) in &entry.holds {
-            match hold.intent {
-                Intent::Run(_) if self.may_restrict(hold) => {
-                    let urgency = self.urgency_of(hold.task.job());
-                    batch.push((urgency, !self.can_checkpoint(hold.class), *token));
-                }
-                Intent::Run(_) => {}
-                // Already on its way off.
-                Intent::Checkpoint | Intent::Stop if hold.counted => over = over.less(hold.size),
-                Intent::Checkpoint | Intent::Stop => {}
-            }
-        }
+        let batch = entry.holds.iter().filter(|(_, hold)| stays(hold) && self.may_restrict(hold));
+        let batch = batch.map(|(token, hold)| {
+            let checkpoint = self.can_checkpoint(hold.class);
+            (self.urgency_of(hold.task.job()), !checkpoint, *token, hold.memory().0)
+        });
+        let mut batch: Vec<_> = batch.collect();
         batch.sort_unstable();
-        for (_, stop, token) in batch {
-            if over.fits(entry.size) {
+        for (_, stop, token, memory) in batch {
+            if used <= most {
                 break;
             }
-            let Some(hold) = entry.holds.get(&token) else { continue };
-            over = over.less(hold.size);
-            off.push((token, !stop));
-        }
-        for (token, checkpoint) in off {
-            self.evict(now, key, token, checkpoint, Cause::Room, out);
+            used -= memory;
+            self.evict(now, key, token, !stop, Cause::Room, out);
         }
     }
 
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -1,5 +1,7 @@
 //! Choice of a worker for each waiting task.
 
+use std::ops::Bound;
+
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::Attempt;
 use sycamorerill_core::model::Urgency;
@@ -81,11 +83,12 @@
     /// Moves blocked jobs back into the queue: the first half by rank, the others in turn.
     fn return_blocked(&mut self) {
         let half = self.settings.blocked_tries / 2;
-        let mut back: Vec<Position> = self.blocked.iter().rev().take(half).copied().collect();
+        let mut back: Vec<Position> = self.blocked.iter().take(half).copied().collect();
         let last = back.last().copied();
-        let from = self.cursor.filter(|cursor| last.is_none_or(|last| *cursor < last)).or(last);
+        let from = self.cursor.filter(|cursor| last.is_none_or(|last| *cursor > last)).or(last);
         if let Some(from) = from {
-            back.extend(self.blocked.range(..from).rev().take(half).copied());
+            let after = (Bound::Excluded(from), Bound::Unbounded);
+            back.extend(self.blocked.range(after).take(half).copied());
         }
         self.cursor = back.last().copied();
         for position in back {
@@ -143,7 +146,7 @@
             size: self.size_for(job.class, job.size),
             avoid: job.tasks.get(task as usize).and_then(|task| task.avoid),
             service: self.is_service(job.class),
-            urgency: position.urgency,
+            urgency: position.urgency.0,
             pressing: soon && !position.hopeless,
         })
     }
@@ -181,7 +184,7 @@
         }
         let free = self.capacity.cpu().0.saturating_sub(self.used.cpu().0 + size.cpu().0);
         let keep = self.capacity.cpu().0 as f64 * self.settings.headroom;
-        free as f64 >= keep || position.urgency > Urgency::Low
+        free as f64 >= keep || position.urgency.0 > Urgency::Low
     }
 
     fn choose(&mut self, now: Time, need: &Need) -> Option<key::Worker> {
--- a/crates/tasks/src/cell/reclaim.rs
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -37,7 +37,7 @@
         job.reclaimed_at = Some(now);
         let Some(cause) = self.reclaim_cause(position, need) else { return };
         let Some(plan) = self.plan(position, need, cause) else { return };
-        if position.urgency < Urgency::Urgent && !self.take_eviction(now) {
+        if position.urgency.0 < Urgency::Urgent && !self.take_eviction(now) {
             return;
         }
         for (token, checkpoint) in plan.tokens {
@@ -46,12 +46,13 @@
     }
 
     fn reclaim_cause(&self, position: Position, need: Size) -> Option<Cause> {
-        if position.urgency >= Urgency::High {
-            return Some(Cause::Urgency);
-        }
         let held = self.held.get(&position.team).copied().unwrap_or_default();
         let within = share_of(held + need, self.quota(position.team)) <= 1.0;
-        within.then_some(Cause::Quota)
+        match position.urgency.0 {
+            _ if !within => None,
+            Urgency::High | Urgency::Urgent => Some(Cause::Urgency),
+            Urgency::Low | Urgency::Normal => Some(Cause::Quota),
+        }
     }
 
     fn plan(&mut self, position: Position, need: Size, cause: Cause) -> Option<Plan> {
@@ -98,13 +99,13 @@
         if self.is_service(hold.class) {
             return false;
         }
-        let may_stop = self.can_checkpoint(hold.class) || position.urgency == Urgency::Urgent;
-        let below = urgency < position.urgency;
+        let may_stop = self.can_checkpoint(hold.class) || position.urgency.0 == Urgency::Urgent;
+        let below = urgency < position.urgency.0;
         let held = self.held.get(&hold.team).copied().unwrap_or_default();
         let over = hold.team != position.team && share_of(held, self.quota(hold.team)) > 1.0;
         let yields = match cause {
-            Cause::Urgency => below,
-            _ => over && urgency <= position.urgency,
+            Cause::Urgency => below || over,
+            _ => over,
         };
         yields && may_stop
     }
--- a/crates/tasks/src/cell/settings.rs
+++ b/crates/tasks/src/cell/settings.rs
@@ -25,6 +25,8 @@
     pub placement: Placement,
     /// Time between two exchanges with an idle worker.
     pub heartbeat: Span,
+    /// Time between two exchanges with a worker that is taking a task off.
+    pub poll: Span,
     /// Time after which an exchange without an answer is repeated.
     pub exchange_timeout: Span,
     /// Time without a report after which a worker is given no new tasks.
@@ -119,6 +121,7 @@
         Self {
             placement: Placement::default(),
             heartbeat: Span::from_ms(2_500),
+            poll: Span::from_ms(500),
             exchange_timeout: Span::from_ms(2_000),
             silence: Span::from_ms(6_000),
             lease_margin: Span::from_ms(2_000),
@@ -143,10 +146,10 @@
         Self {
             act: true,
             allowed: 1.5,
-            restrict: 0.8,
-            relieve: 0.5,
-            place: 0.7,
-            place_low: 0.5,
+            restrict: 0.9,
+            relieve: 0.6,
+            place: 0.8,
+            place_low: 0.7,
             confirm: 2,
             settle: Span::from_secs(8),
             calm: Span::from_secs(30),
--- a/crates/tasks/src/cell/step.rs
+++ b/crates/tasks/src/cell/step.rs
@@ -1,5 +1,7 @@
 //! Transitions of tasks and the books that follow them.
 
+use std::cmp::Reverse;
+
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::size::Size;
 
@@ -7,12 +9,9 @@
 use super::{Cell, key};
 use crate::job::Spread;
 use crate::life::{Input, State};
-use crate::queue::Position;
+use crate::queue::{Position, WHOLE_QUOTA};
 use crate::worker::{Hold, Intent, Token};
 
-/// Shares are kept in millionths.
-const SHARE_UNIT: f64 = 1_000_000.0;
-
 impl Cell {
     /// Applies an input to a task.
     pub(super) fn step(&mut self, now: Time, key: key::Task, input: Input) {
@@ -105,7 +104,7 @@
         let run = self.sizes.run(job.class, job.run_time);
         let start = job.deadline - run;
         let position = Position {
-            urgency: job.job.urgency,
+            urgency: Reverse(job.job.urgency),
             hopeless: start < now,
             start,
             team: job.team,
@@ -193,7 +192,7 @@
     pub(super) fn update_share(&mut self, team: key::Team) {
         let held = self.held.get(&team).copied().unwrap_or_default();
         let share = share_of(held, self.quota(team));
-        self.queue.set_share(team, (share * SHARE_UNIT) as u64);
+        self.queue.set_share(team, (share * WHOLE_QUOTA as f64) as u64);
     }
 
     /// Wants a task stopped or cancelled, wherever it is.
--- a/crates/tasks/src/cell/word.rs
+++ b/crates/tasks/src/cell/word.rs
@@ -40,15 +40,25 @@
         entry.size = report.size;
         entry.extras.clear();
         entry.foreign = Size::ZERO;
-        let renew = now + self.settings.heartbeat;
-        entry.link.set_renew_at(entry.link.renew_at().min(renew));
         self.take_held(now, key, &report, out);
         self.unfenced.remove(&key);
         self.after_change(now, key);
         self.settle(now, out);
         self.watch(now, key, out);
         self.dirty.insert(key);
-        self.timer.set(now + self.settings.heartbeat, Wake::Worker(key));
+        self.plan_exchange(now, key);
+    }
+
+    /// Plans the next exchange with a worker that has just reported.
+    fn plan_exchange(&mut self, now: Time, key: key::Worker) {
+        let Some(entry) = self.workers.entry_mut(key) else { return };
+        let after = match entry.takes_off() {
+            true => self.settings.poll,
+            false => self.settings.heartbeat,
+        };
+        let at = entry.link.renew_at().min(now + after);
+        entry.link.set_renew_at(at);
+        self.timer.set(at, Wake::Worker(key));
     }
 
     fn take_held(
--- a/crates/tasks/src/queue.rs
+++ b/crates/tasks/src/queue.rs
@@ -1,6 +1,7 @@
 //! Jobs that wait, by urgency, then by the share that their team holds, then by
 //! the latest instant at which they can start and meet their deadline.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use sycamorerill_core::clock::Time;
@@ -10,15 +11,15 @@
 use crate::cell::key;
 
 data! {
-    /// Place of a job in the queue.
+    /// Place of a job in the queue; the least one goes first.
     #[derive(Copy, Eq, PartialOrd, Ord)]
     pub(crate) struct Position {
-        pub(crate) urgency: Urgency,
-        pub(crate) team: key::Team,
+        pub(crate) urgency: Reverse<Urgency>,
         /// Whether the deadline can't be met any more; such jobs go last in their team.
         pub(crate) hopeless: bool,
         /// Latest start that meets the deadline.
         pub(crate) start: Time,
+        pub(crate) team: key::Team,
         pub(crate) job: key::Job,
     }
 }
@@ -28,7 +29,7 @@
 /// Waiting jobs in the order in which they are tried.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
-    bands: BTreeMap<Urgency, Band>,
+    bands: BTreeMap<Reverse<Urgency>, Band>,
     shares: BTreeMap<key::Team, u64>,
     len: usize,
 }
@@ -39,6 +40,18 @@
     order: BTreeSet<(u64, key::Team)>,
 }
 
+/// Share of a team that holds its whole quota.
+pub(crate) const WHOLE_QUOTA: u64 = 1_000_000;
+
+impl Band {
+    /// Returns the first job of the team with the least share, if that is below `most`.
+    fn first(&self, urgency: Reverse<Urgency>, most: u64) -> Option<Position> {
+        let (_, team) = self.order.first().filter(|(share, _)| *share < most)?;
+        let (hopeless, start, job) = *self.teams.get(team)?.first()?;
+        Some(Position { urgency, hopeless, start, team: *team, job })
+    }
+}
+
 impl Queue {
     pub(crate) fn insert(&mut self, position: Position) {
         let share = self.share(position.team);
@@ -64,11 +77,14 @@
     }
 
     /// Returns the job that goes first.
+    ///
+    /// Teams within their quota go before those that borrow, whatever the urgency, so that
+    /// a team that floods the queue with urgent work doesn't take the quota of others.
     pub(crate) fn first(&self) -> Option<Position> {
-        self.bands.iter().rev().find_map(|(urgency, band)| {
-            let (_, team) = band.order.first()?;
-            let (hopeless, start, job) = *band.teams.get(team)?.first()?;
-            Some(Position { urgency: *urgency, team: *team, hopeless, start, job })
+        let within =
+            self.bands.iter().find_map(|(urgency, band)| band.first(*urgency, WHOLE_QUOTA));
+        within.or_else(|| {
+            self.bands.iter().find_map(|(urgency, band)| band.first(*urgency, u64::MAX))
         })
     }
 
--- a/crates/tasks/src/worker/hold.rs
+++ b/crates/tasks/src/worker/hold.rs
@@ -3,7 +3,7 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Attempt, ClassName, TaskName};
 use sycamorerill_core::rate::Share;
-use sycamorerill_core::size::{Cpu, Size};
+use sycamorerill_core::size::{Cpu, Memory, Size};
 
 use super::{Checkpoint, Command, Phase, Token, Usage};
 use crate::cell::key;
@@ -50,6 +50,11 @@
 }
 
 impl Hold {
+    /// Returns the memory in use, the reserved one until it was measured.
+    pub(crate) fn memory(&self) -> Memory {
+        self.usage.as_ref().map_or(self.size.memory(), |usage| usage.memory)
+    }
+
     pub(crate) fn is_off(&self) -> bool {
         self.phase.as_ref().is_some_and(Phase::is_off)
     }
--- a/crates/tasks/src/worker/table.rs
+++ b/crates/tasks/src/worker/table.rs
@@ -93,6 +93,12 @@
         self.holds.iter().any(waits)
     }
 
+    /// Reports whether a task is being taken off.
+    pub(crate) fn takes_off(&self) -> bool {
+        let leaves = |hold: &Hold| hold.counted && !matches!(hold.intent, Intent::Run(_));
+        self.holds.values().any(leaves)
+    }
+
     /// Gives up the outstanding exchange, whose commands may have been lost.
     pub(crate) fn give_up(&mut self, until: Time) {
         self.link.give_up(until);
