calls: pass by silent peers, and send no keyed call whose shard was lost meanwhile

A shard that was lost and won back while a key was being journaled let two calls of that key run, when the append of the first came through late; the property found it. The ledger has to hold the key for the call still when it lasts.

Peers that were not heard of for 350 ms get no calls. Slots of executors are held to what is declared. A drain and a first executor are announced at once.

--- a/crates/calls/src/fleet/table.rs
+++ b/crates/calls/src/fleet/table.rs
@@ -181,12 +181,22 @@
 
     fn list_one(&mut self, item: router::Executor) {
         let index = self.index_or_insert(&item.name);
+        let listing = if item.leaving { Listing::Leaving } else { Listing::Live };
+        let unchanged = self.executor(index).is_some_and(|executor| {
+            executor.service.as_ref() == Some(&item.service)
+                && executor.domain.as_ref() == Some(&item.domain)
+                && executor.slots == item.slots
+                && executor.listing == listing
+        });
+        if unchanged {
+            return;
+        }
         self.detach(index, &item.service);
         self.change(index, |executor| {
             executor.service = Some(item.service);
             executor.domain = Some(item.domain);
             executor.slots = item.slots;
-            executor.listing = if item.leaving { Listing::Leaving } else { Listing::Live };
+            executor.listing = listing;
         });
     }
 
@@ -227,6 +237,18 @@
         }
     }
 
+    /// Holds the slots of a service's executors to what is declared.
+    pub(crate) fn limit_slots(&mut self, service: &ServiceName, slots: u32) {
+        let above = |executor: &&Executor| {
+            executor.service.as_ref() == Some(service) && executor.slots > slots
+        };
+        let names = self.executors.iter().flatten().filter(above).map(|found| &found.name);
+        let above: Vec<Index> = names.filter_map(|name| self.index(name)).collect();
+        for index in above {
+            self.change(index, |executor| executor.slots = slots);
+        }
+    }
+
     /// Removes an executor that is not listed, not owned and has no call left.
     pub(crate) fn forget(&mut self, index: Index) {
         let Some(executor) = self.executor(index) else { return };
@@ -243,7 +265,7 @@
     }
 
     /// Takes ownership of an executor's slots.
-    pub(crate) fn own(&mut self, name: &ExecutorName, holding: Holding, held: u32) -> Index {
+    pub(crate) fn own(&mut self, name: &ExecutorName, holding: Holding) -> Index {
         let index = self.index_or_insert(name);
         let settings = self.settings;
         self.change(index, |executor| {
@@ -251,7 +273,6 @@
                 executor.health = Health::new(&settings);
             }
             executor.holding = holding;
-            executor.held += held;
         });
         index
     }
--- a/crates/calls/src/keys/ledger.rs
+++ b/crates/calls/src/keys/ledger.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Reports whether a key is kept for the call, which has not ended.
+    pub(crate) fn is_running(&self, call: CallId) -> bool {
+        self.running.contains_key(&call)
+    }
+
     /// Looks the key of a call up, and enters it when it is new.
     pub(crate) fn begin(
         &mut self,
--- a/crates/calls/src/peers.rs
+++ b/crates/calls/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{DomainName, InstanceName, ServiceName};
 
 use crate::router::{Load, Status};
@@ -10,6 +11,7 @@
 struct Peer {
     domain: DomainName,
     status: Status,
+    heard: Time,
     /// Calls forwarded since the last heartbeat and not answered, by service.
     sent: BTreeMap<ServiceName, u32>,
 }
@@ -38,22 +40,37 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
     domain: Option<DomainName>,
+    silence: Span,
     peers: BTreeMap<InstanceName, Peer>,
 }
 
 impl Table {
-    pub(crate) fn new(domain: Option<DomainName>) -> Self {
-        Self { domain, peers: BTreeMap::new() }
+    /// Returns an empty table; peers not heard of for `silence` get no calls.
+    pub(crate) fn new(domain: Option<DomainName>, silence: Span) -> Self {
+        Self { domain, silence, peers: BTreeMap::new() }
     }
 
     /// Takes a heartbeat in.
-    pub(crate) fn heard(&mut self, name: InstanceName, domain: DomainName, status: Status) {
-        self.peers.insert(name, Peer { domain, status, sent: BTreeMap::new() });
+    pub(crate) fn heard(
+        &mut self,
+        now: Time,
+        name: InstanceName,
+        domain: DomainName,
+        status: Status,
+    ) {
+        self.peers.insert(name, Peer { domain, status, heard: now, sent: BTreeMap::new() });
     }
 
     /// Takes the load of one service in, which is newer than the last heartbeat.
-    pub(crate) fn told(&mut self, name: &InstanceName, service: &ServiceName, load: Load) {
+    pub(crate) fn told(
+        &mut self,
+        now: Time,
+        name: &InstanceName,
+        service: &ServiceName,
+        load: Load,
+    ) {
         let Some(peer) = self.peers.get_mut(name) else { return };
+        peer.heard = now;
         peer.sent.remove(service);
         match peer.status.services.get_mut(service) {
             Some(known) => *known = load,
@@ -74,14 +91,20 @@
         self.domain.is_none() || self.domain.as_ref() == Some(&peer.domain)
     }
 
+    /// Returns the peers that were heard of a short time ago.
+    fn speaking(&self, now: Time) -> impl Iterator<Item = (&InstanceName, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) <= self.silence)
+    }
+
     /// Returns a peer with a free slot, at random by the number of its free slots.
     pub(crate) fn with_free(
         &self,
+        now: Time,
         service: &ServiceName,
         near: bool,
         rng: &mut fastrand::Rng,
     ) -> Option<&InstanceName> {
-        let of_kind = || self.peers.iter().filter(|(_, peer)| self.is_near(peer) == near);
+        let of_kind = || self.speaking(now).filter(|(_, peer)| self.is_near(peer) == near);
         let total: u32 = of_kind().map(|(_, peer)| peer.free(service)).sum();
         if total == 0 {
             return None;
@@ -98,19 +121,25 @@
     }
 
     /// Reports whether any peer has slots that take calls, free or not.
-    pub(crate) fn any_usable(&self, service: &ServiceName) -> bool {
-        self.peers.values().filter_map(|peer| peer.load(service)).any(|load| load.usable > 0)
+    pub(crate) fn any_usable(&self, now: Time, service: &ServiceName) -> bool {
+        let mut loads = self.speaking(now).filter_map(|(_, peer)| peer.load(service));
+        loads.any(|load| load.usable > 0)
     }
 
     /// Returns the peer with the shortest queue for its slots, and the calls per slot there.
-    pub(crate) fn shortest(&self, service: &ServiceName) -> Option<(&InstanceName, f64)> {
+    pub(crate) fn shortest(
+        &self,
+        now: Time,
+        service: &ServiceName,
+    ) -> Option<(&InstanceName, f64)> {
         let per_slot = |peer: &Peer| {
             let load = peer.load(service).filter(|load| load.usable > 0)?;
             let ahead = load.waiting + peer.sent(service) + 1;
             Some(f64::from(ahead.saturating_sub(load.free)) / f64::from(load.usable))
         };
-        let known = self.peers.iter();
-        let lengths = known.filter_map(|(name, peer)| per_slot(peer).map(|length| (name, length)));
+        let lengths = self
+            .speaking(now)
+            .filter_map(|(name, peer)| per_slot(peer).map(|length| (name, length)));
         lengths.min_by(|(_, a), (_, b)| a.total_cmp(b))
     }
 
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -41,7 +41,7 @@
             self.charge(now, id);
             return self.send(now, id, index, why, out);
         }
-        if let Some((peer, why)) = self.peer_for(id) {
+        if let Some((peer, why)) = self.peer_for(now, id) {
             return self.forward(now, id, peer, why, out);
         }
         self.enqueue(now, id, out);
@@ -79,7 +79,7 @@
         let Some(entry) = self.calls.get(&id) else { return };
         let (service, team) = (entry.call.service.clone(), entry.call.team.clone());
         let (urgency, deadline) = (entry.call.urgency, entry.call.deadline);
-        if self.is_stuck(&service, entry.call.hops) {
+        if self.is_stuck(now, &service, entry.call.hops) {
             return self.refuse(now, id, Reason::NoExecutor, out);
         }
         let profile = self.profile(&service, &team);
@@ -97,9 +97,9 @@
     }
 
     /// Reports whether a call that waits here would wait for nothing.
-    fn is_stuck(&self, service: &ServiceName, hops: u8) -> bool {
+    fn is_stuck(&self, now: Time, service: &ServiceName, hops: u8) -> bool {
         let total = self.fleet.total(service);
-        let elsewhere = self.peers.any_usable(service);
+        let elsewhere = self.peers.any_usable(now, service);
         let forwarded = hops > 0;
         total.owned == total.ejected && (forwarded || !elsewhere)
     }
--- a/crates/calls/src/router/forward.rs
+++ b/crates/calls/src/router/forward.rs
@@ -16,7 +16,7 @@
 
 impl Router {
     /// Returns the peer to forward a call to, when that is better than to wait here.
-    pub(crate) fn peer_for(&mut self, id: CallId) -> Option<(InstanceName, Why)> {
+    pub(crate) fn peer_for(&mut self, now: Time, id: CallId) -> Option<(InstanceName, Why)> {
         let entry = self.calls.get(&id)?;
         if entry.call.hops >= self.settings.max_hops || entry.attempts >= self.settings.max_attempts
         {
@@ -25,20 +25,25 @@
         let service = entry.call.service.clone();
         let wait_ms = self.wait_ms(&service);
         if wait_ms > self.settings.near.as_ms_f64()
-            && let Some(peer) = self.peers.with_free(&service, true, &mut self.rng)
+            && let Some(peer) = self.peers.with_free(now, &service, true, &mut self.rng)
         {
             return Some((peer.clone(), Why::PeerFree));
         }
         if wait_ms > self.settings.far.as_ms_f64()
-            && let Some(peer) = self.peers.with_free(&service, false, &mut self.rng)
+            && let Some(peer) = self.peers.with_free(now, &service, false, &mut self.rng)
         {
             return Some((peer.clone(), Why::PeerFree));
         }
-        self.shorter_peer(&service, wait_ms)
+        self.shorter_peer(now, &service, wait_ms)
     }
 
-    fn shorter_peer(&self, service: &ServiceName, wait_ms: f64) -> Option<(InstanceName, Why)> {
-        let (peer, per_slot) = self.peers.shortest(service)?;
+    fn shorter_peer(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        wait_ms: f64,
+    ) -> Option<(InstanceName, Why)> {
+        let (peer, per_slot) = self.peers.shortest(now, service)?;
         let there_ms = per_slot * self.known_mean_ms(service) + self.settings.far.as_ms_f64();
         let worthwhile = wait_ms * MIN_SAVED_SHARE > there_ms + MIN_SAVED_MS;
         worthwhile.then(|| (peer.clone(), Why::PeerShorter))
@@ -111,7 +116,7 @@
         loop {
             let Some(service) = self.services.get_mut(name) else { return };
             let Some(id) = service.queue.peek(now) else { return };
-            let Some((peer, why)) = self.peer_for(id) else { return };
+            let Some((peer, why)) = self.peer_for(now, id) else { return };
             let Some(entry) = self.calls.get(&id) else { return };
             let State::Waiting { flow, seq } = entry.state else { return };
             if let Some(service) = self.services.get_mut(name) {
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -90,8 +90,14 @@
     /// Sends a call whose key lasts now, if its caller still waits.
     pub(crate) fn key_durable(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
         let journaling = self.calls.get(&id).is_some_and(|entry| entry.state == State::Journaling);
-        if journaling {
+        if !journaling {
+            return;
+        }
+        // The shard may have been lost since, and won back with another call's record.
+        if self.ledger.is_running(id) {
             self.place(now, id, Why::Ranked, out);
+        } else {
+            self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out);
         }
     }
 
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -69,7 +69,7 @@
             services: BTreeMap::new(),
             calls: BTreeMap::new(),
             flights: BTreeMap::new(),
-            peers: peers::Table::new(settings.domain.clone()),
+            peers: peers::Table::new(settings.domain.clone(), settings.peer_silence),
             ledger: keys::Ledger::new(settings.keys),
             key_owners: BTreeMap::new(),
             timers: BTreeSet::new(),
@@ -100,11 +100,11 @@
                 self.peer_answered(now, call, attempt, answer, out);
             }
             Event::Peer { name, domain, status } => {
-                self.peers.heard(name, domain, status);
+                self.peers.heard(now, name, domain, status);
                 self.forward_waiting(now, out);
             }
             Event::PeerLoad { name, service, load } => {
-                self.peers.told(&name, &service, load);
+                self.peers.told(now, &name, &service, load);
                 self.forward_waiting_of(now, &service, out);
             }
             Event::PeerGone { name } => self.peers.gone(&name),
@@ -115,7 +115,10 @@
             Event::Probed { executor, healthy, .. } => self.probed(now, &executor, healthy, out),
             Event::Abandoned { call } => self.abandoned(now, call, out),
             Event::Tick => {}
-            Event::Drain => self.draining = true,
+            Event::Drain => {
+                self.draining = true;
+                out.push(Command::Announce);
+            }
         }
         if self.draining {
             self.drain(now, out);
--- a/crates/calls/src/router/own.rs
+++ b/crates/calls/src/router/own.rs
@@ -33,19 +33,28 @@
     ) {
         let index = self.fleet.index(name);
         let executor = index.and_then(|index| self.fleet.executor(index));
-        let held_here = executor.is_some_and(|executor| executor.holding != Holding::None);
+        let holding = executor.map_or(Holding::None, |executor| executor.holding);
         let service = executor.and_then(|executor| executor.service.clone());
-        if held_here {
-            self.fleet.own(name, Holding::Owned(epoch), 0);
-        } else {
-            let index = self.fleet.own(name, Holding::Owned(epoch), 0);
+        if matches!(holding, Holding::Owned(known) if known >= epoch) {
+            return;
+        }
+        let index = self.fleet.own(name, Holding::Owned(epoch));
+        if holding == Holding::None {
             self.hold_former(now, index, service.as_ref(), in_progress);
         }
         if let Some(service) = service {
+            self.announce_first(&service, out);
             self.pump(now, &service, out);
         }
     }
 
+    /// Tells the peers when this is the first executor of the service here.
+    fn announce_first(&self, service: &ServiceName, out: &mut Vec<Command>) {
+        if self.fleet.total(service).owned == 1 {
+            out.push(Command::Announce);
+        }
+    }
+
     /// Holds the slots that calls of a former owner may occupy until the longest run passed.
     fn hold_former(
         &mut self,
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -23,6 +23,9 @@
 impl Router {
     pub(crate) fn configured(&mut self, config: std::sync::Arc<model::Config>) {
         self.config = config;
+        for (name, service) in &self.config.services {
+            self.fleet.limit_slots(name, service.slots);
+        }
         let instances = self.peers.len() + 1;
         for (name, service) in &mut self.services {
             let config = &self.config;
--- a/crates/calls/src/router/settings.rs
+++ b/crates/calls/src/router/settings.rs
@@ -21,6 +21,8 @@
     pub flight: Span,
     /// Time for calls to end before slots are handed over with calls in progress.
     pub hand_over: Span,
+    /// Time without a word after which no call is forwarded to a peer.
+    pub peer_silence: Span,
     /// Largest number of times that a call is forwarded.
     pub max_hops: u8,
     /// Largest number of attempts at one call, sent or forwarded.
@@ -44,6 +46,7 @@
             near: Span::from_ms_f64(0.1),
             flight: Span::from_ms(100),
             hand_over: Span::from_ms(200),
+            peer_silence: Span::from_ms(350),
             max_hops: 2,
             max_attempts: 4,
             hedge_budget: Share::default(),
--- a/crates/calls/tests/interleavings.rs
+++ b/crates/calls/tests/interleavings.rs
@@ -55,6 +55,9 @@
         22 => world.heartbeats(),
         _ => world.drain(node),
     }
+    if u.arbitrary()? {
+        world.heartbeats();
+    }
     world.pass(Span::from_ms(u.int_in_range(0..=30u64)?));
     Ok(())
 }
