calls: try idle suspects again, and spread calls by load

An executor that was slow for a while ranked so low that it got no call and so never showed that it was well; a test found it. It now gets one call on trial once it is idle. The rank counts the occupied part of the slots as well.

--- a/crates/calls/src/fleet/health.rs
+++ b/crates/calls/src/fleet/health.rs
@@ -8,6 +8,8 @@
 const LATENCY_WEIGHT: f64 = 1.0 / 16.0;
 /// Weight of one answer in the share of errors of an executor.
 const ERROR_WEIGHT: f64 = 1.0 / 16.0;
+/// Latency above this many times the mean of the service makes an executor a suspect.
+const SUSPECT_RATIO: f64 = 1.5;
 /// Share of errors that ejects an executor.
 const MAX_ERRORS: f64 = 0.5;
 
@@ -44,12 +46,25 @@
 pub(crate) enum Verdict {
     /// It goes on as it is.
     Keep,
+    /// It is slower than others, so it is looked at again when it is idle.
+    Watch,
     /// It is worse than others, so it is ejected unless too many are.
     Outlier,
     /// It takes no calls, so it is ejected whatever others do.
     Closed,
 }
 
+/// What is due for an executor that is ejected or a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Check {
+    /// Nothing.
+    Done,
+    /// Another look at this instant.
+    Later(Time),
+    /// A probe now, and another look at this instant.
+    Probe(Time),
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Health {
     state: State,
@@ -58,6 +73,8 @@
     errors: f64,
     failures: u32,
     ejections: u32,
+    /// Whether another look at the executor is planned.
+    suspect: bool,
 }
 
 impl Health {
@@ -69,6 +86,7 @@
             errors: 0.0,
             failures: 0,
             ejections: 0,
+            suspect: false,
         }
     }
 
@@ -145,7 +163,12 @@
         if self.samples >= settings.min_samples && mean_ms > 0.0 && self.latency_ms > bound {
             return Verdict::Outlier;
         }
-        Verdict::Keep
+        self.suspect_if(mean_ms > 0.0 && self.latency_ms > mean_ms * SUSPECT_RATIO)
+    }
+
+    fn suspect_if(&mut self, slow: bool) -> Verdict {
+        let known = std::mem::replace(&mut self.suspect, slow);
+        if slow && !known { Verdict::Watch } else { Verdict::Keep }
     }
 
     fn judge_errors(&self, settings: &Settings) -> Verdict {
@@ -165,21 +188,39 @@
         let doubled = settings.back_off.times(1 << self.ejections.min(16));
         let next_probe = now + doubled.min(settings.max_back_off);
         self.ejections += 1;
+        // Its next answer, after good probes, is judged on its own.
+        self.latency_ms = 0.0;
         self.samples = 0;
         self.errors = 0.0;
         self.failures = 0;
+        self.suspect = false;
         self.state = State::Ejected { next_probe, good_probes: 0 };
         next_probe
     }
 
-    /// Reports whether a probe is due, and sets the instant of the next one.
-    pub(crate) fn probe_due(&mut self, now: Time, settings: &Settings) -> Option<Time> {
-        let State::Ejected { next_probe, .. } = &mut self.state else { return None };
-        if *next_probe > now {
-            return None;
+    /// Looks at an executor that is ejected or a suspect.
+    ///
+    /// A slow executor ranks so low that it may get no calls, and then nothing tells
+    /// that it is well again. So an idle suspect gets one call on trial.
+    pub(crate) fn check(&mut self, now: Time, idle: bool, settings: &Settings) -> Check {
+        if let State::Ejected { next_probe, .. } = &mut self.state {
+            if *next_probe > now {
+                return Check::Later(*next_probe);
+            }
+            *next_probe = now + settings.probe_interval;
+            return Check::Probe(*next_probe);
+        }
+        if !self.suspect {
+            return Check::Done;
         }
-        *next_probe = now + settings.probe_interval;
-        Some(*next_probe)
+        if !idle {
+            return Check::Later(now + settings.back_off);
+        }
+        self.suspect = false;
+        self.latency_ms = 0.0;
+        self.samples = 0;
+        self.state = State::Starting { slots: 1, trial: true };
+        Check::Done
     }
 
     /// Takes the end of a probe in.
--- a/crates/calls/src/fleet/mod.rs
+++ b/crates/calls/src/fleet/mod.rs
@@ -6,6 +6,6 @@
 mod table;
 
 pub(crate) use executor::{Holding, Index};
-pub(crate) use health::Evidence;
+pub(crate) use health::{Check, Evidence};
 pub use settings::Settings;
 pub(crate) use table::Table;
--- a/crates/calls/src/fleet/table.rs
+++ b/crates/calls/src/fleet/table.rs
@@ -7,7 +7,7 @@
 
 use super::Settings;
 use super::executor::{Executor, Holding, Index, Listing, Part, Rank};
-use super::health::{Evidence, Health, Verdict};
+use super::health::{Check, Evidence, Health, Verdict};
 use crate::router;
 
 /// Ratio of the latencies of two neighbouring steps of cost.
@@ -132,7 +132,8 @@
         }
         let far = self.domain.is_some() && executor.domain != self.domain;
         let way_ms = if far { self.far_ms * 2.0 } else { 0.0 };
-        let ms = executor.health.latency_ms() + way_ms;
+        let occupied = f64::from(executor.in_flight) / f64::from(executor.slots.max(1));
+        let ms = executor.health.latency_ms() * (1.0 + occupied) + way_ms;
         let cost = (ms + 1.0).log(COST_RATIO) as u32;
         let load = executor.in_flight * FULL_LOAD / executor.slots.max(1);
         let index = self.names.get(&executor.name).copied()?;
@@ -269,7 +270,7 @@
         let index = self.index_or_insert(name);
         let settings = self.settings;
         self.change(index, |executor| {
-            if executor.holding == Holding::None {
+            if !executor.is_owned() {
                 executor.health = Health::new(&settings);
             }
             executor.holding = holding;
@@ -277,8 +278,8 @@
         index
     }
 
-    /// Takes evidence of an executor in; returns the instant of its first probe when it
-    /// was ejected.
+    /// Takes evidence of an executor in; returns the instant of the next look at it when
+    /// it was ejected or became a suspect.
     pub(crate) fn learn(
         &mut self,
         now: Time,
@@ -298,20 +299,25 @@
             let slots = executor.slots;
             match executor.health.judge(evidence, mean_ms, slots, &settings) {
                 Verdict::Keep => None,
+                Verdict::Watch => Some(now + settings.back_off),
                 Verdict::Outlier if crowded => None,
                 Verdict::Outlier | Verdict::Closed => Some(executor.health.eject(now, &settings)),
             }
         })?
     }
 
-    /// Reports whether a probe of the executor is due; returns the instant of the next one.
-    pub(crate) fn probe_due(&mut self, now: Time, index: Index) -> Option<Time> {
+    /// Looks at an executor that is ejected or a suspect.
+    pub(crate) fn check(&mut self, now: Time, index: Index) -> Check {
         let settings = self.settings;
-        let executor = self.slot_mut(index)?;
-        if !executor.is_owned() {
-            return None;
-        }
-        executor.health.probe_due(now, &settings)
+        let check = self.change(index, |executor| {
+            let idle = executor.in_flight == 0;
+            if executor.is_owned() {
+                executor.health.check(now, idle, &settings)
+            } else {
+                Check::Done
+            }
+        });
+        check.unwrap_or(Check::Done)
     }
 
     /// Takes the end of a probe in.
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -76,8 +76,8 @@
             }
             mean_ms = kept.latency.mean().as_ms_f64();
         }
-        if let Some(probe) = self.fleet.learn(now, index, evidence, mean_ms) {
-            self.timers.insert((probe, Timer::Probe(index)));
+        if let Some(next) = self.fleet.learn(now, index, evidence, mean_ms) {
+            self.timers.insert((next, Timer::Check(index)));
         }
     }
 
--- a/crates/calls/src/router/wake.rs
+++ b/crates/calls/src/router/wake.rs
@@ -5,7 +5,7 @@
 
 use super::entry::State;
 use super::{Command, Outcome, Reason, Router};
-use crate::fleet::Index;
+use crate::fleet::{Check, Index};
 
 /// Longest run that is assumed while no service is declared.
 const UNDECLARED_LONGEST_RUN: Span = Span::from_secs(60);
@@ -21,8 +21,8 @@
     Hedge(CallId),
     /// Calls that may have occupied slots have ended.
     Hold { index: Index, slots: u32, serial: u64 },
-    /// An ejected executor is to be probed.
-    Probe(Index),
+    /// An ejected executor is to be probed, or a suspect to be tried.
+    Check(Index),
     /// An executor is handed over even if calls are left on it.
     HandOver(Index),
 }
@@ -99,7 +99,7 @@
             }
             Timer::Hedge(id) => self.hedge(now, id, out),
             Timer::Hold { index, slots, .. } => self.end_hold(now, index, slots, out),
-            Timer::Probe(index) => self.probe(now, index, out),
+            Timer::Check(index) => self.check(now, index, out),
             Timer::HandOver(index) => self.hand_over(index, out),
         }
     }
@@ -131,11 +131,16 @@
         }
     }
 
-    fn probe(&mut self, now: Time, index: Index, out: &mut Vec<Command>) {
-        let Some(next) = self.fleet.probe_due(now, index) else { return };
-        self.timers.insert((next, Timer::Probe(index)));
-        if let Some(executor) = self.fleet.executor(index) {
-            out.push(Command::Probe { executor: executor.name.clone() });
-        }
+    fn check(&mut self, now: Time, index: Index, out: &mut Vec<Command>) {
+        let next = match self.fleet.check(now, index) {
+            Check::Done => return,
+            Check::Later(next) => next,
+            Check::Probe(next) => {
+                let name = self.fleet.executor(index).map(|executor| executor.name.clone());
+                out.extend(name.map(|executor| Command::Probe { executor }));
+                next
+            }
+        };
+        self.timers.insert((next, Timer::Check(index)));
     }
 }
--- a/crates/calls/tests/world/mod.rs
+++ b/crates/calls/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 mod commands;
+pub(crate) mod counter;
 mod executors;
 mod faults;
 
