calls, daemon: keyed calls wait for an owner of their key, drains cut off no reply

Cause: while a shard of keys changed hands, calls with a key of it were told unknown at once; a draining instance ended before its replies to peers were sent, and journaled calls lost their shard before their record came back.

--- a/crates/calls/src/keys/ledger.rs
+++ b/crates/calls/src/keys/ledger.rs
@@ -28,8 +28,8 @@
     pub(super) state: State,
     followers: Vec<CallId>,
     pub(super) expires: Time,
-    /// Call of the last record that began the key, when restored.
-    pub(super) begun: Option<CallId>,
+    /// Calls that began with the key and of which no end is known, when restored.
+    pub(super) begun: BTreeSet<CallId>,
 }
 
 /// What the ledger knows of a key.
@@ -101,28 +101,30 @@
     }
 
     fn restore_begun(&mut self, call: CallId, name: Name, digest: u64, expires: Time) {
-        let known = self.entries.get_mut(&name).filter(|entry| entry.state != State::EndUnknown);
-        if known.is_some() {
-            return;
-        }
+        let mut begun = match self.entries.get(&name) {
+            Some(entry) if entry.state != State::EndUnknown => return,
+            Some(entry) => entry.begun.clone(),
+            None => BTreeSet::new(),
+        };
+        begun.insert(call);
         self.remove(&name);
         self.insert(name.clone(), digest, State::EndUnknown, expires);
         if let Some(entry) = self.entries.get_mut(&name) {
-            entry.begun = Some(call);
+            entry.begun = begun;
         }
     }
 
-    /// Frees a key that did not run, if no later call has begun with it.
+    /// Frees a key if no call that began with it may have run.
     fn restore_ended(&mut self, call: CallId, name: &Name, end: End) {
-        let restored = self.entries.get(name).is_some_and(|entry| entry.begun == Some(call));
-        if restored && end == End::NotRun {
+        let Some(entry) = self.entries.get_mut(name).filter(|_| end == End::NotRun) else { return };
+        if entry.begun.remove(&call) && entry.begun.is_empty() {
             self.remove(name);
         }
     }
 
     fn insert(&mut self, name: Name, digest: u64, state: State, expires: Time) {
         self.expiries.insert((expires, name.clone()));
-        let entry = Entry { digest, state, followers: Vec::new(), expires, begun: None };
+        let entry = Entry { digest, state, followers: Vec::new(), expires, begun: BTreeSet::new() };
         self.entries.insert(name, entry);
     }
 
--- a/crates/calls/src/keys/snapshot.rs
+++ b/crates/calls/src/keys/snapshot.rs
@@ -1,6 +1,7 @@
 //! The records that make up a shard of keys, for a snapshot.
 
 use sycamorerill_core::clock::Time;
+use sycamorerill_core::id::CallId;
 
 use super::ledger::{Ledger, State};
 use super::{End, Key, Record, Shard};
@@ -14,15 +15,19 @@
             if key.shard(self.settings.shards) != shard {
                 continue;
             }
-            let call = match entry.state {
-                State::Running(call) | State::Answered(call) => call,
-                State::EndUnknown => entry.begun.unwrap_or_default(),
-            };
             let (service, retention) = (service.clone(), entry.expires.since(now));
-            let begun =
-                Record::Begun { call, service: service.clone(), key: key.clone(), retention };
-            records.push(begun);
-            if matches!(entry.state, State::Answered(_)) {
+            let calls = match entry.state {
+                State::Running(call) | State::Answered(call) => vec![call],
+                State::EndUnknown if entry.begun.is_empty() => vec![CallId::default()],
+                State::EndUnknown => entry.begun.iter().copied().collect(),
+            };
+            records.extend(calls.iter().map(|call| Record::Begun {
+                call: *call,
+                service: service.clone(),
+                key: key.clone(),
+                retention,
+            }));
+            if let State::Answered(call) = entry.state {
                 records.push(Record::Ended { call, service, key, end: End::Answered });
             }
         }
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -139,7 +139,7 @@
             return self.finish(id, Outcome::NotRun(reason), out);
         }
         if entry.needs_key() && !entry.keyed && reason == Reason::NotSent {
-            return self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out);
+            return self.seek(now, id, out);
         }
         entry.refusal = Some(reason);
         if self.may_retry(now, id) {
--- a/crates/calls/src/router/end.rs
+++ b/crates/calls/src/router/end.rs
@@ -92,7 +92,9 @@
         match state {
             State::Told => {}
             State::Sent => self.clear_timer(id),
-            State::Following => self.finish(id, Outcome::NotRun(Reason::Deadline), out),
+            State::Following | State::Seeking => {
+                self.finish(id, Outcome::NotRun(Reason::Deadline), out);
+            }
             State::Journaling => self.finish(id, Outcome::NotRun(Reason::StoreDown), out),
             State::Waiting { flow, seq } => {
                 let name = entry.call.service.clone();
--- a/crates/calls/src/router/entry.rs
+++ b/crates/calls/src/router/entry.rs
@@ -15,6 +15,8 @@
     Journaling,
     /// It waits for the end of the first call with its key.
     Following,
+    /// Its key has no owner that can be reached just now.
+    Seeking,
     /// It is in the queue.
     Waiting { flow: FlowId, seq: u64 },
     /// A request is out.
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -6,7 +6,7 @@
 use super::entry::State;
 use super::wake::Timer;
 use super::{Command, Outcome, Reason, Refusal, Router, Why};
-use crate::keys::{Found, Record, Shard};
+use crate::keys::{End, Found, Record, Shard};
 
 impl Router {
     pub(crate) fn keys_owned(&mut self, now: Time, shard: Shard, records: Vec<Record>) {
@@ -73,11 +73,11 @@
     ) {
         let Some(entry) = self.calls.get(&id) else { return };
         if entry.call.hops >= self.settings.max_hops {
-            return self.finish(id, Outcome::Unknown(Reason::TooManyHops), out);
+            return self.seek(now, id, out);
         }
         match self.key_owners.get(&shard).cloned() {
             Some(owner) => self.forward(now, id, owner, Why::KeyOwner, out),
-            None => self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out),
+            None => self.seek(now, id, out),
         }
     }
 
@@ -104,7 +104,7 @@
     /// Ends a call whose key could not be made to last.
     ///
     /// When the shard has another owner, an earlier call with the key may have run
-    /// there. When the store is down this request has not run, and an earlier one
+    /// there, so that owner is asked. When the store is down this request has not run, and an earlier one
     /// with the key has not either, unless the shard was lost unnoticed.
     pub(crate) fn key_refused(
         &mut self,
@@ -117,7 +117,18 @@
         match refusal {
             _ if !journaling => {}
             Refusal::Down => self.refuse(now, id, Reason::StoreDown, out),
-            Refusal::Fenced => self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out),
+            Refusal::Fenced => self.seek_with_followers(now, id, out),
+        }
+    }
+
+    /// Looks for the new owner of a key whose first record was not written.
+    fn seek_with_followers(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
+        // Nothing was written, so the end of the key needs no record either.
+        let ended = self.ledger.end(id, End::NotRun);
+        let followers = ended.map(|(_, followers)| followers).unwrap_or_default();
+        self.seek(now, id, out);
+        for follower in followers {
+            self.seek(now, follower, out);
         }
     }
 }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -16,6 +16,7 @@
 mod hedge;
 mod keyed;
 mod own;
+mod seek;
 mod service;
 mod settings;
 mod status;
--- a/crates/calls/src/router/wake.rs
+++ b/crates/calls/src/router/wake.rs
@@ -17,6 +17,8 @@
     Start(CallId),
     /// The caller wants its answer by now.
     Deadline(CallId),
+    /// The owner of the call's key is to be looked for again.
+    Seek(CallId),
     /// The first attempt takes longer than nearly all do.
     Hedge(CallId),
     /// Calls that may have occupied slots have ended.
@@ -97,6 +99,7 @@
                 }
                 self.overdue(now, id, out);
             }
+            Timer::Seek(id) => self.seek_again(now, id, out),
             Timer::Hedge(id) => self.hedge(now, id, out),
             Timer::Hold { index, slots, .. } => self.end_hold(now, index, slots, out),
             Timer::Check(index) => self.check(now, index, out),
@@ -109,6 +112,7 @@
         match entry.state {
             State::Told => {}
             State::Sent => self.finish(id, Outcome::Unknown(Reason::NoAnswer), out),
+            State::Seeking => self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out),
             State::Following => self.finish(id, Outcome::Unknown(Reason::KeyInProgress), out),
             State::Journaling => self.refuse(now, id, Reason::StoreDown, out),
             State::Waiting { flow, seq } => {
--- a/crates/cli/src/load/callers.rs
+++ b/crates/cli/src/load/callers.rs
@@ -15,8 +15,8 @@
 const ANSWER_TIME: Duration = Duration::from_secs(5);
 /// Longest that an idle connection is kept.
 const IDLE_AGE: Duration = Duration::from_secs(2);
-/// Largest number of sendings of one call.
-const SENDINGS: u32 = 12;
+/// Time after which a caller gives up hope of being told an outcome.
+const TELLING_TIME: Duration = Duration::from_secs(10);
 /// Pause after an instance could not be reached.
 const PAUSE: Duration = Duration::from_millis(25);
 /// Pause of a caller of the flood after each call.
@@ -134,7 +134,7 @@
     fn make(&mut self, call: Call) {
         let first = Instant::now();
         let mut told = None;
-        for _ in 0..SENDINGS {
+        while first.elapsed() < TELLING_TIME {
             match self.send(&call, first) {
                 Sending::Told(outcome) => {
                     told = Some(outcome);
--- a/crates/daemon/src/hub/calls/load.rs
+++ b/crates/daemon/src/hub/calls/load.rs
@@ -32,10 +32,14 @@
 impl Calls {
     /// Tells all peers the load here, unless that was done just now.
     pub(super) fn announce(&mut self, now: Time) {
-        if now.since(self.loads.told) < SHORTEST {
-            return;
+        if now.since(self.loads.told) >= SHORTEST {
+            self.announce_now();
         }
-        self.loads.told = now;
+    }
+
+    /// Tells all peers the load here.
+    pub(super) fn announce_now(&mut self) {
+        self.loads.told = self.parts.shared.clock.now();
         let load = self.own_load();
         for address in self.members.values() {
             self.parts.shared.metrics.sent("load");
--- a/crates/daemon/src/hub/calls/mod.rs
+++ b/crates/daemon/src/hub/calls/mod.rs
@@ -296,6 +296,8 @@
     /// Begins a graceful shutdown.
     pub(crate) fn drain(&mut self, cx: CX![]) {
         self.drive(cx, Event::Drain);
+        // Peers send calls here until they hear of it.
+        self.announce_now();
     }
 
     fn carry_out(&mut self, cx: CX![], now: Time, command: Command) {
--- a/crates/daemon/src/hub/control/effects.rs
+++ b/crates/daemon/src/hub/control/effects.rs
@@ -69,7 +69,12 @@
         };
         match shard.kind {
             Kind::Slots => call!([calls], slots_lost(shard)),
-            Kind::Keys => call!([calls], keys_moved(Shards::keys(shard), None)),
+            Kind::Keys => {
+                call!([calls], keys_moved(Shards::keys(shard), None));
+                // The calls are told of the new owner as soon as it is known.
+                self.releasing.remove(&Shards::keys(shard));
+                self.key_owners.remove(&Shards::keys(shard));
+            }
             Kind::Cell => call!([cells], lost(shard)),
         }
     }
@@ -82,9 +87,10 @@
         match shard.kind {
             // Answered once the router has drained the executors.
             Kind::Slots => call!([calls], release_slots(shard)),
+            // Answered once the records of calls that are about to be sent last.
             Kind::Keys => {
-                call!([calls], keys_moved(Shards::keys(shard), Some(to)));
-                call!([cx], released(shard, Bytes::new()));
+                self.releasing.insert(Shards::keys(shard), to);
+                self.release_keys(cx);
             }
             Kind::Cell => {
                 call!([cells], lost(shard));
--- a/crates/daemon/src/hub/control/journal.rs
+++ b/crates/daemon/src/hub/control/journal.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use stakker::{CX, call};
 use sycamorerill_calls::keys::{self, Key};
 use sycamorerill_calls::router::Refusal;
 use sycamorerill_control::agent::Event;
 use sycamorerill_control::journal::{Need, Refused, Sequence};
-use sycamorerill_core::id::{CallId, DomainName, Epoch};
+use sycamorerill_core::id::{CallId, DomainName, Epoch, InstanceName};
 use sycamorerill_tasks::journal as cell;
 
 use super::Control;
@@ -20,7 +21,7 @@
 #[derive(Clone, Debug)]
 enum Origin {
     /// The first call with a key.
-    Key(CallId),
+    Key { call: CallId, shard: keys::Shard },
     /// A cell, for one of its records.
     Cell { domain: DomainName, epoch: Epoch, sequence: u64 },
 }
@@ -30,6 +31,15 @@
 pub(super) struct Waiting(BTreeMap<Sequence, Origin>);
 
 impl Waiting {
+    /// Reports whether the first record of a key of the shard is on its way.
+    fn holds(&self, shard: keys::Shard) -> bool {
+        let of_shard = |origin: &Origin| match origin {
+            Origin::Key { shard: of, .. } => *of == shard,
+            Origin::Cell { .. } => false,
+        };
+        self.0.values().any(of_shard)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
@@ -39,20 +49,24 @@
     /// Appends a record of the ledger of keys.
     pub(crate) fn journal_key(&mut self, cx: CX![], call: CallId, record: keys::Record) {
         let begins = matches!(record, keys::Record::Begun { .. });
-        let shard = Shards::of_keys(key_of(&record).shard(self.parts.shards.keys));
+        let keys = key_of(&record).shard(self.parts.shards.keys);
+        if begins && self.releasing.contains_key(&keys) {
+            return self.tell_key(call, Err(Refusal::Fenced));
+        }
+        let shard = Shards::of_keys(keys);
         let need = if begins { Need::Now } else { Need::Later };
         let bytes = records::write_key(&record);
         let now = self.parts.shared.clock.now();
         let appended = self.parts.agent.append(now, shard, records::KEY, bytes, need);
         match appended {
             Ok(sequence) if begins => {
-                self.waiting.0.insert(sequence, Origin::Key(call));
+                self.waiting.0.insert(sequence, Origin::Key { call, shard: keys });
             }
             Ok(_) => {}
             Err(refused) => {
                 event!(Code::ControlDecision, decision = refused);
-                if begins && let Some(calls) = &self.calls {
-                    call!([calls], key_written(call, Err(refusal(refused))));
+                if begins {
+                    self.tell_key(call, Err(refusal(refused)));
                 }
             }
         }
@@ -113,12 +127,32 @@
         }
     }
 
+    fn tell_key(&self, call: CallId, written: Result<(), Refusal>) {
+        if let Some(calls) = &self.calls {
+            call!([calls], key_written(call, written));
+        }
+    }
+
+    /// Gives up the shards of keys that no record is on its way for any more.
+    pub(super) fn release_keys(&mut self, cx: CX![]) {
+        let settled = |(shard, _): &(&keys::Shard, &InstanceName)| !self.waiting.holds(**shard);
+        let settled: Vec<_> = self.releasing.iter().filter(settled).collect();
+        let settled: Vec<_> = settled.into_iter().map(|(shard, to)| (*shard, to.clone())).collect();
+        for (shard, to) in settled {
+            self.releasing.remove(&shard);
+            if let Some(calls) = &self.calls {
+                call!([calls], keys_moved(shard, Some(to)));
+            }
+            call!([cx], released(Shards::of_keys(shard), Bytes::new()));
+        }
+    }
+
     fn tell(&self, origin: Origin, lasts: bool) {
         let (Some(calls), Some(cells)) = (&self.calls, &self.cells) else {
             return;
         };
         match origin {
-            Origin::Key(call) => {
+            Origin::Key { call, .. } => {
                 let written = if lasts { Ok(()) } else { Err(Refusal::Down) };
                 call!([calls], key_written(call, written));
             }
--- a/crates/daemon/src/hub/control/mod.rs
+++ b/crates/daemon/src/hub/control/mod.rs
@@ -69,6 +69,8 @@
     stores: Pool,
     wake: MinTimerKey,
     gathers: Pool,
+    /// Shards of keys that are given up, with their receivers.
+    releasing: BTreeMap<keys::Shard, InstanceName>,
     /// Owners of the shards of keys as the calls were told.
     key_owners: BTreeMap<keys::Shard, Option<InstanceName>>,
     commands: Vec<Command>,
@@ -97,6 +99,7 @@
             stores: Pool::new("store", MAX_STORE),
             wake: MinTimerKey::default(),
             gathers: Pool::new("gather", MAX_GATHERS),
+            releasing: BTreeMap::new(),
             key_owners: BTreeMap::new(),
             commands: Vec::new(),
             drain: Drain::default(),
@@ -120,6 +123,7 @@
             self.carry_out(cx, command);
         }
         self.commands = commands;
+        self.release_keys(cx);
         self.schedule(cx);
         self.check_drained();
     }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, bounded, unbounded};
@@ -17,6 +17,10 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
+/// Time that replies to callers and peers take to arrive.
+const LINGER: Duration = Duration::from_millis(250);
+/// Longest wait for replies to peers.
+const LINGER_MOST: Duration = Duration::from_secs(2);
 /// Reasons to end that may be waiting to be read.
 const MAX_ENDS: usize = 4;
 
@@ -125,10 +129,21 @@
         if !finished {
             event!(Code::DrainTimedOut, time = self.drain_time.as_millis());
         }
+        self.linger();
         self.stop();
         finished
     }
 
+    /// Stays while replies are on their way, and while peers may not have heard yet
+    /// that this instance leaves.
+    fn linger(&self) {
+        let end = Instant::now() + LINGER_MOST;
+        thread::sleep(LINGER);
+        while self.peers.serving() > 0 && Instant::now() < end {
+            thread::sleep(LINGER);
+        }
+    }
+
     /// Returns what ends the instance, once something has.
     pub fn ends(&self) -> &Receiver<End> {
         &self.ends
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_io::Async;
 use bytes::Bytes;
@@ -14,27 +15,42 @@
 
 use super::codec;
 use super::message::{Error, Hello, Reply, Request};
-use super::transport::Handler;
+use super::transport::Front;
 
 /// The interface that other entry instances call.
 pub(super) struct Service {
-    own: Hello,
-    handler: Arc<dyn Handler>,
+    front: Front,
     from: RefCell<Option<Hello>>,
 }
 
 /// Serves one connection until it ends.
-pub(super) async fn serve(stream: Async<TcpStream>, own: Hello, handler: Arc<dyn Handler>) {
+pub(super) async fn serve(stream: Async<TcpStream>, front: Front) {
     // Without it, small messages wait for the peer's delayed acknowledgement.
     let _ = stream.get_ref().set_nodelay(true);
     let (reader, writer) = stream.split();
     let network = VatNetwork::new(reader, writer, Side::Server, Default::default());
-    let service = Service { own, handler, from: RefCell::new(None) };
+    let service = Service { front, from: RefCell::new(None) };
     let client: peer::peer::Client = capnp_rpc::new_client(service);
     // An error here is a broken connection, which the peer sees as well.
     let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
 }
 
+/// Counts one request for as long as it has no reply.
+struct Serving(Arc<AtomicUsize>);
+
+impl Serving {
+    fn begin(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl Service {
     async fn handle(&self, request: Request) -> Result<Reply, capnp::Error> {
         let (sender, receiver) = oneshot::channel();
@@ -43,9 +59,12 @@
             // The receiver is gone when the connection broke meanwhile.
             let _ = sender.send(reply);
         });
-        self.handler.handle(from, request, respond);
+        let serving = Serving::begin(&self.front.serving);
+        self.front.handler.handle(from, request, respond);
         let stopped = |_| capnp::Error::disconnected("the instance has stopped".to_owned());
-        receiver.await.map_err(stopped)
+        let reply = receiver.await.map_err(stopped);
+        drop(serving);
+        reply
     }
 }
 
@@ -65,7 +84,7 @@
     ) -> Result<(), capnp::Error> {
         let from = codec::read_hello(params.get()?.get_from()?).map_err(refused)?;
         self.from.replace(Some(from));
-        codec::write_hello(&self.own, results.get().init_hello());
+        codec::write_hello(&self.front.own, results.get().init_hello());
         Ok(())
     }
 
--- a/crates/daemon/src/peer/transport.rs
+++ b/crates/daemon/src/peer/transport.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
 use std::rc::{Rc, Weak};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -37,6 +38,15 @@
     fn handle(&self, from: Option<Hello>, request: Request, respond: Respond);
 }
 
+/// What each connection from a peer is served with.
+#[derive(Clone)]
+pub(super) struct Front {
+    pub(super) own: Hello,
+    pub(super) handler: Arc<dyn Handler>,
+    /// Requests that have no reply yet.
+    pub(super) serving: Arc<AtomicUsize>,
+}
+
 struct Outgoing {
     to: SocketAddr,
     request: Request,
@@ -49,6 +59,7 @@
     outgoing: Sender<Outgoing>,
     stop: Sender<Infallible>,
     address: SocketAddr,
+    serving: Arc<AtomicUsize>,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -65,6 +76,8 @@
     ) -> Result<Self, http::Error> {
         let address = listener.local_addr()?;
         let listener = Async::new(listener)?;
+        let serving = Arc::new(AtomicUsize::new(0));
+        let front = Front { own: own.clone(), handler, serving: Arc::clone(&serving) };
         let (outgoing, requests) = async_channel::unbounded();
         let (stop, stopping) = async_channel::bounded(1);
         let builder = thread::Builder::new().name("peers".to_owned());
@@ -72,14 +85,14 @@
             let executor = Rc::new(LocalExecutor::new());
             // A task that owned its executor would never be dropped.
             let spawner = Rc::downgrade(&executor);
-            let accepting = accept(listener, own.clone(), handler, spawner.clone());
+            let accepting = accept(listener, front, spawner.clone());
             executor.spawn(accepting).detach();
             let sending = send(requests, own, spawner);
             executor.spawn(sending).detach();
             // Ends with an error when the channel is closed.
             let _ = block_on(executor.run(stopping.recv()));
         })?;
-        Ok(Self { outgoing, stop, address, thread: Mutex::new(Some(thread)) })
+        Ok(Self { outgoing, stop, address, serving, thread: Mutex::new(Some(thread)) })
     }
 
     /// Returns the address that is listened on.
@@ -87,6 +100,11 @@
         self.address
     }
 
+    /// Returns the number of peers' requests that have no reply yet.
+    pub(crate) fn serving(&self) -> usize {
+        self.serving.load(Ordering::Acquire)
+    }
+
     /// Sends a request; `done` gets the reply on another thread.
     pub(crate) fn send(
         &self,
@@ -114,12 +132,7 @@
     }
 }
 
-async fn accept(
-    listener: Async<TcpListener>,
-    own: Hello,
-    handler: Arc<dyn Handler>,
-    spawner: Weak<LocalExecutor<'static>>,
-) {
+async fn accept(listener: Async<TcpListener>, front: Front, spawner: Weak<LocalExecutor<'static>>) {
     loop {
         let next = listener.accept().await;
         let Some(executor) = spawner.upgrade() else {
@@ -127,7 +140,7 @@
         };
         match next {
             Ok((stream, _)) => {
-                let serving = server::serve(stream, own.clone(), Arc::clone(&handler));
+                let serving = server::serve(stream, front.clone());
                 executor.spawn(serving).detach();
             }
             Err(reason) => {
