--- /dev/null
+++ b/crates/fakes/benches/http_limits.rs
@@ -0,0 +1,191 @@
+//! What slow and greedy callers do to a `tiny_http` server and to one of `hyper`.
+//!
+//! Prints one JSON object a line. Run with
+//! `cargo bench -p sycamorerill-fakes --bench http_limits`.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use sycamorerill_fakes::{Platform, Settings};
+
+/// Threads that take requests from the `tiny_http` server.
+const HANDLERS: usize = 4;
+/// Connections that wait to be accepted, for both servers.
+const BACKLOG: i32 = 4_096;
+/// Connections that send nothing.
+const IDLE: usize = 2_000;
+/// Connections whose headers come a byte a second.
+const SLOW: usize = 100;
+/// How long slow headers and bodies are sent.
+const SLOW_FOR: Duration = Duration::from_secs(6);
+/// Bytes of the long header line.
+const LONG_LINE: usize = 10 << 20;
+/// Connections that are opened at once.
+const BURST: usize = 600;
+/// Longer than an idle thread of `tiny_http` lives.
+const SETTLE: Duration = Duration::from_secs(6);
+/// How long an honest caller waits.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+const HONEST: &[u8] = b"GET /counts HTTP/1.1\r\nhost: x\r\n\r\n";
+
+/// Starts a `tiny_http` server that reads each body and answers.
+fn tiny() -> SocketAddr {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(BACKLOG).unwrap();
+    let listener = std::net::TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    let server = Arc::new(tiny_http::Server::from_listener(listener, None).unwrap());
+    for _ in 0..HANDLERS {
+        let server = Arc::clone(&server);
+        thread::spawn(move || {
+            while let Ok(mut request) = server.recv() {
+                let _ = request.as_reader().read_to_end(&mut Vec::new());
+                let _ = request.respond(tiny_http::Response::from_string("ok"));
+            }
+        });
+    }
+    address
+}
+
+/// Returns a number of `/proc/self/status`.
+fn status(name: &str) -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+    line.trim_start_matches(':').split_whitespace().next().unwrap().parse().unwrap()
+}
+
+fn rss_mib() -> f64 {
+    (status("VmRSS") as f64 / 1024.0).round()
+}
+
+/// Returns how long an honest caller waits for the first line, or nothing if in vain.
+fn honest(address: SocketAddr) -> Option<f64> {
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(HONEST).ok()?;
+    let read = stream.read(&mut [0; 64]).ok()?;
+    (read > 0).then(|| (began.elapsed().as_secs_f64() * 1e5).round() / 1e2)
+}
+
+/// Reports whether the server has closed the connection.
+fn is_closed(stream: &mut TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    !matches!(stream.read(&mut [0; 512]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+fn connect(address: SocketAddr, count: usize) -> Vec<TcpStream> {
+    (0..count).map(|_| TcpStream::connect(address).unwrap()).collect()
+}
+
+fn idle(server: &str, address: SocketAddr) {
+    let (threads, rss) = (status("Threads"), rss_mib());
+    let streams = connect(address, IDLE);
+    thread::sleep(Duration::from_secs(2));
+    let line = json!({
+        "bench": "http_limits", "server": server, "scenario": "idle", "connections": streams.len(),
+        "wall": true, "threads_added": status("Threads") - threads,
+        "rss_added_mib": rss_mib() - rss, "honest_ms": honest(address),
+    });
+    println!("{line}");
+}
+
+fn slow_headers(server: &str, address: SocketAddr) {
+    let threads = status("Threads");
+    let mut streams = connect(address, SLOW);
+    let began = Instant::now();
+    let mut head = b"GET / HTTP/1.1\r\nx-slow: aaaaaaaaaaaa".iter();
+    while began.elapsed() < SLOW_FOR {
+        let byte = [*head.next().unwrap()];
+        streams.iter_mut().for_each(|stream| drop(stream.write_all(&byte)));
+        thread::sleep(Duration::from_secs(1));
+    }
+    let threads = status("Threads") - threads;
+    let closed = streams.iter_mut().filter_map(|stream| is_closed(stream).then_some(())).count();
+    let line = json!({
+        "bench": "http_limits", "server": server, "scenario": "slow_headers", "connections": SLOW,
+        "wall": true, "seconds": SLOW_FOR.as_secs(), "closed_by_server": closed,
+        "threads_added": threads, "honest_ms": honest(address),
+    });
+    println!("{line}");
+}
+
+fn long_line(server: &str, address: SocketAddr) {
+    let rss = rss_mib();
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut sent = stream.write(b"GET /counts HTTP/1.1\r\nx-long: ").unwrap();
+    let piece = [b'a'; 64 << 10];
+    while sent < LONG_LINE {
+        match stream.write(&piece) {
+            Ok(bytes) => sent += bytes,
+            Err(_) => break,
+        }
+    }
+    let grown = rss_mib() - rss;
+    let _ = stream.write_all(b"\r\n\r\n");
+    let mut answer = [0; 64];
+    let read = stream.read(&mut answer).unwrap_or_default();
+    let answer = String::from_utf8_lossy(&answer[..read]);
+    let line = json!({
+        "bench": "http_limits", "server": server, "scenario": "long_header_line", "wall": true,
+        "sent_bytes": sent, "rss_added_mib": grown, "answer": answer.lines().next(),
+    });
+    println!("{line}");
+}
+
+fn slow_bodies(server: &str, address: SocketAddr) {
+    let mut streams = connect(address, HANDLERS);
+    let head = b"POST /counts HTTP/1.1\r\nhost: x\r\ncontent-length: 2000\r\n\r\na";
+    streams.iter_mut().for_each(|stream| stream.write_all(head).unwrap());
+    thread::sleep(Duration::from_millis(500));
+    let waited = honest(address);
+    let line = json!({
+        "bench": "http_limits", "server": server, "scenario": "slow_bodies", "wall": true,
+        "connections": HANDLERS, "honest_ms": waited,
+    });
+    println!("{line}");
+}
+
+/// Opens many connections at once and asks over each, several times over.
+fn burst(server: &str, address: SocketAddr) {
+    let rounds: Vec<usize> = (0..5).map(|_| burst_round(address)).collect();
+    let line = json!({
+        "bench": "http_limits", "server": server, "scenario": "burst", "wall": true,
+        "connections": BURST, "patience_ms": PATIENCE.as_millis() as u64,
+        "unanswered_by_round": rounds,
+    });
+    println!("{line}");
+}
+
+fn burst_round(address: SocketAddr) -> usize {
+    let mut streams = connect(address, BURST);
+    streams.iter_mut().for_each(|stream| stream.write_all(HONEST).unwrap());
+    let deadline = Instant::now() + PATIENCE;
+    let mut unanswered = 0;
+    for stream in &mut streams {
+        let left = deadline.saturating_duration_since(Instant::now());
+        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).unwrap();
+        unanswered += usize::from(stream.read(&mut [0; 512]).is_err());
+    }
+    unanswered
+}
+
+fn main() {
+    let platform = Platform::start(Settings::default()).unwrap();
+    for (server, address) in [("tiny_http", tiny()), ("hyper", platform.address())] {
+        for scenario in [idle, slow_headers, long_line, burst, slow_bodies] {
+            scenario(server, address);
+            thread::sleep(SETTLE);
+        }
+    }
+}
