fakes: hold the services to their rate, and the page to its examples

Table and object store together carry out 2,000 reads and 400 writes a second; more waits for its turn.

--- a/crates/fakes/benches/standins.rs
+++ b/crates/fakes/benches/standins.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{Attempt, Epoch};
+use sycamorerill_core::rate::PerSecond;
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
 use sycamorerill_fakes::{Platform, Settings};
 use sycamorerill_platform::endpoint::{Answer, Call, Client, headers};
@@ -186,7 +187,13 @@
 fn main() {
     let mut args = std::env::args().skip_while(|arg| arg != "--seed").skip(1);
     let seed = args.next().map_or(1, |seed| seed.parse().expect("--seed takes a number"));
-    let settings = Settings { seed, store_latency: Span::ZERO, ..Settings::default() };
+    let settings = Settings {
+        seed,
+        store_latency: Span::ZERO,
+        store_reads: PerSecond(0.0),
+        store_writes: PerSecond(0.0),
+        ..Settings::default()
+    };
     let platform = Platform::start(settings).unwrap();
     let address = platform.address();
     let tiny = tiny();
--- a/crates/fakes/src/executor/call.rs
+++ b/crates/fakes/src/executor/call.rs
@@ -69,7 +69,7 @@
         for ran in runs {
             let times = {
                 let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
-                ledger.note(ran.clone())
+                ledger.note(&ran)
             };
             if times > 1 {
                 self.ran_again(name, &ran);
--- a/crates/fakes/src/settings.rs
+++ b/crates/fakes/src/settings.rs
@@ -5,6 +5,7 @@
 
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::ServiceName;
+use sycamorerill_core::rate::PerSecond;
 
 use crate::deployment::Deployment;
 
@@ -43,6 +44,10 @@
     pub report_lag: Span,
     /// Time that each request to the table or the object store takes.
     pub store_latency: Span,
+    /// Reads that the table and the object store carry out together, zero for no limit.
+    pub store_reads: PerSecond,
+    /// Writes that the table and the object store carry out together, zero for no limit.
+    pub store_writes: PerSecond,
     /// Time that a checkpoint takes.
     pub checkpoint_time: Span,
     /// Ratio of p99 to median of how far the true sizes of classes are from the declared ones.
@@ -67,6 +72,8 @@
             list_lag: Span::from_secs(3),
             report_lag: Span::from_secs(2),
             store_latency: Span::from_ms(2),
+            store_reads: PerSecond(2_000.0),
+            store_writes: PerSecond(400.0),
             checkpoint_time: Span::from_ms(200),
             size_error: 3.0,
             time_error: 3.0,
--- a/crates/fakes/src/store/gate.rs
+++ b/crates/fakes/src/store/gate.rs
@@ -1,11 +1,12 @@
 //! Faults that befall a request to a service on its way in and out.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use async_io::Timer;
 use hyper::StatusCode;
-use sycamorerill_core::clock::Span;
+use sycamorerill_core::clock::{Span, Time};
 
+use super::pace::Pace;
 use crate::faults::Service;
 use crate::server::{Incoming, Reply};
 
@@ -17,6 +18,7 @@
 pub(crate) struct Gate {
     faults: Mutex<Service>,
     latency: Span,
+    pace: Arc<Pace>,
     rng: Mutex<fastrand::Rng>,
 }
 
@@ -25,9 +27,9 @@
 pub(crate) struct Passed(());
 
 impl Gate {
-    pub(crate) fn new(latency: Span, seed: u64) -> Self {
+    pub(crate) fn new(latency: Span, seed: u64, pace: Arc<Pace>) -> Self {
         let rng = Mutex::new(fastrand::Rng::with_seed(seed));
-        Self { faults: Mutex::default(), latency, rng }
+        Self { faults: Mutex::default(), latency, pace, rng }
     }
 
     /// Sets the faults.
@@ -41,7 +43,12 @@
     }
 
     /// Holds a request up as the faults demand, and lets it through or answers it.
-    pub(crate) async fn enter(&self, request: &Incoming) -> Result<Passed, Reply> {
+    pub(crate) async fn enter(
+        &self,
+        request: &Incoming,
+        now: Time,
+        writes: bool,
+    ) -> Result<Passed, Reply> {
         let faults = self.faults();
         if faults.down {
             return Err(Reply::status(StatusCode::SERVICE_UNAVAILABLE));
@@ -50,7 +57,7 @@
             self.wait_out(request).await;
             return Err(Reply::Close);
         }
-        let wait = self.latency + faults.slow;
+        let wait = self.pace.wait(now, writes) + self.latency + faults.slow;
         if wait > Span::ZERO {
             Timer::after(wait.into()).await;
         }
--- a/crates/fakes/tests/common/mod.rs
+++ b/crates/fakes/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 use sycamorerill_core::clock::{Clock, Span, Time};
+use sycamorerill_core::rate::PerSecond;
 use sycamorerill_fakes::{Platform, Settings};
 use sycamorerill_platform::{endpoint, table, worker};
 
@@ -15,6 +16,8 @@
         list_lag: Span::ZERO,
         report_lag: Span::ZERO,
         store_latency: Span::ZERO,
+        store_reads: PerSecond(0.0),
+        store_writes: PerSecond(0.0),
         checkpoint_time: Span::ZERO,
         size_error: 1.0,
         time_error: 1.0,
--- /dev/null
+++ b/crates/fakes/tests/protocol.rs
@@ -0,0 +1,68 @@
+//! The examples of docs/PLATFORM.md are what the stand-ins take.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod common;
+
+use common::{platform, quick};
+use serde::de::DeserializeOwned;
+use sycamorerill_fakes::{Counts, Fault, Ran};
+use sycamorerill_platform::instances::Change;
+use sycamorerill_platform::table::{Conflict, Row, ScanRequest, Transaction};
+use sycamorerill_platform::worker::Exchange;
+
+const PAGE: &str = include_str!("../../../docs/PLATFORM.md");
+
+/// Returns the first JSON value of the page after `marker`.
+fn example<T: DeserializeOwned>(marker: &str) -> T {
+    let (_, rest) = PAGE.split_once(marker).unwrap_or_else(|| panic!("no `{marker}`"));
+    let start = rest.find('{').expect("a JSON object follows");
+    let mut values = serde_json::Deserializer::from_str(&rest[start..]).into_iter::<T>();
+    values.next().unwrap().unwrap_or_else(|error| panic!("after `{marker}`: {error}"))
+}
+
+#[test]
+fn requests_are_read_as_written() {
+    let transaction: Transaction = example("POST /table/transact\n");
+    assert_eq!((transaction.conditions.len(), transaction.writes.len()), (2, 2));
+    let conflict: Conflict = example("    409 ");
+    assert!(conflict.present.is_some());
+    let row: Row = example("POST /table/row   {\"key\": \"cell/horsens\"}\n    200 ");
+    assert_eq!(&row.value[..], b"{}");
+    let scan: ScanRequest = example("POST /table/scan ");
+    assert_eq!(scan.limit, 100);
+    let exchange: Exchange = example("/exchange\n");
+    assert_eq!(exchange.commands.len(), 7);
+    let added: Change = example("POST /instances\n");
+    assert!(matches!(added, Change::Add(_)));
+    assert_eq!(example::<Ran>("POST /ran "), Ran::Body("order 17".to_owned()));
+}
+
+#[test]
+fn faults_are_switched_as_written() {
+    let platform = platform(quick());
+    let lines: Vec<&str> =
+        PAGE.lines().map(str::trim).filter(|line| line.starts_with("{\"of\"")).collect();
+    assert!(lines.len() >= 8, "found {lines:?}");
+    for line in lines {
+        let fault: Fault = serde_json::from_str(line).unwrap_or_else(|e| panic!("{line}: {e}"));
+        let ends_all = fault == Fault::None;
+        platform.switch(fault);
+        assert_eq!(platform.faults() == Default::default(), ends_all, "{line}");
+    }
+}
+
+#[test]
+fn counts_that_must_stay_zero_exist() {
+    let counts = serde_json::to_value(Counts::default()).unwrap();
+    let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `"));
+    let names = rows.filter_map(|row| row.split_once('`')).map(|(name, _)| name);
+    let mut checked = 0;
+    for (group, name) in names.filter_map(|name| name.split_once('.')) {
+        if group == "workers" || group == "executors" {
+            assert!(counts[group][name].is_u64(), "{group}.{name}");
+            checked += 1;
+        }
+    }
+    assert_eq!(checked, 8);
+}
