--- a/crates/fakes/src/counts.rs
+++ b/crates/fakes/src/counts.rs
@@ -46,6 +46,8 @@
     pub lost: u64,
     /// Tasks that the guards ended.
     pub guarded: u64,
+    /// Tasks started on a worker that had been leaving for longer than the grace.
+    pub after_leaving: u64,
     /// Exchanges refused for their epoch.
     pub fenced: u64,
     /// Exchanges carried out.
@@ -63,6 +65,8 @@
     pub overconnected: u64,
     /// Calls run.
     pub ran: u64,
+    /// Calls that reached an executor that had been leaving for longer than the grace.
+    pub after_leaving: u64,
     /// Calls refused before running.
     pub refused: u64,
     /// Request identities that ran more than once.
--- a/crates/fakes/src/executor/call.rs
+++ b/crates/fakes/src/executor/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
-use sycamorerill_core::clock::Span;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_platform::endpoint::headers;
 
 use super::ledger::{Ran, of_body};
@@ -26,8 +26,8 @@
 
 impl Pool {
     /// Runs a call and answers it, as the faults of the executor allow.
-    pub(crate) async fn call(&self, name: &str, request: &Incoming) -> Reply {
-        let Some(entry) = self.enter(name, &request.connection) else {
+    pub(crate) async fn call(&self, now: Time, name: &str, request: &Incoming) -> Reply {
+        let Some(entry) = self.enter(now, name, &request.connection) else {
             return Reply::refused(StatusCode::NOT_FOUND, "no such executor");
         };
         if entry.faults.gone {
--- a/crates/fakes/src/executor/pool.rs
+++ b/crates/fakes/src/executor/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError, RwLock};
 
+use sycamorerill_core::clock::Time;
 use sycamorerill_platform::instances::{Instance, Role};
 
 use super::ledger::{Ledger, Ran};
@@ -32,6 +33,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     faults: Execute,
+    leaving: Option<Time>,
     counts: counts::Executors,
 }
 
@@ -72,6 +74,11 @@
         executors.entry(instance.name.clone()).or_insert(executor);
     }
 
+    /// Notes that an executor is leaving from now on, or that it stays after all.
+    pub(crate) fn set_leaving(&self, name: &str, since: Option<Time>) {
+        self.change(name, |_, inner| inner.leaving = since);
+    }
+
     /// Sets the faults of an executor.
     pub(crate) fn set(&self, name: &str, faults: Execute) {
         self.change(name, |_, inner| inner.faults = faults);
@@ -99,7 +106,7 @@
     }
 
     /// Looks an executor up for a call over a connection.
-    pub(super) fn enter(&self, name: &str, connection: &Connection) -> Option<Entry> {
+    pub(super) fn enter(&self, now: Time, name: &str, connection: &Connection) -> Option<Entry> {
         if !connection.serves(name) {
             self.closed(connection);
             connection.assign(Some(name));
@@ -111,9 +118,10 @@
                     u64::from(inner.counts.connected > executor.connections);
             });
         }
-        self.change(name, |executor, inner| Entry {
-            faults: inner.faults.clone(),
-            time: executor.time,
+        self.change(name, |executor, inner| {
+            let late = inner.leaving.is_some_and(|at| now.since(at) > self.settings.leave_grace);
+            inner.counts.after_leaving += u64::from(late);
+            Entry { faults: inner.faults.clone(), time: executor.time }
         })
     }
 
@@ -167,6 +175,7 @@
     sum.overconnected += of.overconnected;
     sum.ran += of.ran;
     sum.refused += of.refused;
+    sum.after_leaving += of.after_leaving;
     sum.ran_twice += of.ran_twice;
     sum.keys_ran_twice += of.keys_ran_twice;
     sum.running += of.running;
--- a/crates/fakes/src/fleet/nature.rs
+++ b/crates/fakes/src/fleet/nature.rs
@@ -40,6 +40,7 @@
     time_error: f64,
     interference: f64,
     pub(crate) report_lag: Span,
+    pub(crate) leave_grace: Span,
     pub(crate) checkpoint_time: Span,
     pub(crate) failing_jobs: BTreeSet<JobName>,
     /// Whether the object store can be reached from the workers.
@@ -63,6 +64,7 @@
             time_error: settings.time_error,
             interference: settings.interference,
             report_lag: settings.report_lag,
+            leave_grace: settings.leave_grace,
             checkpoint_time: settings.checkpoint_time,
             failing_jobs: BTreeSet::new(),
             objects_up: true,
--- a/crates/fakes/src/fleet/state.rs
+++ b/crates/fakes/src/fleet/state.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Notes that a worker is leaving from now on, or that it stays after all.
+    pub(crate) fn set_leaving(&mut self, name: &str, since: Option<Time>) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.leaving = since;
+        }
+    }
+
     /// Sets whether every task of a job fails; tasks that run now are left alone.
     pub(crate) fn set_job(&mut self, job: JobName, fails: bool) {
         if fails {
@@ -195,6 +202,9 @@
         worker.tokens.insert(start.task.clone(), start.token);
         worker.tasks.insert(start.task.clone(), task);
         self.counts.started += 1;
+        let grace = self.nature.leave_grace;
+        let late = worker.leaving.is_some_and(|at| now.since(at) > grace);
+        self.counts.after_leaving += u64::from(late);
         self.guard(now, name);
         Ok(())
     }
--- a/crates/fakes/src/fleet/worker.rs
+++ b/crates/fakes/src/fleet/worker.rs
@@ -21,6 +21,8 @@
     pub(crate) tokens: BTreeMap<TaskName, Token>,
     pub(crate) faults: Work,
     pub(crate) paused_until: Time,
+    /// Instant since which the worker is leaving.
+    pub(crate) leaving: Option<Time>,
     /// Instant up to which the tasks have been carried on.
     pub(crate) at: Time,
     pub(crate) guard_ended: u64,
@@ -35,6 +37,7 @@
             tokens: BTreeMap::new(),
             faults: Work::default(),
             paused_until: Time::ZERO,
+            leaving: None,
             at: Time::ZERO,
             guard_ended: 0,
         }
--- a/crates/fakes/src/router/mod.rs
+++ b/crates/fakes/src/router/mod.rs
@@ -9,8 +9,8 @@
 
 use hyper::{Method, StatusCode};
 use serde::de::DeserializeOwned;
-use sycamorerill_core::clock::{Clock, Span};
-use sycamorerill_platform::instances::{Change, Instance, Role};
+use sycamorerill_core::clock::{Clock, Span, Time};
+use sycamorerill_platform::instances::{Change, Instance, Role, State};
 
 use crate::counts::Counts;
 use crate::executor::{Pool, Ran};
@@ -83,10 +83,22 @@
 
     /// Changes the instance list.
     pub(crate) fn change(&self, change: Change) {
-        if let Change::Add(instance) = &change {
-            self.build(instance);
+        let now = self.clock.now();
+        match &change {
+            Change::Add(instance) => {
+                self.build(instance);
+                let leaving = instance.state == State::Leaving;
+                self.set_leaving(&instance.name, leaving.then_some(now));
+            }
+            Change::Leave(name) => self.set_leaving(name, Some(now)),
+            Change::Remove(_) => {}
         }
-        lock(&self.list).change(self.clock.now(), change);
+        lock(&self.list).change(now, change);
+    }
+
+    fn set_leaving(&self, name: &str, since: Option<Time>) {
+        self.pool.set_leaving(name, since);
+        lock(&self.fleet).set_leaving(name, since);
     }
 
     fn build(&self, instance: &Instance) {
@@ -112,7 +124,7 @@
             },
             ("executors", _) => {
                 let name = rest.split_once('/').map_or(rest, |(name, _)| name);
-                self.pool.call(name, &request).await
+                self.pool.call(self.clock.now(), name, &request).await
             }
             ("faults", &Method::POST) => parsed(&request, |fault| {
                 self.switch(fault);
--- a/crates/fakes/src/settings.rs
+++ b/crates/fakes/src/settings.rs
@@ -40,6 +40,8 @@
     pub speedup: f64,
     /// How old the instance list is.
     pub list_lag: Span,
+    /// How long a leaving instance may get new work before it is counted.
+    pub leave_grace: Span,
     /// How old the usage in a worker's report is.
     pub report_lag: Span,
     /// Time that each request to the table or the object store takes.
@@ -70,6 +72,7 @@
             deployment: Deployment::default(),
             speedup: 1.0,
             list_lag: Span::from_secs(3),
+            leave_grace: Span::from_secs(5),
             report_lag: Span::from_secs(2),
             store_latency: Span::from_ms(2),
             store_reads: PerSecond(2_000.0),
--- a/crates/fakes/tests/protocol.rs
+++ b/crates/fakes/tests/protocol.rs
@@ -56,7 +56,7 @@
 fn counts_that_must_stay_zero_exist() {
     let counts = serde_json::to_value(Counts::default()).unwrap();
     let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `"));
-    let names = rows.filter_map(|row| row.split_once('`')).map(|(name, _)| name);
+    let names = rows.flat_map(|row| row.split('`').step_by(2));
     let mut checked = 0;
     for (group, name) in names.filter_map(|name| name.split_once('.')) {
         if group == "workers" || group == "executors" {
@@ -64,5 +64,5 @@
             checked += 1;
         }
     }
-    assert_eq!(checked, 8);
+    assert_eq!(checked, 10);
 }
--- a/crates/fakes/tests/services.rs
+++ b/crates/fakes/tests/services.rs
@@ -13,7 +13,7 @@
 use sycamorerill_platform::instances::{self, Change, State};
 use sycamorerill_platform::object::{self, Put};
 use sycamorerill_platform::table::{Client, Expect, Identity, Key, RowVersion, Transaction};
-use sycamorerill_platform::{Doubt, Error};
+use sycamorerill_platform::{Doubt, Error, endpoint};
 
 fn transaction(identity: &str) -> Transaction {
     Transaction::new(Identity::new(identity))
@@ -225,6 +225,23 @@
     assert_eq!(list.list().unwrap(), all);
 }
 
+#[test]
+fn work_for_an_instance_that_left_long_ago_is_counted() {
+    let call = |platform: &Platform| {
+        let call = endpoint::Call { identity: "id".to_owned(), ..Default::default() };
+        common::executor(platform, "x-vejle-a-01").call(&call);
+        platform.counts().executors.after_leaving
+    };
+    let leave = |platform: &Platform| platform.change(Change::Leave("x-vejle-a-01".to_owned()));
+    let patient = platform(Settings { leave_grace: Span::from_secs(600), ..quick() });
+    leave(&patient);
+    assert_eq!(call(&patient), 0);
+    let strict = platform(Settings { leave_grace: Span::ZERO, ..quick() });
+    assert_eq!(call(&strict), 0);
+    leave(&strict);
+    wait_until(|| call(&strict) > 0);
+}
+
 #[test]
 fn the_instance_list_lags() {
     let endless = Span::from_secs(600);
