--- a/crates/fakes/benches/http_limits.rs
+++ b/crates/fakes/benches/http_limits.rs
@@ -6,12 +6,15 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use http_body_util::BodyExt;
+use hyper::service::service_fn;
 use serde_json::json;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
 use socket2::{Domain, Socket, Type};
 use sycamorerill_fakes::{Platform, Settings};
 
@@ -29,6 +32,8 @@
 const LONG_LINE: usize = 10 << 20;
 /// Connections that are opened at once.
 const BURST: usize = 600;
+/// Longest time for a header, in the server that has such a limit.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longer than an idle thread of `tiny_http` lives.
 const SETTLE: Duration = Duration::from_secs(6);
 /// How long an honest caller waits.
@@ -41,7 +46,7 @@
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
     socket.listen(BACKLOG).unwrap();
-    let listener = std::net::TcpListener::from(socket);
+    let listener = TcpListener::from(socket);
     let address = listener.local_addr().unwrap();
     let server = Arc::new(tiny_http::Server::from_listener(listener, None).unwrap());
     for _ in 0..HANDLERS {
@@ -56,6 +61,31 @@
     address
 }
 
+/// Starts a `hyper` server that closes a connection whose header takes longer than the timeout.
+fn timed() -> SocketAddr {
+    let listener = async_io::Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = listener.get_ref().local_addr().unwrap();
+    thread::spawn(move || {
+        let executor = async_executor::LocalExecutor::new();
+        async_io::block_on(executor.run(async {
+            while let Ok((stream, _)) = listener.accept().await {
+                executor.spawn(serve(stream)).detach();
+            }
+        }));
+    });
+    address
+}
+
+async fn serve(stream: async_io::Async<TcpStream>) {
+    let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| async {
+        let _ = request.collect().await;
+        Ok::<_, std::convert::Infallible>(hyper::Response::new("ok".to_owned()))
+    });
+    let mut server = hyper::server::conn::http1::Builder::new();
+    server.timer(SmolTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    let _ = server.serve_connection(FuturesIo::new(stream), service).await;
+}
+
 /// Returns a number of `/proc/self/status`.
 fn status(name: &str) -> u64 {
     let text = std::fs::read_to_string("/proc/self/status").unwrap();
@@ -89,11 +119,13 @@
 
 fn idle(server: &str, address: SocketAddr) {
     let (threads, rss) = (status("Threads"), rss_mib());
-    let streams = connect(address, IDLE);
-    thread::sleep(Duration::from_secs(2));
+    let mut streams = connect(address, IDLE);
+    let rest = HEADER_TIMEOUT + Duration::from_secs(1);
+    thread::sleep(rest);
+    let closed = streams.iter_mut().filter_map(|stream| is_closed(stream).then_some(())).count();
     let line = json!({
         "bench": "http_limits", "server": server, "scenario": "idle", "connections": streams.len(),
-        "wall": true, "threads_added": status("Threads") - threads,
+        "wall": true, "closed_by_server": closed, "threads_added": status("Threads") - threads,
         "rss_added_mib": rss_mib() - rss, "honest_ms": honest(address),
     });
     println!("{line}");
@@ -182,7 +214,12 @@
 
 fn main() {
     let platform = Platform::start(Settings::default()).unwrap();
-    for (server, address) in [("tiny_http", tiny()), ("hyper", platform.address())] {
+    let servers = [
+        ("tiny_http", tiny()),
+        ("hyper", platform.address()),
+        ("hyper_with_header_timeout", timed()),
+    ];
+    for (server, address) in servers {
         for scenario in [idle, slow_headers, long_line, burst, slow_bodies] {
             scenario(server, address);
             thread::sleep(SETTLE);
