--- /dev/null
+++ b/crates/control/benches/control/load.rs
@@ -0,0 +1,115 @@
+//! Store requests, messages, bytes and processor time at rest and at the peak.
+
+use serde_json::json;
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::journal::Need;
+use sycamorerill_control::ownership::{Kind, Shard};
+use sycamorerill_core::clock::Span;
+
+use crate::SIZES;
+use crate::group::{Group, percentile, round};
+
+/// Task starts and calls with a key a second at the peak of the letter, together.
+const RECORDS_PER_SECOND: u64 = 4_000;
+/// Missed targets a second at the peak.
+const MISSES_PER_SECOND: u64 = 50;
+/// Time measured.
+const SECONDS: u64 = 20;
+/// Steps in which load is added within a second.
+const STEPS: u64 = 50;
+
+pub(crate) fn run(seed: u64) {
+    for count in SIZES {
+        let mut group = Group::start(seed, count, |_| {});
+        group.cluster.run(Span::from_secs(20));
+        measure(&mut group, "rest", |_, _| {});
+        let mut next = 0;
+        measure(&mut group, "peak", |group, step| {
+            load(group, &mut next, step);
+        });
+    }
+}
+
+struct Counters {
+    writes: u64,
+    reads: u64,
+    scanned: u64,
+    messages: u64,
+    bytes: u64,
+    busy: f64,
+}
+
+fn counters(group: &Group) -> Counters {
+    let cluster = &group.cluster;
+    Counters {
+        writes: cluster.store.writes,
+        reads: cluster.store.reads,
+        scanned: cluster.store.scanned,
+        messages: cluster.messages,
+        bytes: cluster.bytes,
+        busy: cluster.busy.as_secs_f64(),
+    }
+}
+
+fn measure(group: &mut Group, what: &str, mut step: impl FnMut(&mut Group, u64)) {
+    let before = counters(group);
+    for at in 0..SECONDS * STEPS {
+        step(group, at);
+        group.cluster.run(Span::from_ms(1_000 / STEPS));
+    }
+    let after = counters(group);
+    let count = group.names.len();
+    let per_second = |figure: u64| round(figure as f64 / SECONDS as f64);
+    let per_node = |figure: u64| round(figure as f64 / SECONDS as f64 / count as f64);
+    let mut waits: Vec<f64> = group
+        .cluster
+        .nodes
+        .values()
+        .flat_map(|node| node.waits.iter().map(|wait| wait.as_ms_f64()))
+        .collect();
+    let line = json!({
+        "bench": "load", "at": what, "instances": count,
+        "store_writes_per_s": per_second(after.writes - before.writes),
+        "store_reads_per_s": per_second(after.reads - before.reads),
+        "rows_scanned_per_s": per_second(after.scanned - before.scanned),
+        "messages_per_s_per_instance": per_node(after.messages - before.messages),
+        "bytes_per_s_per_instance": per_node(after.bytes - before.bytes),
+        "records_lasting": waits.len(),
+        "lasting_p50_ms": round(percentile(&mut waits, 0.5)),
+        "lasting_p99_ms": round(percentile(&mut waits, 0.99)),
+    });
+    println!("{line}");
+    let busy = (after.busy - before.busy) / SECONDS as f64 / count as f64 * 100.0;
+    let line = json!({
+        "bench": "load", "wall": true, "at": what, "instances": count,
+        "core_percent_per_instance": round(busy),
+    });
+    println!("{line}");
+}
+
+/// Appends one step of records to the shards of keys and the cells, in turn.
+fn load(group: &mut Group, next: &mut u64, step: u64) {
+    let now = group.cluster.now;
+    let names = group.names.clone();
+    let mut shards: Vec<(usize, Shard)> = Vec::new();
+    for (at, one) in names.iter().enumerate() {
+        let held = group.cluster.nodes[one].serving.keys();
+        shards.extend(held.filter(|shard| shard.kind != Kind::Slots).map(|shard| (at, *shard)));
+    }
+    shards.sort_by_key(|(_, shard)| *shard);
+    let mut touched = std::collections::BTreeSet::new();
+    for _ in 0..RECORDS_PER_SECOND / STEPS {
+        *next += 1;
+        let (at, shard) = shards[*next as usize % shards.len()];
+        let node = group.cluster.nodes.get_mut(&names[at]).unwrap();
+        let _ = node.append(now, shard, *next, Need::Now);
+        touched.insert(at);
+    }
+    for at in touched {
+        group.cluster.event(&names[at], Event::Tick);
+    }
+    if step.is_multiple_of(STEPS / MISSES_PER_SECOND) {
+        let at = (*next as usize * 13) % names.len();
+        group.cluster.miss(&names[at], *next, *next / 1_000);
+    }
+}
--- /dev/null
+++ b/crates/control/benches/control/spread.rs
@@ -0,0 +1,127 @@
+//! Time until a configuration is in force everywhere, by the way that it spreads.
+
+use bytes::Bytes;
+use serde_json::json;
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome, Spread};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::Version;
+
+use crate::group::{Group, percentile, round};
+
+/// Changes of each run.
+const CHANGES: u64 = 40;
+/// Changes in the largest group.
+const CHANGES_LARGE: u64 = 8;
+/// Size of a configuration in bytes.
+const CONTENT_BYTES: usize = 20_000;
+/// Time between two changes, as in the letter.
+const BETWEEN: Span = Span::from_ms(5_400);
+
+pub(crate) fn run(seed: u64) {
+    for spread in [Spread::Poll, Spread::Push, Spread::Notify] {
+        for drop in [0.0, 0.01, 0.1] {
+            spread_of(seed, 9, spread, drop);
+            spread_of(seed, 90, spread, drop);
+        }
+    }
+    for spread in [Spread::Push, Spread::Notify] {
+        spread_of(seed, 900, spread, 0.01);
+    }
+    store_down(seed);
+}
+
+fn word(spread: Spread) -> &'static str {
+    match spread {
+        Spread::Poll => "poll",
+        Spread::Push => "push",
+        Spread::Notify => "notify",
+    }
+}
+
+fn apply(group: &mut Group, at: usize, change: u64) {
+    let one = group.names[at].clone();
+    let apply = Apply {
+        id: ApplyId(change + 1),
+        seen: Version(change),
+        author: "operator".to_owned(),
+        keys: Digests::from([("services/quote".to_owned(), change)]),
+        bytes: Bytes::from(vec![b'x'; CONTENT_BYTES]),
+    };
+    group.cluster.event(&one, Event::Apply(apply));
+}
+
+/// Returns when each instance that runs had put a version, or a newer one, in force.
+fn in_force(group: &Group, version: Version) -> Option<Time> {
+    let mut last = Time::ZERO;
+    for node in group.cluster.nodes.values().filter(|node| node.alive) {
+        let first = node.versions.iter().find(|(_, found, _)| *found >= version);
+        last = last.max(first.map(|(at, _, _)| *at)?);
+    }
+    Some(last)
+}
+
+fn spread_of(seed: u64, count: usize, spread: Spread, drop: f64) {
+    let mut group = Group::start(seed, count, |cluster| {
+        cluster.template.config.spread = spread;
+        if spread == Spread::Poll {
+            // As many reads as a group may spend on it in the other ways' place.
+            cluster.template.config.poll_interval = Span::from_ms(1_000);
+        }
+    });
+    group.cluster.faults.drop = drop;
+    let changes = if count >= 900 { CHANGES_LARGE } else { CHANGES };
+    let (reads, bytes) = (group.cluster.store.reads, group.cluster.bytes);
+    let begun = group.cluster.now;
+    let mut starts = Vec::new();
+    for change in 0..changes {
+        starts.push(group.cluster.now);
+        apply(&mut group, (change as usize * 5) % count, change);
+        group.cluster.run(BETWEEN);
+    }
+    let seconds = group.cluster.now.since(begun).as_ms_f64() / 1_000.0;
+    let reads = (group.cluster.store.reads - reads) as f64 / seconds;
+    let sent = (group.cluster.bytes - bytes) as f64 / seconds / count as f64;
+    group.cluster.run(Span::from_secs(60));
+    let mut took: Vec<f64> = Vec::new();
+    for (change, start) in starts.iter().enumerate() {
+        let everywhere = in_force(&group, Version(change as u64 + 1));
+        took.push(everywhere.map_or(f64::INFINITY, |at| at.since(*start).as_ms_f64()));
+    }
+    let accepted =
+        group.cluster.outcomes.values().filter(|(_, it)| matches!(it, Outcome::Accepted(_)));
+    let line = json!({
+        "bench": "config_in_force", "spread": word(spread), "instances": count, "lost": drop,
+        "changes": changes, "accepted": accepted.count(),
+        "p50_ms": round(percentile(&mut took, 0.5)), "p99_ms": round(percentile(&mut took, 0.99)),
+        "store_reads_per_s": round(reads), "sent_bytes_per_s_per_instance": round(sent),
+    });
+    println!("{line}");
+}
+
+/// The store fails right after an acceptance: the others take the version from peers.
+fn store_down(seed: u64) {
+    for drop in [0.0, 0.01, 0.1] {
+        let mut took = Vec::new();
+        for round in 0..20 {
+            let mut group = Group::start(seed + round, 9, |_| {});
+            group.cluster.faults.drop = drop;
+            apply(&mut group, 0, 0);
+            let start = group.cluster.now;
+            while group.cluster.version(&group.names[0]) == Version(0) {
+                group.cluster.run(Span::from_ms(1));
+            }
+            group.cluster.faults.down = true;
+            group.cluster.run(Span::from_secs(30));
+            let everywhere = in_force(&group, Version(1));
+            took.push(everywhere.map_or(f64::INFINITY, |at| at.since(start).as_ms_f64()));
+        }
+        let line = json!({
+            "bench": "config_in_force_store_down", "spread": "notify", "instances": 9,
+            "lost": drop, "changes": took.len(),
+            "p50_ms": round(percentile(&mut took, 0.5)),
+            "p99_ms": round(percentile(&mut took, 0.99)),
+        });
+        println!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/control/benches/control/takeover.rs
@@ -0,0 +1,176 @@
+//! Time until the shards of a dead, draining or restarting owner are at work again.
+
+use std::collections::BTreeMap;
+
+use serde_json::json;
+use sycamorerill_control::agent::Event;
+use sycamorerill_control::journal::Need;
+use sycamorerill_control::ownership::{Kind, Shard};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::InstanceName;
+
+use crate::group::{Group, percentile, round};
+
+/// Times that an owner is killed, drained or restarted.
+const ROUNDS: usize = 20;
+/// Records in the journal of each shard of keys and each cell.
+const RECORDS: u64 = 20;
+
+pub(crate) fn run(seed: u64) {
+    for count in [9, 90] {
+        killed(seed, count);
+        drained(seed, count);
+    }
+    restarted(seed);
+    replaced(seed);
+}
+
+fn group(seed: u64, count: usize) -> Group {
+    let mut group = Group::start(seed, count, |_| {});
+    let now = group.cluster.now;
+    let names = group.names.clone();
+    for one in &names {
+        let node = group.cluster.nodes.get_mut(one).unwrap();
+        let shards: Vec<Shard> = node.serving.keys().copied().collect();
+        for shard in shards.into_iter().filter(|shard| shard.kind != Kind::Slots) {
+            for payload in 0..RECORDS {
+                let _ = node.append(now, shard, payload, Need::Later);
+            }
+        }
+        group.cluster.event(one, Event::Tick);
+    }
+    group.cluster.run(Span::from_secs(20));
+    group
+}
+
+fn serving(group: &Group, one: &InstanceName) -> Vec<Shard> {
+    group.cluster.nodes[one].serving.keys().copied().collect()
+}
+
+/// Returns for each shard the time until another instance had it at work.
+fn wait(group: &mut Group, shards: &[Shard], start: Time, limit: Span) -> Vec<(Shard, f64)> {
+    group.cluster.run(limit);
+    let mut took = Vec::new();
+    for shard in shards {
+        let gained = group.cluster.gains.iter();
+        let first = gained.filter(|(at, _, gained, _)| gained == shard && *at >= start);
+        let first = first.map(|(at, ..)| *at).min();
+        took.push((*shard, first.map_or(f64::INFINITY, |at| at.since(start).as_ms_f64())));
+    }
+    took
+}
+
+fn line(what: &str, count: usize, took: &[(Shard, f64)]) {
+    let mut by_kind: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+    for (shard, ms) in took {
+        by_kind.entry(shard.kind.as_str()).or_default().push(*ms);
+    }
+    by_kind.insert("all", took.iter().map(|(_, ms)| *ms).collect());
+    for (kind, mut figures) in by_kind {
+        let p50 = round(percentile(&mut figures, 0.5));
+        let p99 = round(percentile(&mut figures, 0.99));
+        let late = figures.iter().filter(|ms| ms.is_infinite()).count();
+        let line = json!({
+            "bench": what, "instances": count, "kind": kind, "shards": figures.len(),
+            "p50_ms": p50, "p99_ms": p99, "never": late,
+        });
+        println!("{line}");
+    }
+}
+
+fn killed(seed: u64, count: usize) {
+    let mut group = group(seed, count);
+    let mut took = Vec::new();
+    for round in 0..ROUNDS {
+        let at = round * 7 % count;
+        let one = group.names[at].clone();
+        let shards = serving(&group, &one);
+        let start = group.cluster.now;
+        group.cluster.kill(&one);
+        took.extend(wait(&mut group, &shards, start, Span::from_secs(20)));
+        group.restart(at);
+        group.cluster.run(Span::from_secs(30));
+    }
+    line("takeover", count, &took);
+    safety("takeover", &group);
+}
+
+fn drained(seed: u64, count: usize) {
+    let mut group = group(seed, count);
+    let mut took = Vec::new();
+    let mut refused = 0;
+    for round in 0..ROUNDS {
+        let at = round * 7 % count;
+        let one = group.names[at].clone();
+        let shards = serving(&group, &one);
+        let start = group.cluster.now;
+        group.cluster.event(&one, Event::Drain);
+        took.extend(wait(&mut group, &shards, start, Span::from_secs(5)));
+        refused += shards.len()
+            - took.iter().rev().take(shards.len()).filter(|(_, ms)| ms.is_finite()).count();
+        group.restart(at);
+        group.cluster.run(Span::from_secs(30));
+    }
+    line("handover", count, &took);
+    println!("{}", json!({"bench": "handover", "instances": count, "shards_not_taken": refused}));
+    safety("handover", &group);
+}
+
+/// Counts the shards that came to other instances than `but`, or back to it later.
+fn moves(group: &Group, from: Time, but: Option<&InstanceName>) -> usize {
+    let gains = group.cluster.gains.iter();
+    gains.filter(|(at, one, ..)| *at >= from && Some(one) != but).count()
+}
+
+/// A process that is back within two seconds takes up its own shards.
+fn restarted(seed: u64) {
+    let mut group = group(seed, 9);
+    let mut moved = Vec::new();
+    for round in 0..ROUNDS {
+        let at = round % 9;
+        let one = group.names[at].clone();
+        let owned = serving(&group, &one);
+        let start = group.cluster.now;
+        group.cluster.kill(&one);
+        group.cluster.run(Span::from_ms(2_000));
+        group.restart(at);
+        group.cluster.run(Span::from_secs(28));
+        moved.push((owned.len(), moves(&group, start, Some(&one))));
+    }
+    let owned: usize = moved.iter().map(|(owned, _)| owned).sum();
+    let elsewhere: usize = moved.iter().map(|(_, elsewhere)| elsewhere).sum();
+    let line = json!({
+        "bench": "moved_per_restart", "instances": 9, "down_ms": 2_000,
+        "owned": owned as f64 / ROUNDS as f64, "moved": elsewhere as f64 / ROUNDS as f64,
+    });
+    println!("{line}");
+}
+
+/// A process that stays away loses its shards and gets them back.
+fn replaced(seed: u64) {
+    let mut group = group(seed, 9);
+    let start = group.cluster.now;
+    let mut owned = 0;
+    for round in 0..ROUNDS {
+        let at = round % 9;
+        let one = group.names[at].clone();
+        owned += serving(&group, &one).len();
+        group.cluster.kill(&one);
+        group.cluster.run(Span::from_secs(20));
+        group.restart(at);
+        group.cluster.run(Span::from_secs(30));
+    }
+    let all = moves(&group, start, None);
+    let line = json!({
+        "bench": "moved_per_replacement", "instances": 9, "shards": group.shards(),
+        "owned": owned as f64 / ROUNDS as f64, "moved": all as f64 / ROUNDS as f64,
+    });
+    println!("{line}");
+}
+
+fn safety(what: &str, group: &Group) {
+    let line = json!({
+        "bench": what, "instances": group.names.len(), "violations": group.cluster.wrong().len(),
+    });
+    println!("{line}");
+}
--- /dev/null
+++ b/crates/control/benches/control/wall.rs
@@ -0,0 +1,105 @@
+//! Processor time and memory of one agent against what it knows.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde_json::json;
+use sycamorerill_control::agent::{Agent, Event, Settings};
+use sycamorerill_control::journal::{Batch, Kind, Record, Sequence};
+use sycamorerill_control::membership::Listing;
+use sycamorerill_control::ownership::{self, Shard};
+use sycamorerill_control::session;
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::id::{Epoch, Incarnation};
+
+use crate::cluster::name;
+use crate::group::round;
+
+/// Kibibytes in one page of the statistics of the kernel.
+const KIB_PER_PAGE: f64 = 4.0;
+/// Agents whose memory is measured together.
+const AGENTS: usize = 20;
+
+pub(crate) fn run(seed: u64) {
+    for members in [100, 1_000, 10_000] {
+        memory(seed, members);
+    }
+    for records in [100, 1_000, 10_000] {
+        batch(records);
+    }
+}
+
+fn resident_kib() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or_default();
+    pages * KIB_PER_PAGE
+}
+
+/// Memory of an agent that knows a number of members, and the time of its ticks.
+fn memory(seed: u64, members: usize) {
+    let listings: Vec<Listing> = (0..members)
+        .map(|at| Listing { instance: name(&format!("e{at:05}")), leaving: false })
+        .collect();
+    let before = resident_kib();
+    let mut agents: Vec<Agent> = (0..AGENTS)
+        .map(|at| {
+            let domain = "d00".parse().unwrap();
+            let instance = name(&format!("own{at}"));
+            let mut settings = Settings::new(instance, Incarnation(1), domain);
+            settings.seed = seed;
+            Agent::new(settings)
+        })
+        .collect();
+    let mut commands = Vec::new();
+    for agent in &mut agents {
+        let listings = listings.clone();
+        agent.handle(Time::from_ms(1), Event::Listed { listings }, &mut commands);
+        commands.clear();
+    }
+    let kib = (resident_kib() - before) / AGENTS as f64;
+    let ticks = 200;
+    let started = Instant::now();
+    for tick in 1..=ticks {
+        let now = Time::from_ms(1) + Span::from_ms(500 * tick);
+        agents[0].handle(now, Event::Tick, &mut commands);
+        commands.clear();
+    }
+    let micros = started.elapsed().as_secs_f64() * 1e6 / ticks as f64;
+    let line = json!({
+        "bench": "agent", "wall": true, "members": members,
+        "memory_kib": round(kib), "tick_us": round(micros),
+    });
+    println!("{line}");
+}
+
+/// Time to encode and decode one batch.
+fn batch(records: u64) {
+    let by = session::Name { instance: name("e001"), incarnation: Incarnation(1) };
+    let shard = Shard { kind: ownership::Kind::Keys, number: 1 };
+    let record = |at: u64| Record {
+        sequence: Sequence(at),
+        shard,
+        epoch: Epoch(1),
+        kind: Kind(1),
+        bytes: Bytes::from(vec![7; 100]),
+    };
+    let batch = Batch { by, number: 1, floor: 1, records: (0..records).map(record).collect() };
+    let rounds = 100_000 / records;
+    let started = Instant::now();
+    let mut bytes = 0;
+    for _ in 0..rounds {
+        bytes = batch.encode().len();
+    }
+    let encode = started.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+    let sealed = batch.encode();
+    let started = Instant::now();
+    for _ in 0..rounds {
+        assert!(Batch::decode(&sealed).is_ok());
+    }
+    let decode = started.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+    let line = json!({
+        "bench": "batch", "wall": true, "records": records, "bytes": bytes,
+        "encode_us": round(encode), "decode_us": round(decode),
+    });
+    println!("{line}");
+}
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -10,7 +10,7 @@
 use fastrand::Rng;
 use sycamorerill_control::agent::{Command, Event, Settings};
 use sycamorerill_control::membership::{Evidence, Listing};
-use sycamorerill_control::ownership::{Kind, Shard};
+use sycamorerill_control::ownership::{Kind, Shard, Way};
 use sycamorerill_control::penalties::{Entry, Id};
 use sycamorerill_control::store::{Request, RequestId, Response};
 use sycamorerill_control::{config, penalties, session};
@@ -65,6 +65,10 @@
     pub messages: u64,
     pub bytes: u64,
     pub happened: u64,
+    /// Shards that came to work, with their instance and the way.
+    pub gains: Vec<(Time, InstanceName, Shard, Way)>,
+    /// Wall-clock time spent inside of the agents.
+    pub busy: std::time::Duration,
     pub wakes: u64,
     /// Payloads that instances which have ended knew to last.
     pub durable: Vec<(Shard, u64)>,
@@ -99,6 +103,8 @@
             messages: 0,
             bytes: 0,
             happened: 0,
+            gains: Vec::new(),
+            busy: std::time::Duration::ZERO,
             wakes: 0,
             durable: Vec::new(),
             maybe: BTreeSet::new(),
@@ -168,7 +174,9 @@
             return;
         }
         let mut commands = Vec::new();
+        let started = std::time::Instant::now();
         node.agent.handle(self.now, event, &mut commands);
+        self.busy += started.elapsed();
         let life = node.life;
         for command in commands {
             self.command(instance, life, command);
@@ -348,6 +356,7 @@
     fn local(&mut self, instance: &InstanceName, command: Command) {
         if let Command::Gained(gained) = &command {
             self.check_gained(instance, gained.shard);
+            self.gains.push((self.now, instance.clone(), gained.shard, gained.way));
         }
         let now = self.now;
         let Some(node) = self.nodes.get_mut(instance) else { return };
--- a/crates/control/tests/cluster/node.rs
+++ b/crates/control/tests/cluster/node.rs
@@ -7,7 +7,7 @@
 use sycamorerill_control::journal::{Kind, Need, Refused, Sequence};
 use sycamorerill_control::ownership::{Gained, Shard};
 use sycamorerill_control::penalties::Misses;
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Epoch, Version};
 
 /// An instance.
@@ -29,6 +29,9 @@
     pub carried: Misses,
     pub gained: Vec<(Time, Gained)>,
     pub problems: Vec<String>,
+    /// Times from the append of records until they lasted.
+    pub waits: Vec<Span>,
+    appended: BTreeMap<Sequence, Time>,
 }
 
 impl Node {
@@ -52,6 +55,8 @@
             carried: Misses::new(),
             gained: Vec::new(),
             problems: Vec::new(),
+            waits: Vec::new(),
+            appended: BTreeMap::new(),
         }
     }
 
@@ -66,6 +71,7 @@
         let bytes = Bytes::copy_from_slice(&payload.to_be_bytes());
         let sequence = self.agent.append(now, shard, Kind(1), bytes, need)?;
         self.waiting.insert(sequence, (shard, payload));
+        self.appended.insert(sequence, now);
         if let Some((_, held)) = self.serving.get_mut(&shard) {
             held.push(payload);
         }
@@ -87,6 +93,9 @@
                 return Some(Event::Released { shard, carry: Bytes::from_static(b"carry") });
             }
             Command::Durable { up_to } => {
+                let later = self.appended.split_off(&Sequence(up_to.0 + 1));
+                let lasting = std::mem::replace(&mut self.appended, later);
+                self.waits.extend(lasting.into_values().map(|at| now.since(at)));
                 let rest = self.waiting.split_off(&Sequence(up_to.0 + 1));
                 self.durable.extend(std::mem::replace(&mut self.waiting, rest).into_values());
             }
