--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -35,6 +35,33 @@
     }
 }
 
+/// Returns what stands between quotes right behind each `start` in a source file.
+fn quoted_behind(file: &str, start: &str) -> Vec<String> {
+    let text = fs::read_to_string(root().join(file)).unwrap();
+    let rests = text.split(start).skip(1);
+    rests.map(|rest| rest.split('"').next().unwrap().to_owned()).collect()
+}
+
+#[test]
+fn the_page_of_entry_instances_names_every_metric_and_flag() {
+    let page = fs::read_to_string(root().join("docs/operations/entry-instance.md")).unwrap();
+    let metrics = quoted_behind("crates/daemon/src/metrics/mod.rs", "registry.register(\"");
+    assert!(!metrics.is_empty());
+    for metric in metrics {
+        assert!(page.contains(&format!("| `{metric}` |")), "metric {metric} is not on the page");
+    }
+    let flags = fs::read_to_string(root().join("crates/daemon/src/settings/flags.rs")).unwrap();
+    let fields = flags.lines().filter_map(|line| line.trim().strip_prefix("pub "));
+    let names = fields.filter_map(|field| field.split_once(':')).map(|(name, _)| name);
+    let mut count = 0;
+    for name in names {
+        let flag = name.replace('_', "-");
+        assert!(page.contains(&format!("| `--{flag}` |")), "flag --{flag} is not on the page");
+        count += 1;
+    }
+    assert!(count > 0);
+}
+
 #[test]
 fn indexes_list_every_page() {
     let indexes =
