--- a/crates/tasks/src/cell/drive.rs
+++ b/crates/tasks/src/cell/drive.rs
@@ -53,6 +53,11 @@
             let (task, worker) = (hold.name, name.clone());
             out.push(Command::Decision(Decision::Lost { task, worker }));
             self.off(now, hold.task, token, Input::Lost, out);
+            if hold.sent == 0
+                && let Some(task) = self.jobs.task_mut(hold.task)
+            {
+                task.undo_token(token);
+            }
         }
         self.after_change(now, key);
     }
--- a/crates/tasks/src/cell/jobs.rs
+++ b/crates/tasks/src/cell/jobs.rs
@@ -21,6 +21,8 @@
     pub(crate) attempts: u32,
     /// Token of the last placement.
     pub(crate) token: Option<Token>,
+    /// Token of the placement before.
+    pub(crate) previous: Option<Token>,
     /// Worker of the last placement, while the task may be there.
     pub(crate) worker: Option<key::Worker>,
     /// Worker on which the last attempt failed.
@@ -36,6 +38,7 @@
             state,
             attempts: 0,
             token: None,
+            previous: None,
             worker: None,
             avoid: None,
             checkpoint: None,
@@ -43,6 +46,13 @@
         }
     }
 
+    /// Forgets the token of a placement that was not sent.
+    pub(crate) fn undo_token(&mut self, token: Token) {
+        if self.token == Some(token) {
+            self.token = self.previous;
+        }
+    }
+
     /// Applies an input; returns whether the state changed.
     pub(crate) fn apply(&mut self, input: Input) -> bool {
         let next = self.state.next(input);
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -35,20 +35,22 @@
 
 /// Run times before the latest start within which a task is placed beside services in spite
 /// of what it does to them.
-const PRESSING_RUNS: f64 = 1.0;
+const PRESSING_RUNS: f64 = 2.0;
 
 /// What is looked for.
 #[derive(Clone, Copy, Debug)]
-struct Need {
-    job: key::Job,
-    task: u32,
+pub(super) struct Need {
+    pub(super) job: key::Job,
+    pub(super) task: u32,
     class: key::Class,
-    size: Size,
+    pub(super) size: Size,
     avoid: Option<key::Worker>,
     service: bool,
     urgency: Urgency,
+    /// Whether the team goes beyond its quota.
+    borrows: bool,
     /// Whether the task may be placed where a service will be slower than allowed.
-    pressing: bool,
+    pub(super) pressing: bool,
 }
 
 impl Cell {
@@ -127,7 +129,7 @@
         }
         let Some(worker) = self.choose(now, &need) else {
             full.push((need.class, need.size));
-            self.reclaim(now, position, need.size, out);
+            self.reclaim(now, position, &need, out);
             return false;
         };
         self.place(now, &need, worker, out);
@@ -138,15 +140,17 @@
         let job = self.jobs.entry(position.job)?;
         let task = *job.ready.first()?;
         let run = self.sizes.run(job.class, job.run_time);
+        let size = self.size_for(job.class, job.size);
         let soon = job.deadline < Time::MAX && position.start.since(now) < run.scale(PRESSING_RUNS);
         Some(Need {
             job: position.job,
             task,
             class: job.class,
-            size: self.size_for(job.class, job.size),
+            size,
             avoid: job.tasks.get(task as usize).and_then(|task| task.avoid),
             service: self.is_service(job.class),
             urgency: position.urgency.0,
+            borrows: !self.is_within_quota(position.team, size),
             pressing: soon && !position.hopeless,
         })
     }
@@ -177,9 +181,7 @@
     }
 
     fn within_quota(&self, position: Position, size: Size) -> bool {
-        let held = self.held.get(&position.team).copied().unwrap_or_default();
-        let within = share_of(held + size, self.quota(position.team)) <= 1.0;
-        if !within && !self.may_borrow(position.team) {
+        if !self.is_within_quota(position.team, size) && !self.may_borrow(position.team) {
             return false;
         }
         let free = self.capacity.cpu().0.saturating_sub(self.used.cpu().0 + size.cpu().0);
@@ -187,6 +189,11 @@
         free as f64 >= keep || position.urgency.0 > Urgency::Low
     }
 
+    pub(super) fn is_within_quota(&self, team: key::Team, more: Size) -> bool {
+        let held = self.held.get(&team).copied().unwrap_or_default();
+        share_of(held + more, self.quota(team)) <= 1.0
+    }
+
     fn choose(&mut self, now: Time, need: &Need) -> Option<key::Worker> {
         match self.settings.placement {
             Placement::FirstFit | Placement::Apart => self.first_fit(need),
@@ -251,7 +258,8 @@
         let mut mix =
             self.mixes.get(&key).and_then(|mixes| mixes.last()).cloned().unwrap_or_default();
         learn::add(&mut mix, need.class, learn::part(need.size.cpu(), entry.size.cpu()));
-        let place = self.settings.interference.place_limit(need.urgency, need.pressing);
+        let place =
+            self.settings.interference.place_limit(need.urgency, need.pressing, need.borrows);
         for (class, _) in &mix {
             let service = self.is_service(*class);
             if !service && *class != need.class {
@@ -280,7 +288,7 @@
         let Some(task) = job.tasks.get_mut(need.task as usize) else { return };
         let (waited, attempt) = (now.since(task.since), Attempt(u64::from(task.attempts) + 1));
         let resume_from = task.checkpoint.clone();
-        task.token = Some(token);
+        task.previous = task.token.replace(token);
         task.worker = Some(worker);
         let key = key::Task::new(need.job, need.task);
         let hold = Hold {
--- a/crates/tasks/src/cell/reclaim.rs
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -4,6 +4,7 @@
 use sycamorerill_core::model::Urgency;
 use sycamorerill_core::size::Size;
 
+use super::place::Need;
 use super::step::share_of;
 use super::{Cause, Cell, Command, key};
 use crate::queue::Position;
@@ -26,7 +27,7 @@
         &mut self,
         now: Time,
         position: Position,
-        need: Size,
+        need: &Need,
         out: &mut Vec<Command>,
     ) {
         let Some(job) = self.jobs.entry_mut(position.job) else { return };
@@ -35,8 +36,8 @@
             return;
         }
         job.reclaimed_at = Some(now);
-        let Some(cause) = self.reclaim_cause(position, need) else { return };
-        let Some(plan) = self.plan(position, need, cause) else { return };
+        let Some(cause) = self.reclaim_cause(now, position, need) else { return };
+        let Some(plan) = self.plan(position, need.size, cause) else { return };
         if position.urgency.0 < Urgency::Urgent && !self.take_eviction(now) {
             return;
         }
@@ -45,13 +46,14 @@
         }
     }
 
-    fn reclaim_cause(&self, position: Position, need: Size) -> Option<Cause> {
-        let held = self.held.get(&position.team).copied().unwrap_or_default();
-        let within = share_of(held + need, self.quota(position.team)) <= 1.0;
+    fn reclaim_cause(&self, now: Time, position: Position, need: &Need) -> Option<Cause> {
+        let task = self.jobs.task(key::Task::new(need.job, need.task))?;
+        let waited = now.since(task.since) >= self.settings.give_back;
         match position.urgency.0 {
-            _ if !within => None,
+            _ if !self.is_within_quota(position.team, need.size) => None,
             Urgency::High | Urgency::Urgent => Some(Cause::Urgency),
-            Urgency::Low | Urgency::Normal => Some(Cause::Quota),
+            // Room comes back by itself as tasks end; others are moved when that takes long.
+            Urgency::Low | Urgency::Normal => (waited || need.pressing).then_some(Cause::Quota),
         }
     }
 
--- a/crates/tasks/src/cell/settings.rs
+++ b/crates/tasks/src/cell/settings.rs
@@ -55,6 +55,8 @@
     pub headroom: f64,
     /// When and how interference is acted on.
     pub interference: Interference,
+    /// Time that a task of a team below its quota waits before others are moved for it.
+    pub give_back: Span,
     /// Whether tasks make room for more urgent ones and for teams below their quota.
     pub reclaim: bool,
 }
@@ -101,13 +103,15 @@
 
     /// Returns the expected slowdown of a service up to which a task is placed beside it.
     ///
-    /// A task is pressing when it would otherwise miss its deadline.
-    pub fn place_limit(&self, urgency: Urgency, pressing: bool) -> f64 {
+    /// A task is pressing when it would otherwise miss its deadline, and borrows when its
+    /// team goes beyond its quota.
+    pub fn place_limit(&self, urgency: Urgency, pressing: bool, borrows: bool) -> f64 {
         match urgency {
-            Urgency::Urgent => f64::INFINITY,
             _ if pressing => self.high(),
+            _ if borrows => self.slowdown(self.place_low),
             Urgency::Low => self.slowdown(self.place_low),
             Urgency::Normal | Urgency::High => self.slowdown(self.place),
+            Urgency::Urgent => f64::INFINITY,
         }
     }
 
@@ -136,6 +140,7 @@
             keep_ended: Span::from_secs(86_400),
             headroom: 0.05,
             interference: Interference::default(),
+            give_back: Span::from_secs(30),
             reclaim: true,
         }
     }
@@ -149,7 +154,7 @@
             restrict: 0.9,
             relieve: 0.6,
             place: 0.8,
-            place_low: 0.7,
+            place_low: 0.6,
             confirm: 2,
             settle: Span::from_secs(8),
             calm: Span::from_secs(30),
--- a/crates/tasks/src/cell/word.rs
+++ b/crates/tasks/src/cell/word.rs
@@ -7,6 +7,7 @@
 use sycamorerill_core::rate::Share;
 use sycamorerill_core::size::Size;
 
+use super::jobs::Task;
 use super::timer::Wake;
 use super::write::Effect;
 use super::{Cell, Command, Decision, key};
@@ -123,7 +124,11 @@
         let Some(job) = self.jobs.entry(task_key.job()) else { return false };
         let moving = job.moving != super::jobs::Moving::No;
         let Some(task) = self.jobs.task(task_key) else { return false };
-        let newest = task.token.is_none_or(|token| held.token >= token);
+        let last = match self.unsent(task) {
+            true => task.previous,
+            false => task.token,
+        };
+        let newest = last.is_none_or(|token| held.token >= token);
         if !newest || moving || task.state.is_final() || !job.durable {
             return false;
         }
@@ -156,6 +161,7 @@
         };
         if let Some((other, token)) = before {
             self.supersede(other, token);
+            self.withdraw(other, token);
         }
         self.unqueue_task(task_key);
         if let Some(task) = self.jobs.task_mut(task_key) {
@@ -166,6 +172,28 @@
         true
     }
 
+    /// Reports whether the last placement of a task was decided but not yet sent.
+    fn unsent(&self, task: &Task) -> bool {
+        let placed = task.worker.zip(task.token);
+        let hold = placed.and_then(|(worker, token)| self.hold_of(worker, token));
+        hold.is_some_and(|hold| hold.sent == 0)
+    }
+
+    fn hold_of(&self, worker: key::Worker, token: Token) -> Option<&Hold> {
+        self.workers.entry(worker)?.holds.get(&token)
+    }
+
+    /// Takes back a placement that was not sent.
+    fn withdraw(&mut self, worker: key::Worker, token: Token) {
+        if self.hold_of(worker, token).is_none_or(|hold| hold.sent != 0) {
+            return;
+        }
+        self.release(worker, token);
+        if let Some(entry) = self.workers.entry_mut(worker) {
+            entry.holds.remove(&token);
+        }
+    }
+
     /// Takes a placement off that a newer one on another worker has replaced.
     fn supersede(&mut self, worker: key::Worker, token: Token) {
         let Some(entry) = self.workers.entry_mut(worker) else { return };
