--- a/crates/tasks/src/cell/interfere.rs
+++ b/crates/tasks/src/cell/interfere.rs
@@ -15,6 +15,9 @@
 /// Evictions that may be made at once after a quiet time, as minutes of the budget.
 const BUDGET_MINUTES: f64 = 2.0;
 
+/// Change of a slowdown below which a step is not followed by another one at once.
+const LEAST_EASE: f64 = 0.01;
+
 /// A neighbour that could be restricted.
 #[derive(Clone, Copy, Debug)]
 struct Neighbour {
@@ -110,19 +113,30 @@
             .fold(None, |most: Option<f64>, next| Some(most.map_or(next, |most| most.max(next))))
     }
 
-    /// Takes one step against the neighbour that slows services most.
+    /// Takes a step against the neighbours that slow services most, as many as it takes.
     fn restrict(&mut self, now: Time, key: key::Worker, slowdown: f64, out: &mut Vec<Command>) {
-        let neighbours = self.neighbours(now, key);
-        let heavier = |a: &&Neighbour, b: &&Neighbour| {
-            (a.effect * a.share).total_cmp(&(b.effect * b.share)).then(a.token.cmp(&b.token))
-        };
-        let Some(worst) = neighbours.iter().max_by(heavier).copied() else { return };
-        let shares = &self.settings.interference.shares;
-        let next = shares.iter().copied().find(|share| *share < worst.share - 0.01);
-        let Some(next) = next else {
-            return self.evict_for_service(now, key, worst, slowdown, out);
-        };
-        self.throttle(now, key, worst.token, Share::new(next), out);
+        let mut neighbours = self.neighbours(now, key);
+        let mut gap = slowdown - self.settings.interference.high();
+        while gap > 0.0 {
+            let heavier = |a: &&mut Neighbour, b: &&mut Neighbour| {
+                (a.effect * a.share).total_cmp(&(b.effect * b.share)).then(a.token.cmp(&b.token))
+            };
+            let Some(worst) = neighbours.iter_mut().max_by(heavier) else { return };
+            let shares = &self.settings.interference.shares;
+            let next = shares.iter().copied().find(|share| *share < worst.share - 0.01);
+            let Some(next) = next else {
+                let worst = *worst;
+                return self.evict_for_service(now, key, worst, slowdown, out);
+            };
+            let eased = worst.effect * (worst.share - next);
+            worst.share = next;
+            let token = worst.token;
+            self.throttle(now, key, token, Share::new(next), out);
+            if eased < LEAST_EASE {
+                return;
+            }
+            gap -= eased;
+        }
     }
 
     fn throttle(
--- a/crates/tasks/src/learn/size.rs
+++ b/crates/tasks/src/learn/size.rs
@@ -89,6 +89,10 @@
         let Some(learned) = self.classes.get(&class) else { return declared };
         let margin = 1.0 + margin.part();
         let scale = |value: u64, ratio: &Ratio| match ratio.cover() {
+            // A declared size that is kept to needs no margin.
+            Some(cover) if cover <= 1.0 => {
+                ((value as f64 * cover * margin).ceil() as u64).min(value)
+            }
             Some(cover) => (value as f64 * cover * margin).ceil() as u64,
             None => value,
         };
