--- a/crates/tasks/src/cell/jobs.rs
+++ b/crates/tasks/src/cell/jobs.rs
@@ -21,6 +21,8 @@
     pub(crate) attempts: u32,
     /// Token of the last placement.
     pub(crate) token: Option<Token>,
+    /// Token of the placement before.
+    pub(crate) previous: Option<Token>,
     /// Worker of the last placement, while the task may be there.
     pub(crate) worker: Option<key::Worker>,
     /// Worker on which the last attempt failed.
@@ -36,6 +38,7 @@
             state,
             attempts: 0,
             token: None,
+            previous: None,
             worker: None,
             avoid: None,
             checkpoint: None,
@@ -43,6 +46,13 @@
         }
     }
 
+    /// Forgets the token of a placement that was not sent.
+    pub(crate) fn undo_token(&mut self, token: Token) {
+        if self.token == Some(token) {
+            self.token = self.previous;
+        }
+    }
+
     /// Applies an input; returns whether the state changed.
     pub(crate) fn apply(&mut self, input: Input) -> bool {
         let next = self.state.next(input);
@@ -85,6 +95,8 @@
     pub(crate) cancelling: bool,
     pub(crate) cancelled: bool,
     pub(crate) missed: bool,
+    /// Whether the record of the miss is durable.
+    pub(crate) miss_durable: bool,
     pub(crate) ending: bool,
     /// Number of hand-overs that the job had.
     pub(crate) hops: u32,
@@ -117,14 +129,14 @@
             (progress != Progress::default()).then_some((index as u32, progress))
         });
         let moving = match &self.moving {
-            Moving::No => None,
-            Moving::Asked(to) | Moving::Offered(to) => Some(to.clone()),
+            Moving::No | Moving::Asked(_) => None,
+            Moving::Offered(to) => Some(to.clone()),
         };
         Transfer {
             job: self.job.clone(),
             at: self.at,
             tasks: tasks.collect(),
-            missed: self.missed,
+            missed: self.miss_durable,
             cancelled: self.cancelled,
             moving,
             hops: self.hops,
