calls: a call that reaches no owner of its key goes back to where it came from

Cause: a call forwarded twice waited at the last instance until its deadline. Change: that instance says that it ran nothing, and the first one asks again.

--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -138,7 +138,8 @@
         if entry.state == State::Told {
             return self.finish(id, Outcome::NotRun(reason), out);
         }
-        if entry.needs_key() && !entry.keyed && reason == Reason::NotSent {
+        let nowhere = matches!(reason, Reason::NotSent | Reason::NoKeyOwner);
+        if entry.needs_key() && !entry.keyed && nowhere {
             return self.seek(now, id, out);
         }
         entry.refusal = Some(reason);
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -73,7 +73,8 @@
     ) {
         let Some(entry) = self.calls.get(&id) else { return };
         if entry.call.hops >= self.settings.max_hops {
-            return self.seek(now, id, out);
+            // The instance that the call came from asks again.
+            return self.finish(id, Outcome::NotRun(Reason::NoKeyOwner), out);
         }
         match self.key_owners.get(&shard).cloned() {
             Some(owner) => self.forward(now, id, owner, Why::KeyOwner, out),
