calls: keep the longest run of a service that is no longer declared

Its waiting calls were sent with a longest run of zero, so they would have been taken for ended while they ran. The largest that was ever declared counts now. A call with a deadline too short to be met no longer marks the service as saturated, which a single caller could have used to stop the learning of usual rates. What the daemon has to do for its part stands at the module.

Red when the longest run is taken for zero.

--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -145,7 +145,7 @@
         if self.may_retry(now, id) {
             return self.place(now, id, Why::Retry, out);
         }
-        self.refuse(now, id, reason, out);
+        self.refuse(id, reason, out);
     }
 
     /// Goes on with a call that a peer did not run, which cost no executor anything.
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -14,13 +14,14 @@
         if self.calls.contains_key(&id) {
             return;
         }
-        let known = self.service(now, &call.service).is_some();
+        let known = self.config.services.contains_key(&call.service);
+        self.service(now, &call.service);
         let mut entry = Entry::new(call);
         entry.call.team = self.counted_team(&entry.call.service, &entry.call.team);
         let needs_key = entry.needs_key();
         self.calls.insert(id, entry);
         if !known {
-            return self.refuse(now, id, Reason::UnknownService, out);
+            return self.refuse(id, Reason::UnknownService, out);
         }
         if needs_key {
             return self.begin_key(now, id, out);
@@ -35,7 +36,7 @@
         let service = entry.call.service.clone();
         let least = self.mean(&service).scale(0.5);
         if now >= deadline || now + least > deadline {
-            return self.refuse(now, id, Reason::Deadline, out);
+            return self.refuse(id, Reason::Deadline, out);
         }
         if let Some(index) = self.choose(&service, avoid) {
             self.charge(now, id);
@@ -80,14 +81,14 @@
         let (service, team) = (entry.call.service.clone(), entry.call.team.clone());
         let (urgency, deadline) = (entry.call.urgency, entry.call.deadline);
         if self.is_stuck(now, &service, entry.call.hops) {
-            return self.refuse(now, id, Reason::NoExecutor, out);
+            return self.refuse(id, Reason::NoExecutor, out);
         }
         let profile = self.profile(&service, &team);
         let offer = self.offer(now, &service, deadline);
         let Some(kept) = self.services.get_mut(&service) else { return };
         let flow = kept.queue.flow(&team, urgency, || profile);
         let Ok(seq) = kept.queue.push(now, flow, id, offer) else {
-            return self.refuse(now, id, Reason::Overload, out);
+            return self.refuse(id, Reason::Overload, out);
         };
         let Some(entry) = self.calls.get_mut(&id) else { return };
         entry.state = State::Waiting { flow, seq };
@@ -127,8 +128,9 @@
         why: Why,
         out: &mut Vec<Command>,
     ) {
-        let Some(entry) = self.calls.get_mut(&id) else { return };
         let Some(executor) = self.fleet.executor(index) else { return };
+        let longest_run = self.longest_run(executor.service.as_ref());
+        let Some(entry) = self.calls.get_mut(&id) else { return };
         let name = executor.name.clone();
         entry.attempts += 1;
         entry.open += 1;
@@ -137,9 +139,6 @@
         let attempt = Attempt(entry.attempts);
         let deadline = entry.call.deadline;
         let service = entry.call.service.clone();
-        let declared = self.config.services.get(&service);
-        let longest_run = declared.map(|service| service.longest_run).unwrap_or_default();
-        let longest_run = longest_run + self.settings.flight;
         let flight = Flight { target: Target::Executor(index), sent: now };
         self.flights.insert((id, attempt), flight);
         self.fleet.change(index, |executor| executor.in_flight += 1);
--- a/crates/calls/src/router/end.rs
+++ b/crates/calls/src/router/end.rs
@@ -9,18 +9,12 @@
 
 impl Router {
     /// Ends a call that has not run and has no request out.
-    pub(crate) fn refuse(&mut self, now: Time, id: CallId, reason: Reason, out: &mut Vec<Command>) {
+    pub(crate) fn refuse(&mut self, id: CallId, reason: Reason, out: &mut Vec<Command>) {
         let Some(entry) = self.calls.get(&id) else { return };
         if entry.may_have_run {
             return self.finish(id, Outcome::Unknown(Reason::AnswerLost), out);
         }
-        let name = entry.call.service.clone();
         let reason = entry.refusal.unwrap_or(reason);
-        if matches!(reason, Reason::Overload | Reason::Deadline)
-            && let Some(service) = self.service(now, &name)
-        {
-            service.queue.saturate(now);
-        }
         let choice = Choice::Refuse(reason);
         out.push(Command::Decision(Decision { call: id, choice, why: Why::Refused }));
         self.finish(id, Outcome::NotRun(reason), out);
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -23,7 +23,8 @@
         for call in self.ledger.release(shard) {
             out.push(Command::Forget { call });
         }
-        match owner {
+        let other = owner.filter(|owner| Some(owner) != self.settings.instance.as_ref());
+        match other {
             Some(owner) => drop(self.key_owners.insert(shard, owner)),
             None => drop(self.key_owners.remove(&shard)),
         }
@@ -55,8 +56,8 @@
             }
             Found::Answered(first) => self.finish(id, Outcome::Repeat { first }, out),
             Found::EndUnknown => self.finish(id, Outcome::Unknown(Reason::KeyEndUnknown), out),
-            Found::Reused => self.refuse(now, id, Reason::KeyReused, out),
-            Found::Full => self.refuse(now, id, Reason::KeysFull, out),
+            Found::Reused => self.refuse(id, Reason::KeyReused, out),
+            Found::Full => self.refuse(id, Reason::KeysFull, out),
         }
     }
 
@@ -106,17 +107,11 @@
     /// When the shard has another owner, an earlier call with the key may have run
     /// there. When the store is down this request has not run, and an earlier one
     /// with the key has not either, unless the shard was lost unnoticed.
-    pub(crate) fn key_refused(
-        &mut self,
-        now: Time,
-        id: CallId,
-        refusal: Refusal,
-        out: &mut Vec<Command>,
-    ) {
+    pub(crate) fn key_refused(&mut self, id: CallId, refusal: Refusal, out: &mut Vec<Command>) {
         let journaling = self.calls.get(&id).is_some_and(|entry| entry.state == State::Journaling);
         match refusal {
             _ if !journaling => {}
-            Refusal::Down => self.refuse(now, id, Reason::StoreDown, out),
+            Refusal::Down => self.refuse(id, Reason::StoreDown, out),
             Refusal::Fenced => self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out),
         }
     }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -5,6 +5,20 @@
 //! with a free slot. The router counts every slot that is or may be occupied,
 //! and takes one for free only when its request has ended or the longest run of
 //! the service has passed.
+//!
+//! What the daemon has to do for its part:
+//!
+//! - It reports the end of each [`Command::Send`] with one [`Event::Answered`], and of
+//!   each [`Command::Forward`] with one [`Event::PeerAnswered`], also when the caller was
+//!   told long ago. It says [`Answer::Unknown`] only after the connection is closed.
+//! - It keeps the answer of a call with a key, also a late one, until
+//!   [`Command::Forget`], and gives it out for [`Outcome::Repeat`].
+//! - It appends the records of [`Command::Journal`] in their order, each on the condition
+//!   that its session still holds the shard.
+//! - It says [`Event::Owned`] with [`InProgress::Unknown`] only with proof that the
+//!   process of the former owner is gone.
+//! - It sends [`Router::status`] to the peers every 100 ms and at [`Command::Announce`],
+//!   and [`Router::load`] along with each forwarded call and its answer.
 
 mod answer;
 mod arrive;
@@ -24,7 +38,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Attempt, CallId, InstanceName, ServiceName};
 use sycamorerill_core::model::Config;
 
@@ -53,6 +67,8 @@
     key_owners: BTreeMap<keys::Shard, InstanceName>,
     timers: BTreeSet<(Time, Timer)>,
     serial: u64,
+    /// Longest run that was ever declared, by service.
+    longest_runs: BTreeMap<ServiceName, Span>,
     draining: bool,
     finished: bool,
 }
@@ -74,6 +90,7 @@
             key_owners: BTreeMap::new(),
             timers: BTreeSet::new(),
             serial: 0,
+            longest_runs: BTreeMap::new(),
             draining: false,
             finished: false,
             settings,
@@ -110,7 +127,7 @@
             Event::PeerGone { name } => self.peers.gone(&name),
             Event::KeyDurable { call } => self.key_durable(now, call, out),
             Event::KeyRefused { call, refusal } => {
-                self.key_refused(now, call, refusal, out);
+                self.key_refused(call, refusal, out);
             }
             Event::Probed { executor, healthy, .. } => self.probed(now, &executor, healthy, out),
             Event::Abandoned { call } => self.abandoned(now, call, out),
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -25,6 +25,8 @@
         self.config = config;
         for (name, service) in &self.config.services {
             self.fleet.limit_slots(name, service.slots);
+            let longest = self.longest_runs.entry(name.clone()).or_default();
+            *longest = service.longest_run.max(*longest);
         }
         let instances = self.peers.len() + 1;
         for (name, service) in &mut self.services {
@@ -48,6 +50,13 @@
         self.services.get_mut(name)
     }
 
+    /// Notes that a service is offered more than it can serve.
+    pub(crate) fn saturate(&mut self, now: Time, name: &ServiceName) {
+        if let Some(service) = self.services.get_mut(name) {
+            service.queue.saturate(now);
+        }
+    }
+
     /// Returns the team whose share counts: undeclared ones share that of the service's owner.
     pub(crate) fn counted_team(&self, service: &ServiceName, team: &TeamName) -> TeamName {
         if self.config.teams.contains_key(team) {
--- a/crates/calls/src/router/wake.rs
+++ b/crates/calls/src/router/wake.rs
@@ -49,15 +49,16 @@
 
     /// Returns the instant by which a call that may be running has ended.
     pub(crate) fn longest_end(&self, now: Time, service: Option<&ServiceName>) -> Time {
-        let declared = service.and_then(|name| self.config.services.get(name));
-        let longest = declared.map(|service| service.longest_run);
-        let longest = longest.unwrap_or_else(|| self.longest_of_all());
-        now + longest + self.settings.flight
+        now + self.longest_run(service)
     }
 
-    fn longest_of_all(&self) -> Span {
-        let all = self.config.services.values().map(|service| service.longest_run);
-        all.max().unwrap_or(UNDECLARED_LONGEST_RUN)
+    /// Returns the longest time from a send to the end of its run, with the way there.
+    ///
+    /// A declaration that was lowered does not count: calls may be older than it is.
+    pub(crate) fn longest_run(&self, service: Option<&ServiceName>) -> Span {
+        let declared = service.and_then(|name| self.longest_runs.get(name)).copied();
+        let longest = declared.or_else(|| self.longest_runs.values().copied().max());
+        longest.unwrap_or(UNDECLARED_LONGEST_RUN) + self.settings.flight
     }
 
     /// Sets the one timer of a call.
@@ -110,13 +111,14 @@
             State::Told => {}
             State::Sent => self.finish(id, Outcome::Unknown(Reason::NoAnswer), out),
             State::Following => self.finish(id, Outcome::Unknown(Reason::KeyInProgress), out),
-            State::Journaling => self.refuse(now, id, Reason::StoreDown, out),
+            State::Journaling => self.refuse(id, Reason::StoreDown, out),
             State::Waiting { flow, seq } => {
                 let name = entry.call.service.clone();
                 if let Some(service) = self.services.get_mut(&name) {
                     service.queue.remove(now, flow, seq);
                 }
-                self.refuse(now, id, Reason::Deadline, out);
+                self.saturate(now, &name);
+                self.refuse(id, Reason::Deadline, out);
             }
         }
     }
--- a/crates/calls/tests/scenarios.rs
+++ b/crates/calls/tests/scenarios.rs
@@ -4,6 +4,8 @@
 
 mod world;
 
+use std::sync::Arc;
+
 use datadriven::{TestCase, walk};
 use sycamorerill_calls::router::Event;
 use sycamorerill_core::clock::Span;
@@ -78,6 +80,9 @@
         "drain" => world.drain(number(case, "node")),
         "move-keys" => world.move_keys(number(case, "shard"), number(case, "node")),
         "lose-key-owner" => world.lose_key_owner(number(case, "node")),
+        "forget-services" => {
+            world.event(number(case, "node"), Event::Configured(Arc::default()));
+        }
         "settle" => world.settle(),
         other => panic!("no directive {other}"),
     }
