calls: place retried calls behind those that wait, and look up shares once

A retried call took the slot that its own attempt had freed, ahead of the queue. The share of a flow was worked out over all teams for each call, now once a flow.

--- a/crates/calls/benches/calls/wall.rs
+++ b/crates/calls/benches/calls/wall.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 use sycamorerill_calls::router::{
-    Answer, Call, Command, Event, Executor, InProgress, Router, Settings,
+    Answer, Call, Command, Event, Executor, InProgress, Outcome, Router, Settings,
 };
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{CallId, Epoch};
@@ -125,7 +125,45 @@
     })
 }
 
-/// Returns one line for each number of executors.
+/// Measures arrivals while every slot is occupied and the queues are full.
+fn measure_refusals(executors: usize, seed: u64) -> Value {
+    let mut router = router(executors, seed);
+    let mut out = Vec::with_capacity(16);
+    let (service, team) = (name("quote"), name("desk"));
+    let now = Time::from_ms(1);
+    let (mut ns, mut refused) = (0_u128, 0_u128);
+    for round in 0..ROUNDS {
+        let call = Call {
+            id: CallId(round as u64),
+            service: Clone::clone(&service),
+            team: Clone::clone(&team),
+            urgency: Urgency::Low,
+            deadline: now + Span::from_ms(250),
+            idempotent: true,
+            key: None,
+            claimed: false,
+            hops: 0,
+        };
+        let before = Instant::now();
+        router.handle(now, Event::Arrived(call), &mut out);
+        let took = before.elapsed().as_nanos();
+        let is_refused = |command: &Command| {
+            matches!(command, Command::Reply { outcome: Outcome::NotRun(_), .. })
+        };
+        if out.drain(..).any(|command| is_refused(&command)) {
+            ns += took;
+            refused += 1;
+        }
+    }
+    json!({
+        "scenario": "refusal", "executors": executors, "seed": seed, "wall": true,
+        "calls": refused as u64, "call_us": (ns / refused.max(1)) as f64 / 1_000.0,
+    })
+}
+
+/// Returns the lines for each number of executors.
 pub(crate) fn lines(seed: u64) -> Vec<Value> {
-    SIZES.into_iter().map(|executors| measure(executors, seed)).collect()
+    let decisions = SIZES.into_iter().map(|executors| measure(executors, seed));
+    let refusals = SIZES.into_iter().map(|executors| measure_refusals(executors, seed));
+    decisions.chain(refusals).collect()
 }
--- a/crates/calls/src/queue/order.rs
+++ b/crates/calls/src/queue/order.rs
@@ -72,19 +72,20 @@
         self.len
     }
 
-    /// Returns the flow of a team and an urgency.
-    pub(crate) fn flow(
+    /// Returns the flow of a team and an urgency, if there is one.
+    pub(crate) fn flow(&self, team: &TeamName, urgency: Urgency) -> Option<FlowId> {
+        self.names.get(team)?.get(urgency as usize).copied().flatten()
+    }
+
+    /// Adds the flow of a team and an urgency.
+    pub(crate) fn add_flow(
         &mut self,
         team: &TeamName,
         urgency: Urgency,
-        profile: impl FnOnce() -> Profile,
+        profile: Profile,
     ) -> FlowId {
-        let known = self.names.get(team).and_then(|flows| flows.get(urgency as usize));
-        if let Some(Some(id)) = known {
-            return *id;
-        }
         let id = FlowId(self.flows.len() as u32);
-        self.flows.push(Flow::new(urgency, profile()));
+        self.flows.push(Flow::new(urgency, profile));
         let flows = self.names.entry(team.clone()).or_default();
         if let Some(place) = flows.get_mut(urgency as usize) {
             *place = Some(id);
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -38,7 +38,9 @@
         if now >= deadline || now + least > deadline {
             return self.refuse(id, Reason::Deadline, out);
         }
-        if let Some(index) = self.choose(&service, avoid) {
+        // A call that is placed anew does not go before those that wait.
+        let index = self.choose(&service, avoid).filter(|_| self.is_idle(&service));
+        if let Some(index) = index {
             self.charge(now, id);
             return self.send(now, id, index, why, out);
         }
@@ -66,11 +68,10 @@
         }
         let (service, team, urgency) =
             (entry.call.service.clone(), entry.call.team.clone(), entry.call.urgency);
-        let profile = self.profile(&service, &team);
         let share = self.config.policy.retry_budget;
         let hedge_share = self.settings.hedge_budget;
+        let Some(flow) = self.flow(&service, &team, urgency) else { return };
         let Some(kept) = self.services.get_mut(&service) else { return };
-        let flow = kept.queue.flow(&team, urgency, || profile);
         kept.queue.charge(now, flow);
         kept.retries.earn(share);
         kept.hedges.earn(hedge_share);
@@ -83,10 +84,9 @@
         if self.is_stuck(now, &service, entry.call.hops) {
             return self.refuse(id, Reason::NoExecutor, out);
         }
-        let profile = self.profile(&service, &team);
         let offer = self.offer(now, &service, deadline);
+        let Some(flow) = self.flow(&service, &team, urgency) else { return };
         let Some(kept) = self.services.get_mut(&service) else { return };
-        let flow = kept.queue.flow(&team, urgency, || profile);
         let Ok(seq) = kept.queue.push(now, flow, id, offer) else {
             return self.refuse(id, Reason::Overload, out);
         };
@@ -100,9 +100,8 @@
     /// Reports whether a call that waits here would wait for nothing.
     fn is_stuck(&self, now: Time, service: &ServiceName, hops: u8) -> bool {
         let total = self.fleet.total(service);
-        let elsewhere = self.peers.any_usable(now, service);
         let forwarded = hops > 0;
-        total.owned == total.ejected && (forwarded || !elsewhere)
+        total.owned == total.ejected && (forwarded || !self.peers.any_usable(now, service))
     }
 
     /// Sends waiting calls while slots are free.
--- a/crates/calls/src/router/own.rs
+++ b/crates/calls/src/router/own.rs
@@ -145,7 +145,8 @@
         }
     }
 
-    fn is_idle(&self, service: &ServiceName) -> bool {
+    /// Reports whether no call of the service waits here.
+    pub(crate) fn is_idle(&self, service: &ServiceName) -> bool {
         self.services.get(service).is_none_or(|service| service.queue.len() == 0)
     }
 }
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -6,7 +6,7 @@
 
 use super::Router;
 use crate::latency::Estimate;
-use crate::queue::{Offer, Profile, Queue};
+use crate::queue::{FlowId, Offer, Profile, Queue};
 use crate::retry::Budget;
 
 /// Milliseconds in a second.
@@ -66,8 +66,19 @@
         declared.map_or_else(|| team.clone(), |service| service.team.clone())
     }
 
-    pub(crate) fn profile(&self, service: &ServiceName, team: &TeamName) -> Profile {
-        profile(&self.config, service, team, self.peers.len() + 1)
+    /// Returns the flow of a team and an urgency.
+    pub(crate) fn flow(
+        &mut self,
+        service: &ServiceName,
+        team: &TeamName,
+        urgency: model::Urgency,
+    ) -> Option<FlowId> {
+        let queue = &mut self.services.get_mut(service)?.queue;
+        if let Some(flow) = queue.flow(team, urgency) {
+            return Some(flow);
+        }
+        let profile = profile(&self.config, service, team, self.peers.len() + 1);
+        Some(queue.add_flow(team, urgency, profile))
     }
 
     /// Returns the mean time that a call takes, zero while it is not known.
