calls: restore keys whatever the order of the records

Two calls of a key were begun, the second was not run, and its record of that came in after the first one's beginning: the restore freed the key, though the first call had run.

A call whose shard was lost while it was being journaled ends as unknown also when the store refuses it or its deadline passes. Calls that wait when the last executor is ejected are refused at once.

--- a/crates/calls/src/fleet/health.rs
+++ b/crates/calls/src/fleet/health.rs
@@ -8,6 +8,8 @@
 const LATENCY_WEIGHT: f64 = 1.0 / 16.0;
 /// Weight of one answer in the share of errors of an executor.
 const ERROR_WEIGHT: f64 = 1.0 / 16.0;
+/// Answers since an ejection after which it does not count any more.
+const STEADY_SAMPLES: u32 = 256;
 /// Latency above this many times the mean of the service makes an executor a suspect.
 const SUSPECT_RATIO: f64 = 1.5;
 /// Share of errors that ejects an executor.
@@ -156,9 +158,9 @@
                 limit if limit >= slots => State::Ready,
                 limit => State::Starting { slots: limit, trial },
             };
-            if self.state == State::Ready && !trial {
-                self.ejections = 0;
-            }
+        }
+        if self.samples >= STEADY_SAMPLES {
+            self.ejections = 0;
         }
         if self.samples >= settings.min_samples && mean_ms > 0.0 && self.latency_ms > bound {
             return Verdict::Outlier;
--- a/crates/calls/src/keys/ledger.rs
+++ b/crates/calls/src/keys/ledger.rs
@@ -28,8 +28,6 @@
     state: State,
     followers: Vec<CallId>,
     expires: Time,
-    /// Call of the last record that began the key, when restored.
-    begun: Option<CallId>,
 }
 
 /// What the ledger knows of a key.
@@ -84,45 +82,37 @@
 
     /// Takes over a shard with the journal of its former owners.
     ///
-    /// The retention of a restored key starts anew, as the journal has no clock
-    /// that this process shares.
+    /// A key is restored as unknown if one of its calls was begun and is not recorded as
+    /// not run, in whatever order the records are. The retention of a restored key starts
+    /// anew, as the journal has no clock that this process shares.
     pub fn restore(&mut self, now: Time, shard: Shard, records: Vec<Record>) {
         self.owned.insert(shard);
+        let mut begun: BTreeMap<(Name, CallId), i64> = BTreeMap::new();
+        let mut kept: BTreeMap<Name, (u64, Span)> = BTreeMap::new();
         for record in records {
             match record {
                 Record::Begun { call, service, key, retention } => {
-                    self.restore_begun(call, (service, key.text), key.digest, now + retention);
+                    let name = (service, key.text);
+                    kept.insert(name.clone(), (key.digest, retention));
+                    *begun.entry((name, call)).or_default() += 1;
                 }
-                Record::Ended { call, service, key, end } => {
-                    self.restore_ended(call, &(service, key.text), end);
+                Record::Ended { call, service, key, end: End::NotRun } => {
+                    *begun.entry(((service, key.text), call)).or_default() -= 1;
                 }
+                Record::Ended { .. } => {}
             }
         }
-    }
-
-    fn restore_begun(&mut self, call: CallId, name: Name, digest: u64, expires: Time) {
-        let known = self.entries.get_mut(&name).filter(|entry| entry.state != State::EndUnknown);
-        if known.is_some() {
-            return;
-        }
-        self.remove(&name);
-        self.insert(name.clone(), digest, State::EndUnknown, expires);
-        if let Some(entry) = self.entries.get_mut(&name) {
-            entry.begun = Some(call);
-        }
-    }
-
-    /// Frees a key that did not run, if no later call has begun with it.
-    fn restore_ended(&mut self, call: CallId, name: &Name, end: End) {
-        let restored = self.entries.get(name).is_some_and(|entry| entry.begun == Some(call));
-        if restored && end == End::NotRun {
-            self.remove(name);
+        for ((name, _), _) in begun.into_iter().filter(|(_, calls)| *calls > 0) {
+            let Some((digest, retention)) = kept.remove(&name) else { continue };
+            if !self.entries.contains_key(&name) {
+                self.insert(name, digest, State::EndUnknown, now + retention);
+            }
         }
     }
 
     fn insert(&mut self, name: Name, digest: u64, state: State, expires: Time) {
         self.expiries.insert((expires, name.clone()));
-        let entry = Entry { digest, state, followers: Vec::new(), expires, begun: None };
+        let entry = Entry { digest, state, followers: Vec::new(), expires };
         self.entries.insert(name, entry);
     }
 
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -36,6 +36,7 @@
         self.finish_release(index, out);
         if let Some(service) = service {
             self.pump(now, &service, out);
+            self.refuse_stuck(now, &service, out);
         }
     }
 
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -104,6 +104,21 @@
         total.owned == total.ejected && (forwarded || !self.peers.any_usable(now, service))
     }
 
+    /// Refuses the calls that wait for nothing any more.
+    pub(crate) fn refuse_stuck(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        out: &mut Vec<Command>,
+    ) {
+        if self.fleet.total(service).ejected == 0 || !self.is_stuck(now, service, 0) {
+            return;
+        }
+        while let Some(id) = self.services.get_mut(service).and_then(|kept| kept.queue.pop(now)) {
+            self.refuse(id, Reason::NoExecutor, out);
+        }
+    }
+
     /// Sends waiting calls while slots are free.
     pub(crate) fn pump(&mut self, now: Time, service: &ServiceName, out: &mut Vec<Command>) {
         while self.fleet.choose(service).is_some() {
--- a/crates/calls/src/router/command.rs
+++ b/crates/calls/src/router/command.rs
@@ -185,8 +185,8 @@
             /// What to tell.
             outcome: Outcome,
         },
-        /// Make the record last, after all earlier ones. A record that begins a call is
-        /// answered with [`super::Event::KeyDurable`] or [`super::Event::KeyRefused`].
+        /// Make the record last, in any order. One that begins a call is answered with
+        /// [`super::Event::KeyDurable`] or [`super::Event::KeyRefused`].
         Journal {
             /// Call that the record is about.
             call: CallId,
--- a/crates/calls/src/router/end.rs
+++ b/crates/calls/src/router/end.rs
@@ -44,11 +44,14 @@
             Outcome::Unknown(_) if open > 0 => return,
             Outcome::Unknown(_) => End::Unknown,
         };
-        if let Some(entry) = self.calls.get_mut(&id) {
-            entry.keyed = false;
-        }
+        let Some(entry) = self.calls.get_mut(&id) else { return };
+        entry.keyed = false;
+        let durable = entry.durable;
         let Some((record, followers)) = self.ledger.end(id, end) else { return };
-        out.push(Command::Journal { call: id, record });
+        // An end without its beginning could be taken for that of another call.
+        if durable {
+            out.push(Command::Journal { call: id, record });
+        }
         for follower in followers {
             self.end_follower(follower, id, outcome, out);
         }
--- a/crates/calls/src/router/entry.rs
+++ b/crates/calls/src/router/entry.rs
@@ -32,6 +32,8 @@
     pub(crate) open: u32,
     /// Whether the ledger holds the key for this call.
     pub(crate) keyed: bool,
+    /// Whether the record that begins the key is known to last.
+    pub(crate) durable: bool,
     /// Whether an attempt may have run without its answer being here.
     pub(crate) may_have_run: bool,
     /// Whether the call was charged to its flow.
@@ -51,6 +53,7 @@
             attempts: 0,
             open: 0,
             keyed: false,
+            durable: false,
             may_have_run: false,
             charged: false,
             avoid: None,
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -111,8 +111,19 @@
         let journaling = self.calls.get(&id).is_some_and(|entry| entry.state == State::Journaling);
         match refusal {
             _ if !journaling => {}
-            Refusal::Down => self.refuse(id, Reason::StoreDown, out),
+            Refusal::Down => self.refuse_unkept(id, out),
             Refusal::Fenced => self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out),
         }
     }
+
+    /// Ends a call whose key is not known to last.
+    ///
+    /// If the shard was lost since, an earlier call may have run elsewhere.
+    pub(crate) fn refuse_unkept(&mut self, id: CallId, out: &mut Vec<Command>) {
+        if self.ledger.is_running(id) {
+            self.refuse(id, Reason::StoreDown, out);
+        } else {
+            self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out);
+        }
+    }
 }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -13,8 +13,8 @@
 //!   told long ago. It says [`Answer::Unknown`] only after the connection is closed.
 //! - It keeps the answer of a call with a key, also a late one, until
 //!   [`Command::Forget`], and gives it out for [`Outcome::Repeat`].
-//! - It appends the records of [`Command::Journal`] in their order, each on the condition
-//!   that its session still holds the shard.
+//! - It appends each record of [`Command::Journal`] on the condition that its session
+//!   still holds the shard, and at most once.
 //! - It says [`Event::Owned`] with [`InProgress::Unknown`] only with proof that the
 //!   process of the former owner is gone.
 //! - It sends [`Router::status`] to the peers every 100 ms and at [`Command::Announce`],
--- a/crates/calls/src/router/own.rs
+++ b/crates/calls/src/router/own.rs
@@ -11,7 +11,17 @@
 const UNKNOWN_CALLS: u32 = 1_000_000;
 
 impl Router {
-    pub(crate) fn listed(&mut self, now: Time, executors: Vec<Executor>, out: &mut Vec<Command>) {
+    pub(crate) fn listed(
+        &mut self,
+        now: Time,
+        mut executors: Vec<Executor>,
+        out: &mut Vec<Command>,
+    ) {
+        for executor in &mut executors {
+            if let Some(declared) = self.config.services.get(&executor.service) {
+                executor.slots = executor.slots.min(declared.slots);
+            }
+        }
         self.fleet.list(executors);
         self.pump_all(now, out);
     }
--- a/crates/calls/src/router/wake.rs
+++ b/crates/calls/src/router/wake.rs
@@ -111,7 +111,7 @@
             State::Told => {}
             State::Sent => self.finish(id, Outcome::Unknown(Reason::NoAnswer), out),
             State::Following => self.finish(id, Outcome::Unknown(Reason::KeyInProgress), out),
-            State::Journaling => self.refuse(id, Reason::StoreDown, out),
+            State::Journaling => self.refuse_unkept(id, out),
             State::Waiting { flow, seq } => {
                 let name = entry.call.service.clone();
                 if let Some(service) = self.services.get_mut(&name) {
--- a/crates/calls/tests/keys.rs
+++ b/crates/calls/tests/keys.rs
@@ -142,11 +142,20 @@
         begun(3, "again"),
         begun(4, "again"),
         not_run(3, "again"),
+        not_run(5, "early"),
+        begun(5, "early"),
+        begun(6, "twice"),
+        begun(6, "twice"),
+        not_run(6, "twice"),
     ];
     let mut router = router(one_shard(), records);
     let now = Time::from_ms(1);
     let unknown = Some(Outcome::Unknown(Reason::KeyEndUnknown));
     assert_eq!(call(&mut router, now, 11, key("open", 1)).0, unknown);
     assert_eq!(call(&mut router, now, 12, key("again", 1)).0, unknown);
-    assert!(matches!(call(&mut router, now, 13, key("free", 1)).0, Some(Outcome::Answered { .. })));
+    assert_eq!(call(&mut router, now, 13, key("twice", 1)).0, unknown);
+    for (id, text) in [(14, "free"), (15, "early")] {
+        let outcome = call(&mut router, now, id, key(text, 1)).0;
+        assert!(matches!(outcome, Some(Outcome::Answered { .. })), "{text}: {outcome:?}");
+    }
 }
