calls: work declared parts out anew when peers come or go

A flow that was met before the first heartbeat had the whole declared rate of its team in profile, and not the part of one entry instance. A test holds the slots to what is declared; it is red without the bound.

--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -117,14 +117,20 @@
                 self.peer_answered(now, call, attempt, answer, out);
             }
             Event::Peer { name, domain, status } => {
+                let peers = self.peers.len();
                 self.peers.heard(now, name, domain, status);
+                self.peers_changed(peers);
                 self.forward_waiting(now, out);
             }
             Event::PeerLoad { name, service, load } => {
                 self.peers.told(now, &name, &service, load);
                 self.forward_waiting_of(now, &service, out);
             }
-            Event::PeerGone { name } => self.peers.gone(&name),
+            Event::PeerGone { name } => {
+                let peers = self.peers.len();
+                self.peers.gone(&name);
+                self.peers_changed(peers);
+            }
             Event::KeyDurable { call } => self.key_durable(now, call, out),
             Event::KeyRefused { call, refusal } => {
                 self.key_refused(call, refusal, out);
@@ -142,6 +148,12 @@
         }
     }
 
+    fn peers_changed(&mut self, before: u32) {
+        if self.peers.len() != before {
+            self.declare();
+        }
+    }
+
     /// Returns the load for heartbeats to peers and for metrics.
     pub fn status(&self) -> Status {
         let loads = self.fleet.services().map(|name| (name.clone(), self.load(name)));
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -28,6 +28,11 @@
             let longest = self.longest_runs.entry(name.clone()).or_default();
             *longest = service.longest_run.max(*longest);
         }
+        self.declare();
+    }
+
+    /// Works the declared parts of all flows out anew, as they depend on the number of peers.
+    pub(crate) fn declare(&mut self) {
         let instances = self.peers.len() + 1;
         for (name, service) in &mut self.services {
             let config = &self.config;
--- a/crates/calls/tests/health.rs
+++ b/crates/calls/tests/health.rs
@@ -102,3 +102,21 @@
     assert_eq!(counter.sent[0], before);
     assert_eq!(counter.now.since(Time::ZERO), Span::from_ms(1_500));
 }
+
+#[test]
+fn no_more_slots_are_used_than_are_declared() {
+    let mut counter = Counter::new(1);
+    let executor = |number| Executor {
+        name: executor_name(number),
+        service: name("quote"),
+        domain: name("d0"),
+        slots: SLOTS * 2,
+        leaving: false,
+    };
+    counter.event(Event::Listed((0..EXECUTORS).map(executor).collect()));
+    offer(&mut counter, 500);
+    for _ in 0..EXECUTORS as u32 * SLOTS * 2 {
+        counter.arrive(team(0), Urgency::Normal, false);
+    }
+    assert!(counter.most.iter().all(|most| *most == SLOTS), "{:?}", counter.most);
+}
