--- a/crates/calls/src/keys/snapshot.rs
+++ b/crates/calls/src/keys/snapshot.rs
@@ -16,17 +16,16 @@
                 continue;
             }
             let (service, retention) = (service.clone(), entry.expires.since(now));
-            let calls = match entry.state {
-                State::Running(call) | State::Answered(call) => vec![call],
-                State::EndUnknown if entry.begun.is_empty() => vec![CallId::default()],
-                State::EndUnknown => entry.begun.iter().copied().collect(),
+            let call = match entry.state {
+                State::Running(call) | State::Answered(call) => call,
+                State::EndUnknown => CallId::default(),
             };
-            records.extend(calls.iter().map(|call| Record::Begun {
-                call: *call,
+            records.push(Record::Begun {
+                call,
                 service: service.clone(),
                 key: key.clone(),
                 retention,
-            }));
+            });
             if let State::Answered(call) = entry.state {
                 records.push(Record::Ended { call, service, key, end: End::Answered });
             }
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -36,6 +36,7 @@
         self.finish_release(index, out);
         if let Some(service) = service {
             self.pump(now, &service, out);
+            self.refuse_stuck(now, &service, out);
         }
     }
 
@@ -146,7 +147,7 @@
         if self.may_retry(now, id) {
             return self.place(now, id, Why::Retry, out);
         }
-        self.refuse(now, id, reason, out);
+        self.refuse(id, reason, out);
     }
 
     /// Goes on with a call that a peer did not run, which cost no executor anything.
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -14,13 +14,14 @@
         if self.calls.contains_key(&id) {
             return;
         }
-        let known = self.service(now, &call.service).is_some();
+        let known = self.config.services.contains_key(&call.service);
+        self.service(now, &call.service);
         let mut entry = Entry::new(call);
         entry.call.team = self.counted_team(&entry.call.service, &entry.call.team);
         let needs_key = entry.needs_key();
         self.calls.insert(id, entry);
         if !known {
-            return self.refuse(now, id, Reason::UnknownService, out);
+            return self.refuse(id, Reason::UnknownService, out);
         }
         if needs_key {
             return self.begin_key(now, id, out);
@@ -35,9 +36,11 @@
         let service = entry.call.service.clone();
         let least = self.mean(&service).scale(0.5);
         if now >= deadline || now + least > deadline {
-            return self.refuse(now, id, Reason::Deadline, out);
+            return self.refuse(id, Reason::Deadline, out);
         }
-        if let Some(index) = self.choose(&service, avoid) {
+        // A call that is placed anew does not go before those that wait.
+        let index = self.choose(&service, avoid).filter(|_| self.is_idle(&service));
+        if let Some(index) = index {
             self.charge(now, id);
             return self.send(now, id, index, why, out);
         }
@@ -65,11 +68,10 @@
         }
         let (service, team, urgency) =
             (entry.call.service.clone(), entry.call.team.clone(), entry.call.urgency);
-        let profile = self.profile(&service, &team);
         let share = self.config.policy.retry_budget;
         let hedge_share = self.settings.hedge_budget;
+        let Some(flow) = self.flow(&service, &team, urgency) else { return };
         let Some(kept) = self.services.get_mut(&service) else { return };
-        let flow = kept.queue.flow(&team, urgency, || profile);
         kept.queue.charge(now, flow);
         kept.retries.earn(share);
         kept.hedges.earn(hedge_share);
@@ -80,14 +82,13 @@
         let (service, team) = (entry.call.service.clone(), entry.call.team.clone());
         let (urgency, deadline) = (entry.call.urgency, entry.call.deadline);
         if self.is_stuck(now, &service, entry.call.hops) {
-            return self.refuse(now, id, Reason::NoExecutor, out);
+            return self.refuse(id, Reason::NoExecutor, out);
         }
-        let profile = self.profile(&service, &team);
         let offer = self.offer(now, &service, deadline);
+        let Some(flow) = self.flow(&service, &team, urgency) else { return };
         let Some(kept) = self.services.get_mut(&service) else { return };
-        let flow = kept.queue.flow(&team, urgency, || profile);
         let Ok(seq) = kept.queue.push(now, flow, id, offer) else {
-            return self.refuse(now, id, Reason::Overload, out);
+            return self.refuse(id, Reason::Overload, out);
         };
         let Some(entry) = self.calls.get_mut(&id) else { return };
         entry.state = State::Waiting { flow, seq };
@@ -99,9 +100,23 @@
     /// Reports whether a call that waits here would wait for nothing.
     fn is_stuck(&self, now: Time, service: &ServiceName, hops: u8) -> bool {
         let total = self.fleet.total(service);
-        let elsewhere = self.peers.any_usable(now, service);
         let forwarded = hops > 0;
-        total.owned == total.ejected && (forwarded || !elsewhere)
+        total.owned == total.ejected && (forwarded || !self.peers.any_usable(now, service))
+    }
+
+    /// Refuses the calls that wait for nothing any more.
+    pub(crate) fn refuse_stuck(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        out: &mut Vec<Command>,
+    ) {
+        if self.fleet.total(service).ejected == 0 || !self.is_stuck(now, service, 0) {
+            return;
+        }
+        while let Some(id) = self.services.get_mut(service).and_then(|kept| kept.queue.pop(now)) {
+            self.refuse(id, Reason::NoExecutor, out);
+        }
     }
 
     /// Sends waiting calls while slots are free.
@@ -127,8 +142,9 @@
         why: Why,
         out: &mut Vec<Command>,
     ) {
-        let Some(entry) = self.calls.get_mut(&id) else { return };
         let Some(executor) = self.fleet.executor(index) else { return };
+        let longest_run = self.longest_run(executor.service.as_ref());
+        let Some(entry) = self.calls.get_mut(&id) else { return };
         let name = executor.name.clone();
         entry.attempts += 1;
         entry.open += 1;
@@ -137,9 +153,6 @@
         let attempt = Attempt(entry.attempts);
         let deadline = entry.call.deadline;
         let service = entry.call.service.clone();
-        let declared = self.config.services.get(&service);
-        let longest_run = declared.map(|service| service.longest_run).unwrap_or_default();
-        let longest_run = longest_run + self.settings.flight;
         let flight = Flight { target: Target::Executor(index), sent: now };
         self.flights.insert((id, attempt), flight);
         self.fleet.change(index, |executor| executor.in_flight += 1);
--- a/crates/calls/src/router/end.rs
+++ b/crates/calls/src/router/end.rs
@@ -9,18 +9,12 @@
 
 impl Router {
     /// Ends a call that has not run and has no request out.
-    pub(crate) fn refuse(&mut self, now: Time, id: CallId, reason: Reason, out: &mut Vec<Command>) {
+    pub(crate) fn refuse(&mut self, id: CallId, reason: Reason, out: &mut Vec<Command>) {
         let Some(entry) = self.calls.get(&id) else { return };
         if entry.may_have_run {
             return self.finish(id, Outcome::Unknown(Reason::AnswerLost), out);
         }
-        let name = entry.call.service.clone();
         let reason = entry.refusal.unwrap_or(reason);
-        if matches!(reason, Reason::Overload | Reason::Deadline)
-            && let Some(service) = self.service(now, &name)
-        {
-            service.queue.saturate(now);
-        }
         let choice = Choice::Refuse(reason);
         out.push(Command::Decision(Decision { call: id, choice, why: Why::Refused }));
         self.finish(id, Outcome::NotRun(reason), out);
@@ -50,11 +44,14 @@
             Outcome::Unknown(_) if open > 0 => return,
             Outcome::Unknown(_) => End::Unknown,
         };
-        if let Some(entry) = self.calls.get_mut(&id) {
-            entry.keyed = false;
-        }
+        let Some(entry) = self.calls.get_mut(&id) else { return };
+        entry.keyed = false;
+        let durable = entry.durable;
         let Some((record, followers)) = self.ledger.end(id, end) else { return };
-        out.push(Command::Journal { call: id, record });
+        // An end without its beginning could be taken for that of another call.
+        if durable {
+            out.push(Command::Journal { call: id, record });
+        }
         for follower in followers {
             self.end_follower(follower, id, outcome, out);
         }
--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -23,7 +23,8 @@
         for call in self.ledger.release(shard) {
             out.push(Command::Forget { call });
         }
-        match owner {
+        let other = owner.filter(|owner| Some(owner) != self.settings.instance.as_ref());
+        match other {
             Some(owner) => drop(self.key_owners.insert(shard, owner)),
             None => drop(self.key_owners.remove(&shard)),
         }
@@ -55,8 +56,8 @@
             }
             Found::Answered(first) => self.finish(id, Outcome::Repeat { first }, out),
             Found::EndUnknown => self.finish(id, Outcome::Unknown(Reason::KeyEndUnknown), out),
-            Found::Reused => self.refuse(now, id, Reason::KeyReused, out),
-            Found::Full => self.refuse(now, id, Reason::KeysFull, out),
+            Found::Reused => self.refuse(id, Reason::KeyReused, out),
+            Found::Full => self.refuse(id, Reason::KeysFull, out),
         }
     }
 
@@ -105,8 +106,9 @@
     /// Ends a call whose key could not be made to last.
     ///
     /// When the shard has another owner, an earlier call with the key may have run
-    /// there, so that owner is asked. When the store is down this request has not run, and an earlier one
-    /// with the key has not either, unless the shard was lost unnoticed.
+    /// there, so that owner is asked. When the store is down this request has not
+    /// run, and an earlier one with the key has not either, unless the shard was lost
+    /// unnoticed.
     pub(crate) fn key_refused(
         &mut self,
         now: Time,
@@ -117,7 +119,7 @@
         let journaling = self.calls.get(&id).is_some_and(|entry| entry.state == State::Journaling);
         match refusal {
             _ if !journaling => {}
-            Refusal::Down => self.refuse(now, id, Reason::StoreDown, out),
+            Refusal::Down => self.refuse_unkept(id, out),
             Refusal::Fenced => self.seek_with_followers(now, id, out),
         }
     }
@@ -132,4 +134,15 @@
             self.seek(now, follower, out);
         }
     }
+
+    /// Ends a call whose key is not known to last.
+    ///
+    /// If the shard was lost since, an earlier call may have run elsewhere.
+    pub(crate) fn refuse_unkept(&mut self, id: CallId, out: &mut Vec<Command>) {
+        if self.ledger.is_running(id) {
+            self.refuse(id, Reason::StoreDown, out);
+        } else {
+            self.finish(id, Outcome::Unknown(Reason::NoKeyOwner), out);
+        }
+    }
 }
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -5,6 +5,20 @@
 //! with a free slot. The router counts every slot that is or may be occupied,
 //! and takes one for free only when its request has ended or the longest run of
 //! the service has passed.
+//!
+//! What the daemon has to do for its part:
+//!
+//! - It reports the end of each [`Command::Send`] with one [`Event::Answered`], and of
+//!   each [`Command::Forward`] with one [`Event::PeerAnswered`], also when the caller was
+//!   told long ago. It says [`Answer::Unknown`] only after the connection is closed.
+//! - It keeps the answer of a call with a key, also a late one, until
+//!   [`Command::Forget`], and gives it out for [`Outcome::Repeat`].
+//! - It appends each record of [`Command::Journal`] on the condition that its session
+//!   still holds the shard, and at most once.
+//! - It says [`Event::Owned`] with [`InProgress::Unknown`] only with proof that the
+//!   process of the former owner is gone.
+//! - It sends [`Router::status`] to the peers every 100 ms and at [`Command::Announce`],
+//!   and [`Router::load`] along with each forwarded call and its answer.
 
 mod answer;
 mod arrive;
@@ -26,7 +40,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Attempt, CallId, InstanceName, ServiceName};
 use sycamorerill_core::model::Config;
 
@@ -56,6 +70,8 @@
     key_owners: BTreeMap<keys::Shard, InstanceName>,
     timers: BTreeSet<(Time, Timer)>,
     serial: u64,
+    /// Longest run that was ever declared, by service.
+    longest_runs: BTreeMap<ServiceName, Span>,
     draining: bool,
     finished: bool,
 }
@@ -77,6 +93,7 @@
             key_owners: BTreeMap::new(),
             timers: BTreeSet::new(),
             serial: 0,
+            longest_runs: BTreeMap::new(),
             draining: false,
             finished: false,
             settings,
@@ -103,14 +120,20 @@
                 self.peer_answered(now, call, attempt, answer, out);
             }
             Event::Peer { name, domain, status } => {
+                let peers = self.peers.len();
                 self.peers.heard(now, name, domain, status);
+                self.peers_changed(peers);
                 self.forward_waiting(now, out);
             }
             Event::PeerLoad { name, service, load } => {
                 self.peers.told(now, &name, &service, load);
                 self.forward_waiting_of(now, &service, out);
             }
-            Event::PeerGone { name } => self.peers.gone(&name),
+            Event::PeerGone { name } => {
+                let peers = self.peers.len();
+                self.peers.gone(&name);
+                self.peers_changed(peers);
+            }
             Event::KeyDurable { call } => self.key_durable(now, call, out),
             Event::KeyRefused { call, refusal } => {
                 self.key_refused(now, call, refusal, out);
@@ -128,6 +151,12 @@
         }
     }
 
+    fn peers_changed(&mut self, before: u32) {
+        if self.peers.len() != before {
+            self.declare();
+        }
+    }
+
     /// Returns the load for heartbeats to peers and for metrics.
     pub fn status(&self) -> Status {
         let loads = self.fleet.services().map(|name| (name.clone(), self.load(name)));
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -6,7 +6,7 @@
 
 use super::Router;
 use crate::latency::Estimate;
-use crate::queue::{Offer, Profile, Queue};
+use crate::queue::{FlowId, Offer, Profile, Queue};
 use crate::retry::Budget;
 
 /// Milliseconds in a second.
@@ -25,7 +25,14 @@
         self.config = config;
         for (name, service) in &self.config.services {
             self.fleet.limit_slots(name, service.slots);
+            let longest = self.longest_runs.entry(name.clone()).or_default();
+            *longest = service.longest_run.max(*longest);
         }
+        self.declare();
+    }
+
+    /// Works the declared parts of all flows out anew, as they depend on the number of peers.
+    pub(crate) fn declare(&mut self) {
         let instances = self.peers.len() + 1;
         for (name, service) in &mut self.services {
             let config = &self.config;
@@ -48,6 +55,13 @@
         self.services.get_mut(name)
     }
 
+    /// Notes that a service is offered more than it can serve.
+    pub(crate) fn saturate(&mut self, now: Time, name: &ServiceName) {
+        if let Some(service) = self.services.get_mut(name) {
+            service.queue.saturate(now);
+        }
+    }
+
     /// Returns the team whose share counts: undeclared ones share that of the service's owner.
     pub(crate) fn counted_team(&self, service: &ServiceName, team: &TeamName) -> TeamName {
         if self.config.teams.contains_key(team) {
@@ -57,8 +71,19 @@
         declared.map_or_else(|| team.clone(), |service| service.team.clone())
     }
 
-    pub(crate) fn profile(&self, service: &ServiceName, team: &TeamName) -> Profile {
-        profile(&self.config, service, team, self.peers.len() + 1)
+    /// Returns the flow of a team and an urgency.
+    pub(crate) fn flow(
+        &mut self,
+        service: &ServiceName,
+        team: &TeamName,
+        urgency: model::Urgency,
+    ) -> Option<FlowId> {
+        let queue = &mut self.services.get_mut(service)?.queue;
+        if let Some(flow) = queue.flow(team, urgency) {
+            return Some(flow);
+        }
+        let profile = profile(&self.config, service, team, self.peers.len() + 1);
+        Some(queue.add_flow(team, urgency, profile))
     }
 
     /// Returns the mean time that a call takes, zero while it is not known.
