--- a/crates/daemon/src/hub/cells/mod.rs
+++ b/crates/daemon/src/hub/cells/mod.rs
@@ -56,7 +56,6 @@
     restored: bool,
     /// What former owners left, until the cell has started.
     left: Option<(Snapshot, Vec<Record>)>,
-    snapshot_wanted: bool,
 }
 
 /// The actor.
@@ -106,7 +105,7 @@
         let seed = self.parts.seed ^ epoch.0;
         let cell = Cell::new(cell::Settings::default(), domain.clone(), epoch, seed);
         let left = Some((snapshot, records));
-        let hosted = Hosted { cell, restored: false, left, snapshot_wanted: false };
+        let hosted = Hosted { cell, restored: false, left };
         self.hosted.insert(domain.clone(), hosted);
         self.start(cx, &domain);
         self.parts.shared.metrics.set_owned("cell", self.hosted.len());
@@ -216,36 +215,18 @@
         if current {
             let event = if lasts { Event::Durable(sequence) } else { Event::NotDurable(sequence) };
             self.drive(cx, &domain, event);
-            self.try_snapshot(&domain);
         }
     }
 
-    /// Gives the content of a cell as soon as all its records last.
+    /// Gives the content of a cell for a snapshot.
     pub(crate) fn snapshot_wanted(&mut self, _: CX![], shard: Shard) {
-        let Some(domain) = self.parts.shards.cell(shard).cloned() else {
-            return;
-        };
-        if let Some(hosted) = self.hosted.get_mut(&domain) {
-            hosted.snapshot_wanted = true;
-        }
-        self.try_snapshot(&domain);
-    }
-
-    fn try_snapshot(&mut self, domain: &DomainName) {
-        let Some(shard) = self.parts.shards.of_cell(domain) else {
+        let Some(domain) = self.parts.shards.cell(shard) else {
             return;
         };
-        let Some(hosted) = self.hosted.get_mut(domain) else {
-            return;
-        };
-        if !hosted.snapshot_wanted || !hosted.restored {
-            return;
-        }
-        let Some(snapshot) = hosted.cell.snapshot() else {
+        let Some(hosted) = self.hosted.get(domain).filter(|hosted| hosted.restored) else {
             return;
         };
-        hosted.snapshot_wanted = false;
-        match records::write_snapshot(&snapshot) {
+        match records::write_snapshot(&hosted.cell.snapshot()) {
             Ok(bytes) => call!([self.parts.control], snapshot(shard, bytes)),
             Err(error) => event!(Code::RecoveryFailed, shard = shard, error = error),
         }
--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -100,7 +100,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn list(&self) -> Result<Vec<Instance>, Error> {
         let request = Request { method: Method::GET, path: PATH, ..Request::default() };
         self.channel.json(request, "a list of instances")
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn change(&self, change: &Change) -> Result<(), Error> {
         let reply = self.channel.post(PATH, change)?;
         self.channel.success(reply).map(|_| ())
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -53,7 +53,7 @@
     /// # Errors
     ///
     /// [`Error::Exists`] when it was to be absent, otherwise as the
-    /// [crate](crate) states.
+    /// [crate] states.
     pub fn put(&self, key: &str, body: Bytes, put: Put) -> Result<(), Error> {
         let path = self.path(key)?;
         let headers = match put {
@@ -72,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn get(&self, key: &str) -> Result<Option<Bytes>, Error> {
         let path = self.path(key)?;
         let reply = self.channel.any(Request { path: &path, ..Request::default() })?;
@@ -86,7 +86,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn delete(&self, key: &str) -> Result<(), Error> {
         let path = self.path(key)?;
         let request = Request { method: Method::DELETE, path: &path, ..Request::default() };
@@ -97,7 +97,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn list(&self, prefix: &str) -> Result<Vec<Entry>, Error> {
         self.check(prefix)?;
         let path = format!("{BASE}?prefix={prefix}");
--- a/crates/platform/src/table/client.rs
+++ b/crates/platform/src/table/client.rs
@@ -56,7 +56,7 @@
     /// # Errors
     ///
     /// [`Error::Conflict`] when a condition does not hold, otherwise as the
-    /// [crate](crate) states. After [`Error::Unknown`] the identity kept in the
+    /// [crate] states. After [`Error::Unknown`] the identity kept in the
     /// written rows tells whether the transaction took effect.
     pub fn transact(&self, transaction: &Transaction) -> Result<Committed, Error> {
         let reply = self.channel.post("/table/transact", transaction)?;
@@ -72,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn row(&self, key: &Key) -> Result<Option<Row>, Error> {
         let reply = self.channel.post("/table/row", &RowRequest { key: key.clone() })?;
         let reply = self.channel.success(reply)?;
@@ -83,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states.
+    /// As the [crate] states.
     pub fn scan(&self, prefix: &Key, after: Option<&Key>, limit: usize) -> Result<ScanPage, Error> {
         let request = ScanRequest { prefix: prefix.clone(), after: after.cloned(), limit };
         let reply = self.channel.post("/table/scan", &request)?;
--- a/crates/platform/src/worker/client.rs
+++ b/crates/platform/src/worker/client.rs
@@ -72,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// As the [crate](crate) states. A fenced exchange is no error.
+    /// As the [crate] states. A fenced exchange is no error.
     pub fn exchange(&self, exchange: &Exchange) -> Result<Answer, Error> {
         let reply = self.channel.post(&self.path, exchange)?;
         let reply = self.channel.success(reply)?;
