--- /dev/null
+++ b/crates/cli/src/failure/mod.rs
@@ -0,0 +1,156 @@
+//! Failures of commands and their exit codes.
+
+mod print;
+
+use std::io;
+
+use miette::Diagnostic;
+use sycamorerill_config::{CodecError, Fault, Key, Problem, Report};
+
+use crate::client;
+use crate::demo;
+
+pub(crate) use print::print;
+
+/// Exit code when an answer was not understood or the demo found a fault.
+const FAULT: u8 = 1;
+/// Exit code of wrong use.
+pub(crate) const WRONG_USE: u8 = 2;
+/// Exit code when a request was refused and must not be repeated unchanged.
+const REFUSED: u8 = 3;
+/// Exit code of a conflict with another change.
+const CONFLICT: u8 = 4;
+/// Exit code when nothing happened and the request may be repeated later.
+const UNREACHABLE: u8 = 5;
+/// Exit code when the request may have had its effect.
+const UNKNOWN: u8 = 6;
+
+/// The ways in which a command can fail.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub(crate) enum Failure {
+    /// The configuration or a file of jobs has errors.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Report(#[from] Report),
+    /// The folder as a whole cannot be read.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Folder(#[from] sycamorerill_config::Error),
+    /// No entry instance is named, or one of them wrongly.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] client::settings::Error),
+    /// The period of a settlement is empty.
+    #[error("the period is empty, --from must be earlier than --to")]
+    #[diagnostic(code(empty_period))]
+    Period,
+    /// No entry instance is named whose callers' address is to be loaded.
+    #[error("no address to send calls to is named")]
+    #[diagnostic(
+        code(no_caller),
+        help("give --caller IP:PORT, the address for callers of an entry instance")
+    )]
+    Callers,
+    /// A request failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Request(#[from] client::Error),
+    /// Another change was accepted first, and it could be compared with ours.
+    #[error("version {version} was accepted meanwhile; it changed {}", list(.theirs))]
+    #[diagnostic(code(conflict), help("{}", conflict_hint(.both)))]
+    Conflict {
+        /// Newest version.
+        version: u64,
+        /// Entries in which it differs from the folder.
+        keys: Vec<String>,
+        /// Fields that it changed against the version that was seen.
+        theirs: Vec<Key>,
+        /// Fields of these that the folder changes too.
+        both: Vec<Key>,
+    },
+    /// The configuration of an entry instance cannot be decoded.
+    #[error("the newest configuration cannot be read: {0}")]
+    #[diagnostic(code(encoding), help("check that this program has the version of the instances"))]
+    Encoding(#[source] CodecError),
+    /// A change was accepted but is not in force everywhere.
+    #[error("version {version} is accepted, but after {waited_s} s not in force at: {}", instances.join(", "))]
+    #[diagnostic(
+        code(not_in_force),
+        help("it stays accepted; look at `sycamorerill status` and at the named instances")
+    )]
+    NotInForce {
+        /// Accepted version.
+        version: u64,
+        /// Seconds waited.
+        waited_s: u64,
+        /// Instances that run an older version.
+        instances: Vec<String>,
+    },
+    /// Some jobs were not accepted; each is printed with its reason.
+    #[error("{failed} of {total} jobs were not accepted")]
+    #[diagnostic(code(not_accepted), help("the reason stands beside each job"))]
+    Jobs {
+        /// Jobs that were not accepted.
+        failed: usize,
+        /// All jobs of the file.
+        total: usize,
+        /// Exit code of the first of them.
+        code: u8,
+    },
+    /// The demo failed.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Demo(#[from] demo::Error),
+    /// Standard output cannot be written.
+    #[error("standard output cannot be written: {0}")]
+    #[diagnostic(code(output))]
+    Output(io::Error),
+}
+
+impl Failure {
+    /// Returns the exit code of the program.
+    pub(crate) fn code(&self) -> u8 {
+        match self {
+            Self::Report(report) if is_unreadable(report) => WRONG_USE,
+            Self::Report(_) => REFUSED,
+            Self::Folder(sycamorerill_config::Error::Unreadable { .. }) => WRONG_USE,
+            Self::Folder(_) => REFUSED,
+            Self::Settings(_) | Self::Callers | Self::Period => WRONG_USE,
+            Self::Request(error) => request_code(error),
+            Self::Conflict { .. } => CONFLICT,
+            Self::NotInForce { .. } => UNKNOWN,
+            Self::Jobs { code, .. } => *code,
+            Self::Encoding(_) | Self::Demo(_) | Self::Output(_) => FAULT,
+        }
+    }
+}
+
+fn list(keys: &[Key]) -> String {
+    match keys {
+        [] => "nothing that is declared".to_owned(),
+        keys => keys.iter().map(Key::to_string).collect::<Vec<_>>().join(", "),
+    }
+}
+
+fn conflict_hint(both: &[Key]) -> String {
+    match both {
+        [] => "bring that change into the folder, then apply again".to_owned(),
+        both => format!("both change {}: settle these first, then apply again", list(both)),
+    }
+}
+
+fn is_unreadable(report: &Report) -> bool {
+    let is_unreadable = |problem: &Problem| matches!(problem.fault(), Fault::Unreadable(_));
+    report.problems().iter().all(is_unreadable)
+}
+
+/// Returns the exit code for a failed request.
+pub(crate) fn request_code(error: &client::Error) -> u8 {
+    match error {
+        client::Error::Refused(_) => REFUSED,
+        client::Error::Conflict(_) | client::Error::Exists(_) => CONFLICT,
+        client::Error::Unreachable(_) | client::Error::NotRun(_) => UNREACHABLE,
+        client::Error::Unknown { .. } => UNKNOWN,
+        client::Error::Answer { .. } => FAULT,
+    }
+}
