tasks: claims keep a worker for a task that finds none, one search makes room for many

Room for urgent tasks was searched every 500 ms while the first eviction was still under way, so one task could evict several; one search now covers up to 16 tasks and is repeated after 4 s.

--- a/crates/tasks/benches/tasks/measure.rs
+++ b/crates/tasks/benches/tasks/measure.rs
@@ -90,6 +90,7 @@
         "deadlines_missed": missed,
         "evictions": world.tally.evictions.values().sum::<u64>(),
         "evictions_interference": interference,
+        "evictions_by_cause": world.tally.evictions,
         "throttles": world.tally.throttles,
         "lost_core_s": world.tally.work_lost.round(),
         "crew_core_s": world.tally.team_work("crew").round(),
--- /dev/null
+++ b/crates/tasks/src/cell/claim.rs
@@ -0,0 +1,70 @@
+//! Workers that are kept from lesser work until a waiting task fits.
+//!
+//! A large or noisy task finds no worker while small ones take up what becomes free.
+//! After a short wait its job claims one worker, which then gets no work of less urgent
+//! or borrowing jobs; as tasks end there, the room grows until the claimant fits.
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::model::Urgency;
+
+use super::place::Need;
+use super::{Cell, key};
+
+/// Wait of a task before its job claims a worker.
+const CLAIM_AFTER: Span = Span::from_secs(5);
+/// Time for which a claim holds.
+const CLAIM_TERM: Span = Span::from_secs(90);
+/// One worker in so many may be claimed at a time.
+const CLAIMED_PART: usize = 6;
+/// Workers that are looked at for a claim.
+const CLAIM_CANDIDATES: usize = 16;
+
+/// A claim on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Claim {
+    job: key::Job,
+    urgency: Urgency,
+    until: Time,
+}
+
+impl Cell {
+    /// Claims a worker for a job that found none.
+    pub(super) fn claim(&mut self, now: Time, need: &Need) {
+        if need.urgency < Urgency::Normal || need.borrows || need.service {
+            return;
+        }
+        let task = self.jobs.task(key::Task::new(need.job, need.task));
+        if task.is_none_or(|task| now.since(task.since) < CLAIM_AFTER) {
+            return;
+        }
+        self.claims.retain(|_, claim| claim.until > now);
+        let full = self.claims.len() >= (self.workers.len() / CLAIMED_PART).max(1);
+        if full || self.claims.values().any(|claim| claim.job == need.job) {
+            return;
+        }
+        let drawn = self.workers.draw(CLAIM_CANDIDATES, &mut self.rng);
+        let open = drawn.into_iter().filter_map(|key| {
+            let entry = self.workers.entry(key).filter(|entry| entry.is_indexed())?;
+            let fits = need.size.fits(entry.size) && !self.claims.contains_key(&key);
+            fits.then_some((entry.free().cpu(), key))
+        });
+        if let Some((_, worker)) = open.max() {
+            let until = now + CLAIM_TERM;
+            let claim = Claim { job: need.job, urgency: need.urgency, until };
+            self.claims.insert(worker, claim);
+        }
+    }
+
+    /// Reports whether a claim keeps a task from a worker.
+    pub(super) fn is_kept_from(&self, now: Time, worker: key::Worker, need: &Need) -> bool {
+        let Some(claim) = self.claims.get(&worker) else { return false };
+        let lesser = need.urgency < claim.urgency || need.borrows;
+        claim.until > now && claim.job != need.job && lesser
+    }
+
+    /// Returns the worker that a job has claimed.
+    pub(super) fn claimed_by(&self, job: key::Job) -> Option<key::Worker> {
+        let mut claims = self.claims.iter();
+        claims.find(|(_, claim)| claim.job == job).map(|(worker, _)| *worker)
+    }
+}
--- a/crates/tasks/src/cell/mod.rs
+++ b/crates/tasks/src/cell/mod.rs
@@ -6,6 +6,7 @@
 //! hold a task what it holds, under its own higher epoch, and places a task again
 //! only when no worker can be running it.
 
+mod claim;
 mod drive;
 mod fleet;
 mod interfere;
@@ -68,6 +69,8 @@
     queue: Queue,
     /// Jobs that found no room, in the order in which they are tried again.
     blocked: BTreeSet<Position>,
+    /// Workers that are kept for a job.
+    claims: BTreeMap<key::Worker, claim::Claim>,
     /// Whether room was freed since jobs were last found to have none.
     freed: bool,
     /// Last blocked job that was tried.
@@ -126,6 +129,7 @@
             ended: BTreeMap::new(),
             queue: Queue::default(),
             blocked: BTreeSet::new(),
+            claims: BTreeMap::new(),
             freed: false,
             cursor: None,
             retry_at: Time::ZERO,
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -45,10 +45,10 @@
     class: key::Class,
     pub(super) size: Size,
     avoid: Option<key::Worker>,
-    service: bool,
-    urgency: Urgency,
+    pub(super) service: bool,
+    pub(super) urgency: Urgency,
     /// Whether the team goes beyond its quota.
-    borrows: bool,
+    pub(super) borrows: bool,
     /// Whether the task may be placed where a service will be slower than allowed.
     pub(super) pressing: bool,
 }
@@ -129,6 +129,7 @@
         }
         let Some(worker) = self.choose(now, &need) else {
             full.push((need.class, need.size));
+            self.claim(now, &need);
             self.reclaim(now, position, &need, out);
             return false;
         };
@@ -217,10 +218,12 @@
         let mut found = std::mem::take(&mut self.scratch);
         let most = self.settings.candidates;
         self.workers.index.sample(need.size, most, &mut self.rng, &mut found);
+        found.extend(self.claimed_by(need.job));
         let mut best: Option<(f64, key::Worker)> = None;
         for key in &found {
             let Some(entry) = self.workers.entry(*key) else { continue };
-            if !self.has_room(*key, entry, need) {
+            let open = entry.is_indexed() && !self.is_kept_from(now, *key, need);
+            if !open || !self.has_room(*key, entry, need) {
                 continue;
             }
             let Some(cost) = self.cost(now, *key, entry, need) else { continue };
@@ -311,6 +314,9 @@
             usage: None,
             may_forget: false,
         };
+        if self.claimed_by(need.job) == Some(worker) {
+            self.claims.remove(&worker);
+        }
         self.step(now, key, Input::Place);
         self.hold(now, worker, token, hold);
         self.counts.placed += 1;
--- a/crates/tasks/src/cell/reclaim.rs
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -11,7 +11,9 @@
 use crate::worker::{Hold, Intent, Token};
 
 /// Time between two searches for room for one job.
-const RECLAIM_EVERY: Span = Span::from_ms(500);
+const RECLAIM_EVERY: Span = Span::from_secs(4);
+/// Tasks of one job for which room is made in one search.
+const RECLAIM_TASKS: usize = 16;
 /// Workers that are looked at in one search.
 const RECLAIM_CANDIDATES: usize = 32;
 
@@ -37,12 +39,15 @@
         }
         job.reclaimed_at = Some(now);
         let Some(cause) = self.reclaim_cause(now, position, need) else { return };
-        let Some(plan) = self.plan(position, need.size, cause) else { return };
-        if position.urgency.0 < Urgency::Urgent && !self.take_eviction(now) {
-            return;
-        }
-        for (token, checkpoint) in plan.tokens {
-            self.evict(now, plan.worker, token, checkpoint, cause, out);
+        let ready = self.jobs.entry(position.job).map_or(0, |job| job.ready.len());
+        for _ in 0..ready.min(RECLAIM_TASKS) {
+            let Some(plan) = self.plan(position, need.size, cause) else { return };
+            if position.urgency.0 < Urgency::Urgent && !self.take_eviction(now) {
+                return;
+            }
+            for (token, checkpoint) in plan.tokens {
+                self.evict(now, plan.worker, token, checkpoint, cause, out);
+            }
         }
     }
 
--- a/crates/tasks/src/cell/settings.rs
+++ b/crates/tasks/src/cell/settings.rs
@@ -154,7 +154,7 @@
             restrict: 0.9,
             relieve: 0.6,
             place: 0.8,
-            place_low: 0.6,
+            place_low: 0.7,
             confirm: 2,
             settle: Span::from_secs(8),
             calm: Span::from_secs(30),
