calls: announce free slots after all were occupied

Between heartbeats the peers of an entry instance that had been full went on taking it for full. It now announces that slots are free, at most every 50 ms. Peers are drawn by the square of their free slots.

--- a/crates/calls/src/peers.rs
+++ b/crates/calls/src/peers.rs
@@ -96,7 +96,8 @@
         self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) <= self.silence)
     }
 
-    /// Returns a peer with a free slot, at random by the number of its free slots.
+    /// Returns a peer with a free slot, at random by the square of the number of its free
+    /// slots: what is known is a little old, and many free slots last longer.
     pub(crate) fn with_free(
         &self,
         now: Time,
@@ -105,17 +106,18 @@
         rng: &mut fastrand::Rng,
     ) -> Option<&InstanceName> {
         let of_kind = || self.speaking(now).filter(|(_, peer)| self.is_near(peer) == near);
-        let total: u32 = of_kind().map(|(_, peer)| peer.free(service)).sum();
+        let weight = |peer: &Peer| u64::from(peer.free(service)).pow(2);
+        let total: u64 = of_kind().map(|(_, peer)| weight(peer)).sum();
         if total == 0 {
             return None;
         }
-        let mut point = rng.u32(0..total);
+        let mut point = rng.u64(0..total);
         for (name, peer) in of_kind() {
-            let free = peer.free(service);
-            if point < free {
+            let weight = weight(peer);
+            if point < weight {
                 return Some(name);
             }
-            point -= free;
+            point -= weight;
         }
         None
     }
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -37,6 +37,7 @@
         if let Some(service) = service {
             self.pump(now, &service, out);
             self.refuse_stuck(now, &service, out);
+            self.announce_free(now, &service, out);
         }
     }
 
--- a/crates/calls/src/router/forward.rs
+++ b/crates/calls/src/router/forward.rs
@@ -11,6 +11,8 @@
 const MIN_SAVED_MS: f64 = 5.0;
 /// Part of the waiting here that must remain after the waiting there.
 const MIN_SAVED_SHARE: f64 = 0.5;
+/// Part of the usable slots that must be free for an announcement, as a divisor.
+const MIN_FREE_DIVISOR: u32 = 16;
 /// Waiting that a queue is taken to cost for each call and slot before it was measured.
 const UNKNOWN_MEAN_MS: f64 = 10.0;
 
@@ -99,6 +101,25 @@
         out.push(Command::Decision(Decision { call: id, choice, why }));
     }
 
+    /// Tells the peers that slots are free again after all were occupied.
+    ///
+    /// Between two heartbeats they would go on taking the slots for occupied.
+    pub(crate) fn announce_free(&mut self, now: Time, name: &ServiceName, out: &mut Vec<Command>) {
+        let total = self.fleet.total(name);
+        let Some(service) = self.services.get_mut(name) else { return };
+        if total.free == 0 {
+            service.was_full = true;
+            return;
+        }
+        let due = now.since(service.announced) >= self.settings.announce_interval;
+        let worthwhile = total.free * MIN_FREE_DIVISOR > total.usable;
+        if service.was_full && due && worthwhile {
+            service.was_full = false;
+            service.announced = now;
+            out.push(Command::Announce);
+        }
+    }
+
     /// Forwards waiting calls to peers that have slots free.
     pub(crate) fn forward_waiting(&mut self, now: Time, out: &mut Vec<Command>) {
         let names: Vec<ServiceName> = self.services.keys().cloned().collect();
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -18,6 +18,9 @@
     pub(crate) latency: Estimate,
     pub(crate) retries: Budget,
     pub(crate) hedges: Budget,
+    /// Whether every slot was occupied since the last announcement.
+    pub(crate) was_full: bool,
+    pub(crate) announced: Time,
 }
 
 impl Router {
@@ -49,6 +52,8 @@
                 latency: Estimate::default(),
                 retries: Budget::default(),
                 hedges: Budget::default(),
+                was_full: false,
+                announced: now,
             };
             self.services.insert(name.clone(), service);
         }
--- a/crates/calls/src/router/settings.rs
+++ b/crates/calls/src/router/settings.rs
@@ -23,6 +23,8 @@
     pub hand_over: Span,
     /// Time without a word after which no call is forwarded to a peer.
     pub peer_silence: Span,
+    /// Shortest time between two announcements of free slots.
+    pub announce_interval: Span,
     /// Largest number of times that a call is forwarded.
     pub max_hops: u8,
     /// Largest number of attempts at one call, sent or forwarded.
@@ -47,6 +49,7 @@
             flight: Span::from_ms(100),
             hand_over: Span::from_ms(200),
             peer_silence: Span::from_ms(350),
+            announce_interval: Span::from_ms(50),
             max_hops: 2,
             max_attempts: 4,
             hedge_budget: Share::default(),
