fakes: measure spans from a start of their own, now that the clock begins at the system's time

The test of the services' rate compared with the clock's zero and had become one that could not fail; interference shifts with the time since the start again, so that it does not depend on the time of day.

--- a/crates/fakes/src/fleet/nature.rs
+++ b/crates/fakes/src/fleet/nature.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Nature {
     seed: u64,
+    origin: Time,
     speedup: f64,
     size_error: f64,
     time_error: f64,
@@ -56,9 +57,10 @@
 }
 
 impl Nature {
-    pub(crate) fn new(settings: &Settings) -> Self {
+    pub(crate) fn new(settings: &Settings, origin: Time) -> Self {
         Self {
             seed: settings.seed,
+            origin,
             speedup: settings.speedup.max(f64::MIN_POSITIVE),
             size_error: settings.size_error,
             time_error: settings.time_error,
@@ -109,7 +111,7 @@
         let mut slowdown = 1.0;
         for (other, part) in next_to {
             let pair = self.pair(class, other);
-            let angle = now.as_ms() as f64 / SHIFT_PERIOD_MS * TAU + pair.phase;
+            let angle = now.since(self.origin).as_ms_f64() / SHIFT_PERIOD_MS * TAU + pair.phase;
             let shift = 1.0 + SHIFT_PART * angle.sin();
             slowdown += self.interference * pair.coefficient * shift * part;
         }
--- a/crates/fakes/src/router/mod.rs
+++ b/crates/fakes/src/router/mod.rs
@@ -47,8 +47,9 @@
         let gate = |latency, stream: u64| {
             Gate::new(latency, settings.seed.wrapping_add(stream), Arc::clone(&pace))
         };
+        let clock = Clock::start();
         let router = Self {
-            clock: Clock::start(),
+            clock,
             table: Mutex::default(),
             table_gate: gate(settings.store_latency, 0),
             table_meter: Meter::default(),
@@ -57,7 +58,7 @@
             objects_meter: Meter::default(),
             list: Mutex::new(List::new(settings.list_lag, instances.clone())),
             list_gate: Gate::new(Span::ZERO, settings.seed.wrapping_add(2), Arc::default()),
-            fleet: Mutex::new(Fleet::new(Nature::new(settings), objects)),
+            fleet: Mutex::new(Fleet::new(Nature::new(settings, clock.now()), objects)),
             pool: Pool::new(settings),
         };
         for instance in &instances {
--- a/crates/fakes/tests/common/mod.rs
+++ b/crates/fakes/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
-use sycamorerill_core::clock::{Clock, Span, Time};
+use sycamorerill_core::clock::{Clock, Span};
 use sycamorerill_core::rate::PerSecond;
 use sycamorerill_fakes::{Platform, Settings};
 use sycamorerill_platform::{endpoint, table, worker};
@@ -49,8 +49,9 @@
 /// Waits until `reached` holds, for at most [`PATIENCE`].
 pub fn wait_until(reached: impl Fn() -> bool) {
     let clock = Clock::start();
+    let started = clock.now();
     while !reached() {
-        assert!(clock.now().since(Time::ZERO) < PATIENCE, "nothing happened in {PATIENCE}");
+        assert!(clock.now().since(started) < PATIENCE, "nothing happened in {PATIENCE}");
         std::thread::sleep(Span::from_ms(1).into());
     }
 }
--- a/crates/fakes/tests/services.rs
+++ b/crates/fakes/tests/services.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use common::{patient, platform, quick, table, wait_until};
-use sycamorerill_core::clock::{Clock, Span, Time};
+use sycamorerill_core::clock::{Clock, Span};
 use sycamorerill_core::rate::PerSecond;
 use sycamorerill_fakes::faults::{Loss, Service};
 use sycamorerill_fakes::{Fault, Platform, Settings};
@@ -258,10 +258,11 @@
     let platform = platform(Settings { store_writes: slow, ..quick() });
     let table = table(&platform);
     let clock = Clock::start();
+    let started = clock.now();
     for round in 0..10 {
         table.transact(&transaction(&format!("t{round}")).put("a", "1")).unwrap();
     }
     // Ten writes at 20 a second take 450 ms, less the 100 ms that may be saved up.
-    assert!(clock.now() >= Time::from_ms(350));
+    assert!(clock.now().since(started) >= Span::from_ms(350));
     assert_eq!(platform.counts().table.writes, 10);
 }
