--- a/crates/fakes/src/server/listener.rs
+++ b/crates/fakes/src/server/listener.rs
@@ -8,7 +8,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_executor::Executor;
-use async_io::{Async, block_on};
+use async_io::{Async, Timer, block_on};
 use futures::channel::oneshot;
 use http_body_util::{BodyExt, Limited};
 use hyper::server::conn::http1;
@@ -16,6 +16,7 @@
 use hyper::{Request, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use socket2::{Domain, Protocol, Socket, Type};
+use sycamorerill_core::clock::Span;
 
 use super::connection::{Connection, Incoming};
 use super::reply::Reply;
@@ -25,6 +26,8 @@
 /// The 128 of the standard library overflow when several hundred clients connect
 /// at once; some then wait a second for the next try, and some are reset.
 const BACKLOG: i32 = 4_096;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Span = Span::from_ms(10);
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -108,6 +111,8 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors, most likely; some may be free by then.
+            Timer::after(ACCEPT_PAUSE.into()).await;
             continue;
         };
         let _ = stream.get_ref().set_nodelay(true);
--- a/crates/fakes/tests/executors.rs
+++ b/crates/fakes/tests/executors.rs
@@ -12,7 +12,7 @@
 use sycamorerill_fakes::faults::{Execute, Select};
 use sycamorerill_fakes::{Fault, Ran};
 use sycamorerill_platform::Doubt;
-use sycamorerill_platform::endpoint::{Answer, Call};
+use sycamorerill_platform::endpoint::{Answer, Call, Method};
 
 /// Longer than any test.
 const ENDLESS_MS: u64 = 600_000;
@@ -180,3 +180,25 @@
     });
     assert_eq!(whole, 600);
 }
+
+#[test]
+fn every_method_passes_with_and_without_a_body() {
+    let platform = platform(quick());
+    let client = executor(&platform, NAME);
+    let methods = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "REPORT"];
+    for method in methods {
+        for body in ["", "a body"] {
+            let identity = format!("{method}{body}").replace(' ', "-");
+            let body = Bytes::from(body);
+            let method: Method = method.parse().unwrap();
+            let sent = Call { method: method.clone(), body: body.clone(), ..call(&identity, 0) };
+            let answer = client.call(&sent);
+            let Answer::Whole { status: 200, body: echoed, .. } = &answer else {
+                panic!("{identity}: {answer:?}");
+            };
+            if method != Method::HEAD && !body.is_empty() {
+                assert_eq!(*echoed, body, "{identity}");
+            }
+        }
+    }
+}
--- a/crates/fakes/tests/protocol.rs
+++ b/crates/fakes/tests/protocol.rs
@@ -66,3 +66,27 @@
     }
     assert_eq!(checked, 10);
 }
+
+#[test]
+fn malformed_requests_are_refused_with_a_reason() {
+    let platform = platform(quick());
+    let agent = ureq_agent();
+    let paths =
+        ["table/transact", "table/row", "table/scan", "instances", "faults", "ran", EXCHANGE];
+    for path in paths {
+        let url = format!("http://{}/{path}", platform.address());
+        let mut answer = agent.post(&url).send("{\"wrong\":").unwrap();
+        let body: serde_json::Value = answer.body_mut().read_json().unwrap();
+        assert_eq!(answer.status(), 400, "{path}");
+        assert!(body["error"].is_string(), "{path}: {body}");
+    }
+    let url = format!("http://{}/nowhere", platform.address());
+    assert_eq!(agent.get(&url).call().unwrap().status(), 404);
+}
+
+/// Path of an exchange.
+const EXCHANGE: &str = "workers/w-vejle-a-01/exchange";
+
+fn ureq_agent() -> ureq::Agent {
+    ureq::Agent::config_builder().http_status_as_error(false).build().new_agent()
+}
