control: watch, size and versions are not computed anew at every event

With 1,000 members a tick took 3 ms while the store was down: the peer to ask was sought by comparing every member with every peer. The watched peers are now chosen when a standing changes, the size is counted then, and versions are taken from heartbeats. News is passed on for 3 rounds and one for each two doublings, since each round already reaches all watched peers.

--- a/crates/control/benches/control/group.rs
+++ b/crates/control/benches/control/group.rs
@@ -29,6 +29,8 @@
         ownership.slots = if count >= LARGE { 1_024 } else { 64 };
         ownership.cells =
             (0..domains).map(|at| domain(at, count).parse::<DomainName>().unwrap()).collect();
+        // All start at once here, so that news of all is told at once.
+        cluster.template.membership.news_per_beat = count.div_ceil(8).max(12);
         tweak(&mut cluster);
         let names: Vec<InstanceName> = (0..count).map(|at| name(&format!("e{at:03}"))).collect();
         for (at, one) in names.iter().enumerate() {
--- a/crates/control/src/config/fetch.rs
+++ b/crates/control/src/config/fetch.rs
@@ -7,6 +7,7 @@
 use super::{CURRENT, Content, Row};
 use crate::agent::{Body, Decision, Out};
 use crate::codec::{Error, checksum};
+use crate::membership::Standing;
 use crate::store::{Key, Priority, Request, Response, State};
 
 /// Time between two questions to peers.
@@ -17,8 +18,6 @@
 impl Machine {
     pub(super) fn tick_fetch(&mut self, context: &Context<'_>, out: &mut Out<'_>) {
         let now = context.now;
-        let newest = context.members.members().values().map(|member| member.version).max();
-        self.heard(newest.unwrap_or_default());
         if context.store == State::Down {
             return self.ask_peer(context, out);
         }
@@ -109,12 +108,9 @@
             return;
         }
         self.next_ask = context.now + ASK_AGAIN_AFTER;
-        let newest = context
-            .members
-            .members()
-            .iter()
-            .filter(|(name, _)| context.members.peers().any(|peer| peer == *name))
-            .max_by_key(|(_, member)| member.version);
+        let members = context.members.members().iter();
+        let runs = members.filter(|(_, member)| member.standing != Standing::Gone);
+        let newest = runs.max_by_key(|(_, member)| (member.heard > Time::ZERO, member.version));
         let Some((peer, _)) = newest else { return };
         let to: InstanceName = peer.clone();
         out.send(to, Body::ContentWanted(self.version()));
--- a/crates/control/src/membership/machine.rs
+++ b/crates/control/src/membership/machine.rs
@@ -10,10 +10,8 @@
 use crate::agent::{Beat, Decision, Out};
 use crate::session;
 
-/// News in one heartbeat.
-const NEWS_PER_BEAT: usize = 6;
-/// Rounds for which news is passed on, for each doubling of the members.
-const ROUNDS_PER_DOUBLING: u32 = 3;
+/// Rounds for which news is passed on, besides one for each two doublings of the members.
+const LEAST_ROUNDS: u32 = 3;
 /// Time for which an instance that is gone is remembered.
 const FORGET_AFTER: Span = Span::from_secs(600);
 
@@ -41,6 +39,9 @@
     pub(super) next_beat: Time,
     /// Grows with each change of a standing.
     pub(super) revision: u64,
+    /// Revision for which the watched peers were chosen.
+    pub(super) watch_revision: Option<u64>,
+    pub(super) running: usize,
     news: BTreeMap<InstanceName, (News, u32)>,
 }
 
@@ -56,6 +57,8 @@
             ticked: Time::ZERO,
             next_beat: Time::ZERO,
             revision: 0,
+            watch_revision: None,
+            running: 1,
             news: BTreeMap::new(),
         };
         peers.iter().for_each(|peer| machine.introduce(Time::ZERO, peer));
@@ -75,10 +78,9 @@
         self.revision
     }
 
-    /// Returns the number of instances that run, this one included.
-    pub(crate) fn size(&self) -> usize {
-        let runs = |member: &&Member| !matches!(member.standing, Standing::Gone);
-        self.members.values().filter(runs).count() + 1
+    /// Returns the number of instances that ran at the last tick, this one included.
+    pub(crate) const fn size(&self) -> usize {
+        self.running
     }
 
     /// Returns the peers that were heard lately or are not known to be gone.
@@ -253,7 +255,7 @@
         let mut waiting: Vec<(u32, InstanceName)> =
             self.news.iter().map(|(name, (_, left))| (*left, name.clone())).collect();
         waiting.sort_by(|a, b| b.cmp(a));
-        waiting.truncate(NEWS_PER_BEAT);
+        waiting.truncate(self.settings.news_per_beat);
         let mut chosen = Vec::with_capacity(waiting.len());
         for (_, name) in waiting {
             let Some((news, left)) = self.news.get_mut(&name) else { continue };
@@ -268,7 +270,7 @@
 
     pub(super) fn spread(&mut self, news: News) {
         let doublings = usize::BITS - self.members.len().leading_zeros() + 1;
-        self.news.insert(news.instance.clone(), (news, ROUNDS_PER_DOUBLING * doublings));
+        self.news.insert(news.instance.clone(), (news, LEAST_ROUNDS + doublings / 2));
     }
 
     fn learn(&mut self, now: Time, news: &News, out: &mut Out<'_>) {
@@ -331,18 +333,22 @@
             life: 0,
         };
         self.members.insert(instance.clone(), member);
+        self.revision += 1;
+        self.running += 1;
     }
 
     pub(super) fn forget(&mut self, now: Time) {
+        let before = self.members.len();
         self.members.retain(|_, member| {
             member.standing != Standing::Gone || now.since(member.since) < FORGET_AFTER
         });
+        self.revision += u64::from(self.members.len() != before);
     }
 
     /// Returns one peer drawn at random.
     pub(super) fn any_peer(&self, rng: &mut Rng) -> Option<InstanceName> {
-        let peers: Vec<&InstanceName> = self.peers().collect();
-        rng.choice(peers).cloned()
+        let count = self.running.saturating_sub(1);
+        if count == 0 { None } else { self.peers().nth(rng.usize(..count)).cloned() }
     }
 }
 
--- a/crates/control/src/membership/mod.rs
+++ b/crates/control/src/membership/mod.rs
@@ -55,6 +55,8 @@
         pub full_mesh: usize,
         /// Neighbours on each side that an instance sends heartbeats to above that.
         pub neighbours: usize,
+        /// Changes of standings that one heartbeat passes on.
+        pub news_per_beat: usize,
         /// Time for which the platform's list may lack an instance that lives.
         pub list_lag: Span,
     }
@@ -67,6 +69,7 @@
             suspect_after: Span::from_ms(2_500),
             full_mesh: 16,
             neighbours: 4,
+            news_per_beat: 12,
             list_lag: Span::from_secs(60),
         }
     }
--- a/crates/control/src/membership/watch.rs
+++ b/crates/control/src/membership/watch.rs
@@ -48,6 +48,11 @@
     }
 
     fn choose_watch(&mut self, now: Time) {
+        if self.watch_revision == Some(self.revision) {
+            return;
+        }
+        self.watch_revision = Some(self.revision);
+        self.running = self.peers().count() + 1;
         let chosen: Vec<InstanceName> = match self.members.len() < self.settings.full_mesh {
             true => self.peers().cloned().collect(),
             false => {
--- a/crates/control/src/ownership/plan.rs
+++ b/crates/control/src/ownership/plan.rs
@@ -16,8 +16,10 @@
 
 /// Instances for which the interval between scans is stated.
 pub(super) const SCAN_GROUP: u64 = 9;
-/// Longest time between two looks at who should own what.
+/// Time between two looks at who should own what, for each [`PLAN_GROUP`] instances.
 const PLAN_INTERVAL: Span = Span::from_ms(100);
+/// Instances for which the interval between two looks is stated.
+const PLAN_GROUP: u64 = 100;
 /// Shards claimed by one transaction.
 const CLAIMS_AT_ONCE: usize = 64;
 
@@ -54,7 +56,8 @@
     /// Goes for shards that this instance should own, or gives others away.
     fn plan(&mut self, guard: &Check, context: &mut Context<'_>, out: &mut Out<'_>) {
         self.replan = false;
-        self.next_plan = context.now + PLAN_INTERVAL;
+        let crowd = (context.members.size() as u64).div_ceil(PLAN_GROUP);
+        self.next_plan = context.now + PLAN_INTERVAL.times(crowd);
         let basis = Some((context.members.revision(), context.draining));
         if self.basis != basis {
             self.basis = basis;
