control: check the session again in the transaction of a batch

Put back as it was; with it out, `properties` fails.

Owners are asked of a peer only after both have differed for two seconds, as a change settles by itself within that time.

--- a/crates/control/src/agent/plane.rs
+++ b/crates/control/src/agent/plane.rs
@@ -19,7 +19,7 @@
 const SESSION_POLL: Span = Span::from_ms(1_000);
 /// Largest group in which every instance looks at its session row all the time.
 const SESSION_POLL_GROUP: usize = 16;
-/// Time between two questions for the owners that a peer knows.
+/// Time for which owners must differ from those of a peer, and between two questions.
 const OWNERS_ASK_AFTER: Span = Span::from_ms(2_000);
 /// Time between two adjustments to the number of instances.
 const RETUNE_AFTER: Span = Span::from_ms(1_000);
@@ -41,6 +41,8 @@
     store_since: Time,
     next_retune: Time,
     next_ask: Time,
+    /// Peers that know other owners, and since when.
+    differs: BTreeMap<InstanceName, Time>,
 }
 
 impl Plane {
@@ -69,6 +71,7 @@
             store_since: Time::ZERO,
             next_retune: Time::ZERO,
             next_ask: Time::ZERO,
+            differs: BTreeMap::new(),
             rng: rng.fork(),
             settings,
         }
@@ -121,11 +124,7 @@
             Body::Beat(beat) => {
                 self.members.beat(now, from, message.incarnation, &beat, out);
                 self.config.heard(beat.version);
-                let differs = beat.owners != self.ownership.table().digest();
-                if differs && now >= self.next_ask {
-                    self.next_ask = now + OWNERS_ASK_AFTER;
-                    out.send(from.clone(), Body::OwnersWanted);
-                }
+                self.compare_owners(now, from, beat.owners, out);
             }
             Body::Handed(handed) => self.ownership.receive(from, handed, out),
             Body::Received(owners) => self.ownership.acknowledged(&owners),
@@ -149,6 +148,22 @@
         }
     }
 
+    /// Asks a peer for the owners it knows when both have differed for a while.
+    ///
+    /// A change of owners is told to all and settles by itself within that time.
+    fn compare_owners(&mut self, now: Time, from: &InstanceName, digest: u64, out: &mut Out<'_>) {
+        if digest == self.ownership.table().digest() {
+            self.differs.remove(from);
+            return;
+        }
+        let since = *self.differs.entry(from.clone()).or_insert(now);
+        if now.since(since) >= OWNERS_ASK_AFTER && now >= self.next_ask {
+            self.differs.clear();
+            self.next_ask = now + OWNERS_ASK_AFTER;
+            out.send(from.clone(), Body::OwnersWanted);
+        }
+    }
+
     pub(super) fn answer(
         &mut self,
         now: Time,
--- a/crates/control/src/journal/machine.rs
+++ b/crates/control/src/journal/machine.rs
@@ -291,6 +291,7 @@
     let row = key(&guarded.session, flight.number);
     let guard = guarded.check.clone();
     let transaction = Transaction::default()
+        .check(guard.key, guard.expected)
         .check(row.clone(), Expected::Absent)
         .put(row, flight.bytes.clone());
     Request::Transact(transaction)
