--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cluster::{Cluster, name};
 use sycamorerill_control::agent::Event;
-use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome};
+use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome, Spread};
 use sycamorerill_control::journal::Need;
 use sycamorerill_control::ownership::{Kind, Shard};
 use sycamorerill_core::clock::Span;
@@ -76,3 +76,31 @@
     assert!(outcomes.contains(&&conflict), "{outcomes:?}");
     assert!(names.iter().all(|name| cluster.version(name) == Version(1)));
 }
+
+#[test]
+fn a_version_that_comes_twice_or_late_is_in_force_once() {
+    let mut cluster = Cluster::new(3);
+    cluster.template.config.spread = Spread::Push;
+    let names: Vec<InstanceName> = (0..4).map(|n| name(&format!("n{n}"))).collect();
+    for one in &names {
+        cluster.start(one, "d1", &names);
+    }
+    cluster.run(Span::from_secs(5));
+    for change in 0..20 {
+        let apply = Apply {
+            id: ApplyId(change + 1),
+            seen: Version(change),
+            author: "operator".to_owned(),
+            keys: Digests::new(),
+            bytes: Bytes::from(change.to_string()),
+        };
+        // The next change is accepted while the last one is still on its way.
+        cluster.event(&names[change as usize % 4], Event::Apply(apply));
+        while cluster.nodes.values().all(|node| node.version <= Version(change)) {
+            cluster.run(Span::from_ms(1));
+        }
+    }
+    cluster.run(Span::from_secs(5));
+    assert_eq!(cluster.wrong(), Vec::<String>::new());
+    assert!(names.iter().all(|name| cluster.version(name) == Version(20)));
+}
