control: released shards turn to another receiver, settlements start again

A shard released to an instance that then failed waited for it; it now goes to the instance that should own it, or back. A settlement that met an object which a compaction had just replaced failed as damaged; it starts again, at most three times. Peers that were told of a miss are told that it lasts even when they are no longer watched.

--- a/crates/control/src/ownership/handover.rs
+++ b/crates/control/src/ownership/handover.rs
@@ -9,7 +9,7 @@
 use super::{Handed, Owner, Row, Shard, key};
 use crate::agent::{Body, Command, Out};
 use crate::journal::Sequence;
-use crate::membership;
+use crate::membership::{self, Standing};
 use crate::session;
 use crate::store::{Check, Expected, Transaction};
 
@@ -35,6 +35,26 @@
         }
     }
 
+    /// Turns to another receiver, or back to this instance, where the receiver has failed.
+    fn retarget(&mut self, context: &Context<'_>) {
+        for (shard, held) in &mut self.held {
+            let State::Released { to, carry, flush } = &mut held.state else { continue };
+            let member = context.members.members().get(to);
+            if member.is_some_and(|member| member.standing == Standing::Serving) {
+                continue;
+            }
+            let Some(chosen) = self.choices.of(*shard) else { continue };
+            if *chosen != self.own.instance {
+                *to = chosen.clone();
+            } else if !context.draining && context.settled >= *flush {
+                let Some(entry) = self.rows.get(shard) else { continue };
+                self.carries.insert(*shard, (held.epoch, carry.clone()));
+                self.recoveries.want(*shard, entry.row.clone(), &self.own);
+                held.state = State::Recovering;
+            }
+        }
+    }
+
     /// Names the receivers of released shards in the table, in one transaction.
     pub(super) fn hand_over(
         &mut self,
@@ -42,6 +62,7 @@
         context: &mut Context<'_>,
         out: &mut Out<'_>,
     ) -> bool {
+        self.retarget(context);
         let mut transaction = Transaction::default().check(guard.key.clone(), guard.expected);
         let mut rows = Vec::new();
         for (shard, held) in &self.held {
--- a/crates/control/src/penalties/machine.rs
+++ b/crates/control/src/penalties/machine.rs
@@ -62,7 +62,8 @@
     /// Misses that last, so that a repeat is not written again.
     known: BTreeSet<Id>,
     untold: Vec<Id>,
-    replicas: Vec<InstanceName>,
+    /// Peers that were told of misses which wait.
+    replicas: BTreeSet<InstanceName>,
     next_number: u64,
     next_flush: Time,
     next_gossip: Time,
@@ -80,7 +81,7 @@
             foreign: BTreeMap::new(),
             known: BTreeSet::new(),
             untold: Vec::new(),
-            replicas: Vec::new(),
+            replicas: BTreeSet::new(),
             next_number: 0,
             next_flush: Time::ZERO,
             next_gossip: Time::ZERO,
@@ -195,7 +196,8 @@
         }
         self.next_gossip = context.now + self.settings.gossip_interval;
         let peers = context.members.watched().take(self.settings.replicas);
-        self.replicas = peers.cloned().collect();
+        let peers: Vec<InstanceName> = peers.cloned().collect();
+        self.replicas.extend(peers.iter().cloned());
         let count = self.untold.len().min(MISSES_PER_MESSAGE);
         let told: Vec<Id> = self.untold.drain(..count).collect();
         let waits = |id: &Id| self.waiting.get(id).cloned();
@@ -203,8 +205,8 @@
         if misses.is_empty() {
             return;
         }
-        for peer in &self.replicas {
-            out.send(peer.clone(), Body::Pending(misses.clone()));
+        for peer in peers {
+            out.send(peer, Body::Pending(misses.clone()));
         }
     }
 
@@ -251,6 +253,9 @@
         for peer in &self.replicas {
             out.send(peer.clone(), Body::Lasting(flight.misses.clone()));
         }
+        if self.waiting.is_empty() {
+            self.replicas.clear();
+        }
         self.known.extend(flight.misses.into_keys());
         let minutes = REMEMBER.as_ms() / MS_PER_MINUTE;
         let oldest = Minute(self.minute(context.now).0.saturating_sub(minutes));
--- a/crates/control/src/penalties/settlement.rs
+++ b/crates/control/src/penalties/settlement.rs
@@ -20,6 +20,9 @@
 /// Time after which a settlement is given up.
 const LIMIT: Span = Span::from_secs(20);
 
+/// Times that a settlement starts again because an object was replaced.
+const MAX_RESTARTS: u32 = 3;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Loose,
@@ -34,6 +37,7 @@
     pub(super) deadline: Time,
     stage: Stage,
     after: Option<Key>,
+    restarts: u32,
     loose: BTreeMap<u64, Misses>,
     closed: BTreeMap<u64, Closed>,
     counts: Counts,
@@ -46,6 +50,7 @@
             request,
             deadline: now + LIMIT,
             stage: Stage::Loose,
+            restarts: 0,
             loose: BTreeMap::new(),
             closed: BTreeMap::new(),
             counts: Counts::default(),
@@ -79,6 +84,13 @@
                 rows.iter().try_for_each(|row| self.take(row))?;
                 Ok(if more && !beyond { false } else { self.advance() })
             }
+            // The hour was compacted again meanwhile, so its row names another object.
+            (Stage::Object(_), Response::Object(None)) if self.restarts < MAX_RESTARTS => {
+                let restarts = self.restarts + 1;
+                let deadline = self.deadline;
+                *self = Self { restarts, deadline, ..Self::new(self.request.clone(), deadline) };
+                Ok(false)
+            }
             (Stage::Object(hour), Response::Object(object)) => {
                 self.join(hour, object.as_deref())?;
                 Ok(self.next_object())
