tasks: no eviction for a task that noise keeps out, room for each waiting task at once

- A task kept out by interference evicted others for room that it didn't need.
- A worker whose claim was taken is the one where the task would do least harm.
- Each waiting task of a job has one eviction under way, and spread is respected.

--- a/crates/tasks/benches/tasks/main.rs
+++ b/crates/tasks/benches/tasks/main.rs
@@ -33,7 +33,11 @@
             if !wanted(scenario.name()) {
                 continue;
             }
-            for policy in Policy::ALL {
+            let policies = Policy::ALL.into_iter().filter(|policy| {
+                let name = option("--policy");
+                name.is_none_or(|name| name == policy.name())
+            });
+            for policy in policies {
                 println!("{}", measure::run(deployment, scenario, policy, seed));
             }
         }
--- a/crates/tasks/src/cell/claim.rs
+++ b/crates/tasks/src/cell/claim.rs
@@ -46,9 +46,9 @@
         let open = drawn.into_iter().filter_map(|key| {
             let entry = self.workers.entry(key).filter(|entry| entry.is_indexed())?;
             let fits = need.size.fits(entry.size) && !self.claims.contains_key(&key);
-            fits.then_some((entry.free().cpu(), key))
+            fits.then(|| (self.strain(now, key, entry, need), key))
         });
-        if let Some((_, worker)) = open.max() {
+        if let Some((_, worker)) = open.min_by(|a, b| a.0.total_cmp(&b.0)) {
             let until = now + CLAIM_TERM;
             let claim = Claim { job: need.job, urgency: need.urgency, until };
             self.claims.insert(worker, claim);
--- a/crates/tasks/src/cell/jobs.rs
+++ b/crates/tasks/src/cell/jobs.rs
@@ -107,8 +107,10 @@
     /// Tasks on each rack or worker, where the spread counts them.
     pub(crate) spread: BTreeMap<u32, u32>,
     pub(crate) position: Option<Position>,
-    /// When room was last made for the job.
+    /// When room for the job was last searched.
     pub(crate) reclaimed_at: Option<Time>,
+    /// When each eviction for the job that is under way was decided.
+    pub(crate) reclaims: Vec<Time>,
 }
 
 impl Entry {
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -53,6 +53,15 @@
     pub(super) pressing: bool,
 }
 
+/// What a search for a worker found.
+enum Choice {
+    Worker(key::Worker),
+    /// No worker that was looked at has room.
+    NoRoom,
+    /// Workers have room, but a service there would be slowed down too much.
+    TooNoisy,
+}
+
 impl Cell {
     /// Places waiting tasks, at most a bounded number in one step.
     pub(super) fn place_waiting(&mut self, now: Time, out: &mut Vec<Command>) {
@@ -127,11 +136,19 @@
         if known_full || !self.within_quota(position, need.size) {
             return false;
         }
-        let Some(worker) = self.choose(now, &need) else {
-            full.push((need.class, need.size));
-            self.claim(now, &need);
-            self.reclaim(now, position, &need, out);
-            return false;
+        let worker = match self.choose(now, &need) {
+            Choice::Worker(worker) => worker,
+            Choice::NoRoom => {
+                full.push((need.class, need.size));
+                self.claim(now, &need);
+                self.reclaim(now, position, &need, out);
+                return false;
+            }
+            Choice::TooNoisy => {
+                full.push((need.class, need.size));
+                self.claim(now, &need);
+                return false;
+            }
         };
         self.place(now, &need, worker, out);
         true
@@ -195,12 +212,13 @@
         share_of(held + more, self.quota(team)) <= 1.0
     }
 
-    fn choose(&mut self, now: Time, need: &Need) -> Option<key::Worker> {
-        match self.settings.placement {
+    fn choose(&mut self, now: Time, need: &Need) -> Choice {
+        let found = match self.settings.placement {
             Placement::FirstFit | Placement::Apart => self.first_fit(need),
             Placement::Spread => self.most_room(need),
-            Placement::Learned => self.cheapest(now, need),
-        }
+            Placement::Learned => return self.cheapest(now, need),
+        };
+        found.map_or(Choice::NoRoom, Choice::Worker)
     }
 
     fn first_fit(&self, need: &Need) -> Option<key::Worker> {
@@ -214,25 +232,33 @@
         fitting.max_by_key(|(_, entry)| entry.free().cpu()).map(|(key, _)| key)
     }
 
-    fn cheapest(&mut self, now: Time, need: &Need) -> Option<key::Worker> {
+    fn cheapest(&mut self, now: Time, need: &Need) -> Choice {
         let mut found = std::mem::take(&mut self.scratch);
         let most = self.settings.candidates;
         self.workers.index.sample(need.size, most, &mut self.rng, &mut found);
         found.extend(self.claimed_by(need.job));
         let mut best: Option<(f64, key::Worker)> = None;
+        let mut noisy = false;
         for key in &found {
             let Some(entry) = self.workers.entry(*key) else { continue };
             let open = entry.is_indexed() && !self.is_kept_from(now, *key, need);
             if !open || !self.has_room(*key, entry, need) {
                 continue;
             }
-            let Some(cost) = self.cost(now, *key, entry, need) else { continue };
+            let Some(cost) = self.cost(now, *key, entry, need) else {
+                noisy = true;
+                continue;
+            };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
             }
         }
         self.scratch = found;
-        best.map(|(_, key)| key)
+        match best {
+            Some((_, key)) => Choice::Worker(key),
+            None if noisy => Choice::TooNoisy,
+            None => Choice::NoRoom,
+        }
     }
 
     fn has_room(&self, key: key::Worker, entry: &Entry, need: &Need) -> bool {
@@ -245,11 +271,34 @@
                 return false;
             }
         }
-        let Some(job) = self.jobs.entry(need.job) else { return false };
-        self.spread_key(job.job.spread, key)
+        self.is_spread(need.job, key)
+    }
+
+    /// Reports whether one more task of a job may run on a worker by the job's spread.
+    pub(super) fn is_spread(&self, job: key::Job, worker: key::Worker) -> bool {
+        let Some(job) = self.jobs.entry(job) else { return false };
+        self.spread_key(job.job.spread, worker)
             .is_none_or(|(at, most)| job.spread.get(&at).copied().unwrap_or(0) < most)
     }
 
+    /// Returns the largest slowdown of a service to expect on a worker with the task on it.
+    pub(super) fn strain(&self, now: Time, key: key::Worker, entry: &Entry, need: &Need) -> f64 {
+        let mix = self.mix_with(key, entry, need);
+        let services = mix.iter().filter(|(class, _)| self.is_service(*class));
+        let strains = services.map(|(class, _)| {
+            let (mean, deviation) = self.pairs.expect(*class, &mix, now);
+            mean + CAUTION * deviation
+        });
+        strains.fold(1.0, f64::max)
+    }
+
+    fn mix_with(&self, key: key::Worker, entry: &Entry, need: &Need) -> learn::Mix {
+        let mix = self.mixes.get(&key).and_then(|mixes| mixes.last());
+        let mut mix = mix.cloned().unwrap_or_default();
+        learn::add(&mut mix, need.class, learn::part(need.size.cpu(), entry.size.cpu()));
+        mix
+    }
+
     /// Returns the cost of a worker, none when it would slow a service too much.
     fn cost(&self, now: Time, key: key::Worker, entry: &Entry, need: &Need) -> Option<f64> {
         let room = learn::part(Cpu(entry.free().cpu().0 - need.size.cpu().0), entry.size.cpu());
@@ -258,9 +307,7 @@
         cost += if entry.standing.is_suspect() { SUSPECT_COST } else { 0.0 };
         let spare = need.size.accel() == Accel(0) && entry.size.accel() > Accel(0);
         cost += if spare { ACCEL_COST } else { 0.0 };
-        let mut mix =
-            self.mixes.get(&key).and_then(|mixes| mixes.last()).cloned().unwrap_or_default();
-        learn::add(&mut mix, need.class, learn::part(need.size.cpu(), entry.size.cpu()));
+        let mix = self.mix_with(key, entry, need);
         let place =
             self.settings.interference.place_limit(need.urgency, need.pressing, need.borrows);
         for (class, _) in &mix {
--- a/crates/tasks/src/cell/reclaim.rs
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -11,7 +11,9 @@
 use crate::worker::{Hold, Intent, Token};
 
 /// Time between two searches for room for one job.
-const RECLAIM_EVERY: Span = Span::from_secs(4);
+const RECLAIM_EVERY: Span = Span::from_ms(500);
+/// Time in which evicted tasks are off their worker.
+const RECLAIM_TERM: Span = Span::from_secs(4);
 /// Tasks of one job for which room is made in one search.
 const RECLAIM_TASKS: usize = 16;
 /// Workers that are looked at in one search.
@@ -33,18 +35,22 @@
         out: &mut Vec<Command>,
     ) {
         let Some(job) = self.jobs.entry_mut(position.job) else { return };
+        job.reclaims.retain(|at| now.since(*at) < RECLAIM_TERM);
         let lately = job.reclaimed_at.is_some_and(|at| now.since(at) < RECLAIM_EVERY);
         if !self.settings.reclaim || lately {
             return;
         }
         job.reclaimed_at = Some(now);
+        let wanted = job.ready.len().min(RECLAIM_TASKS).saturating_sub(job.reclaims.len());
         let Some(cause) = self.reclaim_cause(now, position, need) else { return };
-        let ready = self.jobs.entry(position.job).map_or(0, |job| job.ready.len());
-        for _ in 0..ready.min(RECLAIM_TASKS) {
+        for _ in 0..wanted {
             let Some(plan) = self.plan(position, need.size, cause) else { return };
             if position.urgency.0 < Urgency::Urgent && !self.take_eviction(now) {
                 return;
             }
+            if let Some(job) = self.jobs.entry_mut(position.job) {
+                job.reclaims.push(now);
+            }
             for (token, checkpoint) in plan.tokens {
                 self.evict(now, plan.worker, token, checkpoint, cause, out);
             }
@@ -76,6 +82,9 @@
         cause: Cause,
     ) -> Option<Plan> {
         let entry = self.workers.entry(worker).filter(|entry| entry.is_indexed())?;
+        if !self.is_spread(position.job, worker) {
+            return None;
+        }
         let mut room = entry.free();
         let mut movable = Vec::new();
         for (token, hold) in entry.holds.iter().filter(|(_, hold)| hold.counted) {
--- a/crates/tasks/src/cell/submit.rs
+++ b/crates/tasks/src/cell/submit.rs
@@ -109,6 +109,7 @@
             spread: BTreeMap::new(),
             position: None,
             reclaimed_at: None,
+            reclaims: Vec::new(),
             job,
         }
     }
