--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -163,6 +163,11 @@
         };
         out.push(Command::Send { call: id, attempt, executor: name, deadline, longest_run });
         out.push(Command::Decision(Decision { call: id, choice, why }));
+        if self.fleet.total(&service).free == 0
+            && let Some(kept) = self.services.get_mut(&service)
+        {
+            kept.was_full = true;
+        }
         self.plan_hedge(now, id, &service);
     }
 }
--- a/crates/calls/src/router/forward.rs
+++ b/crates/calls/src/router/forward.rs
@@ -107,10 +107,6 @@
     pub(crate) fn announce_free(&mut self, now: Time, name: &ServiceName, out: &mut Vec<Command>) {
         let total = self.fleet.total(name);
         let Some(service) = self.services.get_mut(name) else { return };
-        if total.free == 0 {
-            service.was_full = true;
-            return;
-        }
         let due = now.since(service.announced) >= self.settings.announce_interval;
         let worthwhile = total.free * MIN_FREE_DIVISOR > total.usable;
         if service.was_full && due && worthwhile {
--- a/crates/calls/src/router/service.rs
+++ b/crates/calls/src/router/service.rs
@@ -53,7 +53,7 @@
                 retries: Budget::default(),
                 hedges: Budget::default(),
                 was_full: false,
-                announced: now,
+                announced: Time::ZERO,
             };
             self.services.insert(name.clone(), service);
         }
--- a/crates/calls/tests/world/commands.rs
+++ b/crates/calls/tests/world/commands.rs
@@ -31,7 +31,8 @@
                 self.drained(executor_number(&executor), node, in_progress);
             }
             Command::Finished => self.leave(node),
-            Command::Forget { .. } | Command::Announce | Command::Decision(_) => {}
+            Command::Announce => self.beat(node),
+            Command::Forget { .. } | Command::Decision(_) => {}
         }
     }
 
--- a/crates/calls/tests/world/mod.rs
+++ b/crates/calls/tests/world/mod.rs
@@ -207,6 +207,7 @@
             world.own_keys(shard, usize::from(shard) % nodes);
         }
         world.heartbeats();
+        world.pass(Span::ZERO);
         world
     }
 
@@ -275,20 +276,24 @@
 
     pub(crate) fn heartbeats(&mut self) {
         for node in 0..self.nodes.len() {
-            let status = match &self.nodes[node].router {
-                Some(router) if !self.nodes[node].paused => router.status(),
-                _ => continue,
+            self.beat(node);
+        }
+    }
+
+    /// Sends the load of a node to all others.
+    pub(crate) fn beat(&mut self, node: usize) {
+        let status = match &self.nodes[node].router {
+            Some(router) if !self.nodes[node].paused => router.status(),
+            _ => return,
+        };
+        for other in (0..self.nodes.len()).filter(|other| *other != node) {
+            let event = Event::Peer {
+                name: instance_name(node),
+                domain: name("d0"),
+                status: status.clone(),
             };
-            for other in 0..self.nodes.len() {
-                if other != node {
-                    let event = Event::Peer {
-                        name: instance_name(node),
-                        domain: name("d0"),
-                        status: status.clone(),
-                    };
-                    self.event(other, event);
-                }
-            }
+            let incarnation = self.nodes[other].incarnation;
+            self.schedule(Span::ZERO, Item::Deliver(other, incarnation, event));
         }
     }
 
