--- a/crates/calls/benches/calls/main.rs
+++ b/crates/calls/benches/calls/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(clippy::expect_used)]
 
+mod net;
 mod owned;
 mod scenario;
 mod shares;
--- a/crates/calls/benches/calls/owned.rs
+++ b/crates/calls/benches/calls/owned/mod.rs
@@ -1,5 +1,9 @@
 //! The routers that ship, each executor's slots owned by one of them.
 
+mod faults;
+mod forward;
+mod names;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -10,18 +14,15 @@
     Router, Settings,
 };
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_core::id::{
-    Attempt, CallId, DomainName, Epoch, ExecutorName, InstanceName, ServiceName, TeamName,
-};
-use sycamorerill_core::model::{Config, Service, Team, Urgency};
-use sycamorerill_core::rate::{PerSecond, Share};
-use sycamorerill_core::size::Size;
+use sycamorerill_core::id::{Attempt, CallId, Epoch};
+use sycamorerill_core::model::Config;
+use sycamorerill_core::rate::Share;
 
+use names::{Names, config, names};
+
+use crate::net::{Net, delay_ms, domain};
 use crate::scenario::Fault;
-use crate::sim::{
-    DEADLINE_MS, DOMAINS, EXECUTORS, FLOOD_TEAM, Item, LONGEST_RUN_MS, MEAN_RUN_MS, NODES, Net,
-    Reach, SLOTS, delay_ms, domain,
-};
+use crate::sim::{DEADLINE_MS, DOMAINS, EXECUTORS, Item, NODES, Reach, SLOTS};
 
 const BEAT_MS: f64 = 100.0;
 /// Time from a crash to the proof that the process is gone and the record that says so.
@@ -63,16 +64,6 @@
     records: Vec<CallId>,
 }
 
-struct Names {
-    service: ServiceName,
-    teams: Vec<TeamName>,
-    executors: Vec<ExecutorName>,
-    numbers: BTreeMap<ExecutorName, usize>,
-    instances: Vec<InstanceName>,
-    instance_numbers: BTreeMap<InstanceName, usize>,
-    domains: Vec<DomainName>,
-}
-
 pub(crate) struct Owned {
     nodes: Vec<Node>,
     names: Names,
@@ -85,49 +76,6 @@
     out: Vec<Command>,
 }
 
-fn name<T: std::str::FromStr<Err = impl std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("names of the bench are well formed")
-}
-
-fn names() -> Names {
-    let executors: Vec<ExecutorName> = (0..EXECUTORS).map(|n| name(&format!("x{n}"))).collect();
-    let instances: Vec<InstanceName> = (0..NODES).map(|n| name(&format!("i{n}"))).collect();
-    Names {
-        service: name("quote"),
-        teams: (0..=FLOOD_TEAM).map(|n| name(&format!("t{n}"))).collect(),
-        numbers: executors.iter().cloned().zip(0..).collect(),
-        executors,
-        instance_numbers: instances.iter().cloned().zip(0..).collect(),
-        instances,
-        domains: (0..DOMAINS).map(|n| name(&format!("d{n}"))).collect(),
-    }
-}
-
-fn config(names: &Names) -> Config {
-    let capacity = f64::from(EXECUTORS as u32 * SLOTS) / MEAN_RUN_MS * 1_000.0;
-    let service = Service {
-        name: names.service.clone(),
-        team: names.teams[0].clone(),
-        urgency: Urgency::Normal,
-        idempotent: true,
-        deadline: Span::from_ms_f64(DEADLINE_MS),
-        longest_run: Span::from_ms_f64(LONGEST_RUN_MS),
-        slots: SLOTS,
-        max_body: 1 << 20,
-        key_retention: Span::from_secs(3_600),
-        rate: PerSecond(capacity * 0.7),
-    };
-    let team = |name: &TeamName| {
-        let team = Team { name: name.clone(), weight: 1, quota: Size::ZERO, borrow: true };
-        (name.clone(), team)
-    };
-    Config {
-        services: [(names.service.clone(), service)].into(),
-        teams: names.teams.iter().map(team).collect(),
-        ..Config::default()
-    }
-}
-
 fn time(ms: f64) -> Time {
     Time::ZERO + Span::from_ms_f64(ms)
 }
@@ -282,77 +230,6 @@
         staying.min_by_key(count).unwrap_or(but)
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn forward(
-        &mut self,
-        net: &mut Net,
-        node: usize,
-        (call, attempt): (CallId, Attempt),
-        to: usize,
-        deadline: Time,
-        hops: u8,
-        claimed: bool,
-    ) {
-        let life = self.nodes[node].life;
-        if !self.nodes[to].up {
-            let answer = PeerAnswer::NotSent;
-            let event = Event::PeerAnswered { call, attempt, answer };
-            return self.note(net, node, delay_ms(node, to), Note::Event(Box::new(event)));
-        }
-        let number = self.nodes[node].origins[&call].call;
-        if net.calls[number as usize].measured {
-            net.tally.forwards += 1;
-        }
-        net.message(1, REQUEST_BYTES);
-        self.piggyback(net, node, to);
-        let id = self.enter(to, Origin { call: number, from: Some((node, life, call, attempt)) });
-        let call = self.call(net, id, number, deadline, hops, claimed);
-        let event = Note::Event(Box::new(Event::Arrived(call)));
-        self.note(net, to, delay_ms(node, to), event);
-    }
-
-    /// Sends the load of a node along with a call or an answer.
-    fn piggyback(&mut self, net: &mut Net, node: usize, to: usize) {
-        let event = Event::PeerLoad {
-            name: self.names.instances[node].clone(),
-            service: self.names.service.clone(),
-            load: self.nodes[node].router.load(&self.names.service),
-        };
-        self.note(net, to, delay_ms(node, to), Note::Event(Box::new(event)));
-    }
-
-    fn enter(&mut self, node: usize, origin: Origin) -> CallId {
-        let entry = &mut self.nodes[node];
-        entry.next_id += 1;
-        let id = CallId(entry.next_id);
-        entry.origins.insert(id, origin);
-        id
-    }
-
-    fn call(
-        &self,
-        net: &Net,
-        id: CallId,
-        number: u32,
-        deadline: Time,
-        hops: u8,
-        claimed: bool,
-    ) -> Call {
-        let entry = &net.calls[number as usize];
-        let text = || Bytes::copy_from_slice(&number.to_be_bytes());
-        Call {
-            id,
-            service: self.names.service.clone(),
-            team: self.names.teams[entry.team].clone(),
-            urgency: entry.urgency,
-            deadline,
-            idempotent: !entry.keyed,
-            key: entry.keyed.then(|| Key { text: text(), digest: 0 }),
-            claimed,
-            hops,
-        }
-    }
-
     pub(crate) fn arrived(&mut self, net: &mut Net, node: usize, number: u32) {
         let id = self.enter(node, Origin { call: number, from: None });
         let deadline = time(net.now_ms + DEADLINE_MS);
@@ -381,30 +258,6 @@
         self.handle(net, node, Event::Answered { call, attempt, answer });
     }
 
-    fn reply(&mut self, net: &mut Net, node: usize, call: CallId, outcome: Outcome) {
-        let Some(origin) = self.nodes[node].origins.get(&call).copied() else { return };
-        let Some((to, life, call, attempt)) = origin.from else {
-            self.nodes[node].origins.remove(&call);
-            return match outcome {
-                Outcome::Answered { .. } | Outcome::Repeat { .. } => net.answered(origin.call),
-                Outcome::NotRun(Reason::StoreDown) => net.refused_key(origin.call),
-                Outcome::NotRun(_) => net.refused(origin.call),
-                Outcome::Unknown(_) => net.unknown(origin.call),
-            };
-        };
-        let answer = match outcome {
-            Outcome::Answered { .. } => PeerAnswer::Answered { status: 200 },
-            Outcome::Repeat { .. } => PeerAnswer::Repeat { status: 200 },
-            Outcome::NotRun(reason) => PeerAnswer::NotRun(reason),
-            Outcome::Unknown(_) => PeerAnswer::Unknown,
-        };
-        net.message(1, ANSWER_BYTES);
-        self.piggyback(net, node, to);
-        let event = Event::PeerAnswered { call, attempt, answer };
-        let note = Note::Event(Box::new(event));
-        net.after(delay_ms(node, to), Item::Note { node: to, life, note });
-    }
-
     fn journal(&mut self, net: &mut Net, node: usize, call: CallId, record: &Record) {
         if net.scenario.fault == Fault::StoreDown {
             if matches!(record, Record::Begun { .. }) {
@@ -470,79 +323,4 @@
             self.note(net, other, delay_ms(node, other), Note::Event(Box::new(event)));
         }
     }
-
-    pub(crate) fn drain(&mut self, net: &mut Net, node: usize) {
-        net.live[node] = false;
-        self.nodes[node].draining = true;
-        for shard in (0..SHARDS).filter(|shard| usize::from(*shard) % NODES == node) {
-            let to = self.poorest(node);
-            self.own_keys(net, shard, to);
-        }
-        self.handle(net, node, Event::Drain);
-        if self.nodes[node].up {
-            self.announce(net, node);
-        }
-    }
-
-    /// The process of a node that finished its drain ends.
-    fn leave(&mut self, net: &mut Net, node: usize) {
-        self.end(net, node);
-        self.note(net, node, RESTART_MS, Note::Restart);
-    }
-
-    fn end(&mut self, net: &mut Net, node: usize) {
-        let entry = &mut self.nodes[node];
-        entry.up = false;
-        entry.life += 1;
-        for origin in std::mem::take(&mut entry.origins).into_values() {
-            match origin.from {
-                None => net.unknown(origin.call),
-                Some((to, life, call, attempt)) => {
-                    let event = Event::PeerAnswered { call, attempt, answer: PeerAnswer::Unknown };
-                    let note = Note::Event(Box::new(event));
-                    net.after(delay_ms(node, to), Item::Note { node: to, life, note });
-                }
-            }
-        }
-        for other in (0..NODES).filter(|other| *other != node) {
-            let name = self.names.instances[node].clone();
-            self.handle(net, other, Event::PeerGone { name });
-        }
-    }
-
-    pub(crate) fn crash(&mut self, net: &mut Net, node: usize) {
-        net.live[node] = false;
-        self.end(net, node);
-        let of_node = |executor: &usize| self.owners[*executor] == Some(node);
-        let left: Vec<usize> = (0..EXECUTORS).filter(of_node).collect();
-        for executor in left {
-            let to = self.poorest(node);
-            self.owners[executor] = Some(to);
-            let in_progress = InProgress::Unknown;
-            self.note(net, to, PROOF_MS, Note::Own { executor, in_progress });
-        }
-        if net.scenario.fault != Fault::DomainLost {
-            self.note(net, node, RESTART_MS, Note::Restart);
-        }
-    }
-
-    fn restart(&mut self, net: &mut Net, node: usize) {
-        let life = self.nodes[node].life;
-        self.nodes[node] = self.node(net, node, life);
-        self.introduce(net, node);
-        for other in 0..NODES {
-            if self.nodes[other].up {
-                self.announce(net, other);
-            }
-        }
-        net.live[node] = true;
-        for executor in (0..EXECUTORS).filter(|executor| first_owner(*executor) == node) {
-            let Some(owner) = self.owners[executor].filter(|owner| *owner != node) else {
-                continue;
-            };
-            self.wanted[executor] = Some(node);
-            let executor = self.names.executors[executor].clone();
-            self.handle(net, owner, Event::Released { executor });
-        }
-    }
 }
--- a/crates/calls/benches/calls/shares.rs
+++ b/crates/calls/benches/calls/shares.rs
@@ -2,8 +2,9 @@
 
 use std::collections::VecDeque;
 
+use crate::net::Net;
 use crate::scenario::Fault;
-use crate::sim::{DEADLINE_MS, EXECUTORS, Item, MEAN_RUN_MS, NODES, Net, Reach, SLOTS};
+use crate::sim::{DEADLINE_MS, EXECUTORS, Item, MEAN_RUN_MS, NODES, Reach, SLOTS};
 
 /// Slots of each executor that one entry instance may use.
 const SHARE: u32 = SLOTS / NODES as u32;
--- a/crates/calls/benches/calls/tokens.rs
+++ b/crates/calls/benches/calls/tokens.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-use crate::sim::{DEADLINE_MS, EXECUTORS, Item, MEAN_RUN_MS, NODES, Net, SLOTS, delay_ms, domain};
+use crate::net::{Net, delay_ms, domain};
+use crate::sim::{DEADLINE_MS, EXECUTORS, Item, MEAN_RUN_MS, NODES, SLOTS};
 
 const MAX_QUEUE: usize = 2_000;
 /// Time between two heartbeats, and between two looks at idle slots.
