daemon: callers are refused by the system until the instance is ready

Change: the callers' address is taken at the start and listened on, with a backlog of 4,096, once a configuration is in force; a forwarded call goes back as sent nowhere.

--- a/crates/daemon/src/http/callers.rs
+++ b/crates/daemon/src/http/callers.rs
@@ -19,6 +19,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::{Domain, Socket, Type};
 
 use sycamorerill_core::api::Kind;
 
@@ -29,6 +30,8 @@
 
 /// Threads that read and write callers' connections.
 const THREADS: usize = 2;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 4_096;
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -64,7 +67,11 @@
 }
 
 impl Callers {
-    /// Listens on `address` and serves callers until stopped.
+    /// Takes `address`, and listens and serves callers from the moment that `gate` is
+    /// closed until stopped.
+    ///
+    /// Before that the system refuses connections, so that a balancer turns to another
+    /// instance.
     ///
     /// # Errors
     ///
@@ -72,19 +79,18 @@
     pub(crate) fn start<H: Handler>(
         address: SocketAddr,
         limits: Limits,
+        gate: Receiver<Infallible>,
         handler: H,
     ) -> Result<Self, Error> {
         let failed = |reason| Error::Listen { address, reason };
-        let listener = TcpListener::bind(address).map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
-        let listener = Async::new(listener).map_err(failed)?;
+        let (socket, address) = bind(address).map_err(failed)?;
         let (drain, draining) = async_channel::bounded(1);
         let (stop, stopping) = async_channel::bounded(1);
         let open = Arc::new(AtomicUsize::new(0));
         let front = Arc::new(Front { handler, limits, open: Arc::clone(&open), draining });
         let executor = Arc::new(Executor::new());
         let spawner = Arc::downgrade(&executor);
-        executor.spawn(accept(listener, spawner, front)).detach();
+        executor.spawn(open_then_accept(socket, gate, spawner, front)).detach();
         let threads = start_threads(&executor, &stopping)?;
         Ok(Self { address, open, drain, stop, threads })
     }
@@ -132,6 +138,31 @@
     Ok(threads)
 }
 
+/// Takes an address without listening on it.
+fn bind(address: SocketAddr) -> std::io::Result<(Socket, SocketAddr)> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    // A restarted process may find connections of the last one in their last state.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    let taken = socket.local_addr()?.as_socket().unwrap_or(address);
+    Ok((socket, taken))
+}
+
+async fn open_then_accept<H: Handler>(
+    socket: Socket,
+    gate: Receiver<Infallible>,
+    spawner: std::sync::Weak<Executor<'static>>,
+    front: Arc<Front<H>>,
+) {
+    // Ends with an error when the gate is closed.
+    let _ = gate.recv().await;
+    let listening = socket.listen(BACKLOG).and_then(|()| Async::new(TcpListener::from(socket)));
+    match listening {
+        Ok(listener) => accept(listener, spawner, front).await,
+        Err(reason) => event!(Code::ListenFailed, listener = "callers", reason = reason),
+    }
+}
+
 async fn accept<H: Handler>(
     listener: Async<TcpListener>,
     spawner: std::sync::Weak<Executor<'static>>,
--- a/crates/daemon/src/hub/calls/mod.rs
+++ b/crates/daemon/src/hub/calls/mod.rs
@@ -107,6 +107,10 @@
 
     /// Takes a call that a peer forwards.
     pub(crate) fn forwarded(&mut self, cx: CX![], forwarded: peer::Call, respond: peer::Respond) {
+        if self.config.version.0 == 0 {
+            // This instance has just started; another one can take the call.
+            return respond(peer::Reply::Call(peer::Answer::not_sent()));
+        }
         let call = self.parts.shared.next_call();
         let (hops, claimed) = (forwarded.hops, forwarded.claimed);
         let arrival = Arrival::from(forwarded);
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -68,7 +68,8 @@
     ///
     /// Fails when an address cannot be listened on or a thread cannot be started.
     pub fn start(settings: Settings) -> Result<Self, Error> {
-        let shared = Arc::new(Shared::new());
+        let (shared, gate) = Shared::new();
+        let shared = Arc::new(shared);
         let (sender, messages) = unbounded();
         let inbox = Inbox::new(sender);
         let front = Front::new(Arc::clone(&shared), inbox.clone());
@@ -82,7 +83,7 @@
         let body_bytes = settings.limits.body_bytes;
         let operator_front = Arc::new(front.clone());
         let operators = Operators::start(settings.operator_listen, body_bytes, operator_front)?;
-        let callers = Callers::start(settings.listen, settings.limits.clone(), front)?;
+        let callers = Callers::start(settings.listen, settings.limits.clone(), gate, front)?;
         let addresses = Addresses {
             callers: callers.address(),
             operators: operators.address(),
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -97,6 +97,20 @@
     }
 }
 
+impl Answer {
+    /// Returns the answer to a call that was sent nowhere from here.
+    pub(crate) fn not_sent() -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            status: 0,
+            media: String::new(),
+            body: Bytes::new(),
+            reason: router::Reason::NotSent.to_string(),
+            repeat: false,
+        }
+    }
+}
+
 data! {
     /// A request to another entry instance.
     pub(crate) enum Request {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that the listeners read without asking the hub.
 
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use sycamorerill_core::clock::{Clock, Span, Time};
@@ -18,6 +19,8 @@
     /// Metrics of the process.
     pub(crate) metrics: Metrics,
     ready: AtomicBool,
+    /// Closed when callers are welcome for the first time.
+    gate: async_channel::Sender<Infallible>,
     /// Cleared when the process must not send anything any more.
     alive: AtomicBool,
     beat_ms: AtomicU64,
@@ -25,17 +28,21 @@
 }
 
 impl Shared {
-    /// Returns the state of a process that is not ready yet.
-    pub(crate) fn new() -> Self {
+    /// Returns the state of a process that is not ready yet, and the gate that is closed
+    /// when it is.
+    pub(crate) fn new() -> (Self, async_channel::Receiver<Infallible>) {
         let clock = Clock::start();
-        Self {
+        let (gate, closed) = async_channel::bounded(1);
+        let shared = Self {
             clock,
             metrics: Metrics::new(),
             ready: AtomicBool::new(false),
             alive: AtomicBool::new(true),
             beat_ms: AtomicU64::new(clock.now().as_ms()),
             next_call: AtomicU64::new(1),
-        }
+            gate,
+        };
+        (shared, closed)
     }
 
     /// Returns an identifier that no other call of this process has.
@@ -46,6 +53,9 @@
     /// Sets whether the balancer should send callers here.
     pub(crate) fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Release);
+        if ready {
+            self.gate.close();
+        }
     }
 
     /// Forbids all further sending.
