--- a/crates/control/benches/control/main.rs
+++ b/crates/control/benches/control/main.rs
@@ -16,6 +16,9 @@
 /// Instances of today and two sizes on the way to the letter's.
 pub(crate) const SIZES: [usize; 3] = [9, 90, 900];
 
+/// Prints the lines of one part for a seed.
+type Run = fn(u64);
+
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let value = |name: &str| {
@@ -24,7 +27,7 @@
     };
     let seed: u64 = value("--seed").map_or(1, |text| text.parse().expect("a seed"));
     let only = value("--only").unwrap_or_default();
-    let runs: [(&str, fn(u64)); 5] = [
+    let runs: [(&str, Run); 5] = [
         ("takeover", takeover::run),
         ("spread", spread::run),
         ("recovery", recovery::run),
--- a/crates/control/tests/agreement.rs
+++ b/crates/control/tests/agreement.rs
@@ -7,7 +7,7 @@
 use cluster::{Cluster, name};
 use sycamorerill_control::agent::Event;
 use sycamorerill_control::config::{Apply, ApplyId, Digests, Outcome, Spread};
-use sycamorerill_control::journal::Need;
+use sycamorerill_control::journal::{self, Need, Refused};
 use sycamorerill_control::ownership::{Kind, Shard};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{InstanceName, Version};
@@ -104,3 +104,23 @@
     assert_eq!(cluster.wrong(), Vec::<String>::new());
     assert!(names.iter().all(|name| cluster.version(name) == Version(20)));
 }
+
+#[test]
+fn records_that_may_wait_are_bounded() {
+    let (mut cluster, _) = started(3);
+    let shard = Shard { kind: Kind::Keys, number: 7 };
+    let one = owner(&cluster, shard);
+    cluster.faults.down = true;
+    cluster.run(Span::from_secs(10));
+    let now = cluster.now;
+    let node = cluster.nodes.get_mut(&one).unwrap();
+    let large = Bytes::from(vec![0; 200 << 10]);
+    let mut append = |need| node.agent.append(now, shard, journal::Kind(1), large.clone(), need);
+    assert_eq!(append(Need::Now), Err(Refused::StoreDown));
+    let taken = (0..100).filter(|_| append(Need::Later).is_ok()).count();
+    assert_eq!(taken, (8 << 20) / (200 << 10));
+    assert!(matches!(append(Need::Later), Err(Refused::Full { .. })));
+    let huge = Bytes::from(vec![0; 300 << 10]);
+    let refused = node.agent.append(now, shard, journal::Kind(1), huge, Need::Later);
+    assert!(matches!(refused, Err(Refused::TooLarge { .. })));
+}
