tasks: room that is being made is claimed for whom it is made

Lesser tasks took the free part of a worker while the rest was being evicted, so the urgent task that it was for waited for another round.

--- a/crates/tasks/src/cell/claim.rs
+++ b/crates/tasks/src/cell/claim.rs
@@ -62,9 +62,32 @@
         claim.until > now && claim.job != need.job && lesser
     }
 
-    /// Returns the worker that a job has claimed.
-    pub(super) fn claimed_by(&self, job: key::Job) -> Option<key::Worker> {
-        let mut claims = self.claims.iter();
-        claims.find(|(_, claim)| claim.job == job).map(|(worker, _)| *worker)
+    /// Returns the workers that a job has claimed.
+    pub(super) fn claimed_by(&self, job: key::Job) -> impl Iterator<Item = key::Worker> + '_ {
+        let claims = self.claims.iter().filter(move |(_, claim)| claim.job == job);
+        claims.map(|(worker, _)| *worker)
+    }
+
+    /// Claims a worker on which room is being made for a job.
+    pub(super) fn claim_room(
+        &mut self,
+        worker: key::Worker,
+        job: key::Job,
+        urgency: Urgency,
+        until: Time,
+    ) {
+        self.claims.insert(worker, Claim { job, urgency, until });
+    }
+
+    /// Reports whether some job has claimed a worker.
+    pub(super) fn is_claimed(&self, now: Time, worker: key::Worker) -> bool {
+        self.claims.get(&worker).is_some_and(|claim| claim.until > now)
+    }
+
+    /// Ends the claim of a job on a worker, since a task of the job was placed there.
+    pub(super) fn end_claim(&mut self, worker: key::Worker, job: key::Job) {
+        if self.claims.get(&worker).is_some_and(|claim| claim.job == job) {
+            self.claims.remove(&worker);
+        }
     }
 }
--- a/crates/tasks/src/cell/place.rs
+++ b/crates/tasks/src/cell/place.rs
@@ -361,9 +361,7 @@
             usage: None,
             may_forget: false,
         };
-        if self.claimed_by(need.job) == Some(worker) {
-            self.claims.remove(&worker);
-        }
+        self.end_claim(worker, need.job);
         self.step(now, key, Input::Place);
         self.hold(now, worker, token, hold);
         self.counts.placed += 1;
--- a/crates/tasks/src/cell/reclaim.rs
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -44,13 +44,15 @@
         let wanted = job.ready.len().min(RECLAIM_TASKS).saturating_sub(job.reclaims.len());
         let Some(cause) = self.reclaim_cause(now, position, need) else { return };
         for _ in 0..wanted {
-            let Some(plan) = self.plan(position, need.size, cause) else { return };
+            let Some(plan) = self.plan(now, position, need.size, cause) else { return };
             if position.urgency.0 < Urgency::Urgent && !self.take_eviction(now) {
                 return;
             }
             if let Some(job) = self.jobs.entry_mut(position.job) {
                 job.reclaims.push(now);
             }
+            let until = now + RECLAIM_TERM;
+            self.claim_room(plan.worker, position.job, position.urgency.0, until);
             for (token, checkpoint) in plan.tokens {
                 self.evict(now, plan.worker, token, checkpoint, cause, out);
             }
@@ -68,9 +70,10 @@
         }
     }
 
-    fn plan(&mut self, position: Position, need: Size, cause: Cause) -> Option<Plan> {
+    fn plan(&mut self, now: Time, position: Position, need: Size, cause: Cause) -> Option<Plan> {
         let drawn = self.workers.draw(RECLAIM_CANDIDATES, &mut self.rng);
-        let plans = drawn.into_iter().filter_map(|key| self.plan_on(key, position, need, cause));
+        let unclaimed = drawn.into_iter().filter(|key| !self.is_claimed(now, *key));
+        let plans = unclaimed.filter_map(|key| self.plan_on(key, position, need, cause));
         plans.min_by_key(|plan| (plan.tokens.len(), plan.worker))
     }
 
@@ -85,7 +88,8 @@
         if !self.is_spread(position.job, worker) {
             return None;
         }
-        let mut room = entry.free();
+        // More may be reserved than the worker has, where tasks use more than was reserved.
+        let mut left = entry.reserved;
         let mut movable = Vec::new();
         for (token, hold) in entry.holds.iter().filter(|(_, hold)| hold.counted) {
             if !matches!(hold.intent, Intent::Run(_)) {
@@ -99,14 +103,14 @@
         movable.sort_unstable();
         let mut tokens = Vec::new();
         for (_, token) in movable {
-            if need.fits(room) {
+            if need.fits(entry.size.less(left)) {
                 break;
             }
             let hold = entry.holds.get(&token)?;
-            room += hold.size;
+            left = left.less(hold.size);
             tokens.push((token, self.can_checkpoint(hold.class)));
         }
-        (need.fits(room) && !tokens.is_empty()).then_some(Plan { worker, tokens })
+        (need.fits(entry.size.less(left)) && !tokens.is_empty()).then_some(Plan { worker, tokens })
     }
 
     /// Reports whether a task is moved for the sake of the job at `position`.
