--- a/crates/tasks/src/cell/claim.rs
+++ b/crates/tasks/src/cell/claim.rs
@@ -79,9 +79,9 @@
         self.claims.insert(worker, Claim { job, urgency, until });
     }
 
-    /// Reports whether some job has claimed a worker.
-    pub(super) fn is_claimed(&self, now: Time, worker: key::Worker) -> bool {
-        self.claims.get(&worker).is_some_and(|claim| claim.until > now)
+    /// Reports whether another job has claimed a worker.
+    pub(super) fn is_claimed(&self, now: Time, worker: key::Worker, job: key::Job) -> bool {
+        self.claims.get(&worker).is_some_and(|claim| claim.until > now && claim.job != job)
     }
 
     /// Ends the claim of a job on a worker, since a task of the job was placed there.
--- /dev/null
+++ b/crates/tasks/src/cell/fail.rs
@@ -0,0 +1,64 @@
+//! Attempts that failed, and workers that fail everything.
+
+use sycamorerill_core::clock::Time;
+
+use super::timer::Wake;
+use super::{Cell, Command, Decision, key};
+use crate::life::Input;
+use crate::worker::{Fault, Held};
+
+/// One worker in so many may be in quarantine at a time.
+const QUARANTINED_PART: usize = 3;
+
+impl Cell {
+    /// Takes a failed attempt; returns what it means for the task.
+    pub(super) fn failed(
+        &mut self,
+        now: Time,
+        worker: key::Worker,
+        key: key::Task,
+        held: &Held,
+        fault: Fault,
+        out: &mut Vec<Command>,
+    ) -> Input {
+        self.counts.failed += 1;
+        let Some(job) = self.jobs.entry(key.job()) else { return Input::Fault };
+        let class = job.class;
+        let most = self.classes.get(&class).map_or(1, |class| class.attempts.max(1));
+        let may = self.may_quarantine(now);
+        let Some(entry) = self.workers.entry_mut(worker) else { return Input::Fault };
+        let name = entry.name.clone();
+        let absolved = self.faults.failed(class, key, &mut entry.standing, may, now);
+        let until = entry.standing.until();
+        let Some(task) = self.jobs.task_mut(key) else { return Input::Fault };
+        task.attempts += 1;
+        task.avoid = Some(worker);
+        if absolved.is_some() {
+            self.counts.quarantined += 1;
+            self.timer.set(until, Wake::Worker(worker));
+            self.quarantined.insert(worker);
+            let worker = name.clone();
+            out.push(Command::Decision(Decision::Quarantined { worker, until }));
+        }
+        for task in absolved.into_iter().flatten() {
+            if let Some(task) = self.jobs.task_mut(task) {
+                task.attempts = task.attempts.saturating_sub(1);
+            }
+        }
+        let attempts = self.jobs.task(key).map_or(most, |task| task.attempts);
+        let last = attempts >= most;
+        let task = held.task.clone();
+        out.push(Command::Decision(Decision::Failed { task, worker: name, fault, last }));
+        if last { Input::Exhausted } else { Input::Fault }
+    }
+
+    /// Reports whether so few workers are in quarantine that one more is bearable.
+    fn may_quarantine(&mut self, now: Time) -> bool {
+        let workers = &self.workers;
+        self.quarantined.retain(|key| {
+            workers.entry(*key).is_some_and(|entry| entry.standing.is_quarantined(now))
+        });
+        let bearable = self.workers.len() / QUARANTINED_PART;
+        self.quarantined.len() < bearable.max(1)
+    }
+}
--- a/crates/tasks/src/cell/mod.rs
+++ b/crates/tasks/src/cell/mod.rs
@@ -6,8 +6,10 @@
 //! hold a task what it holds, under its own higher epoch, and places a task again
 //! only when no worker can be running it.
 
+mod adopt;
 mod claim;
 mod drive;
+mod fail;
 mod fleet;
 mod interfere;
 mod jobs;
--- a/crates/tasks/src/cell/reclaim.rs
+++ b/crates/tasks/src/cell/reclaim.rs
@@ -72,7 +72,7 @@
 
     fn plan(&mut self, now: Time, position: Position, need: Size, cause: Cause) -> Option<Plan> {
         let drawn = self.workers.draw(RECLAIM_CANDIDATES, &mut self.rng);
-        let unclaimed = drawn.into_iter().filter(|key| !self.is_claimed(now, *key));
+        let unclaimed = drawn.into_iter().filter(|key| !self.is_claimed(now, *key, position.job));
         let plans = unclaimed.filter_map(|key| self.plan_on(key, position, need, cause));
         plans.min_by_key(|plan| (plan.tokens.len(), plan.worker))
     }
