--- a/crates/tasks/tests/fake/check.rs
+++ b/crates/tasks/tests/fake/check.rs
@@ -35,7 +35,7 @@
     ends: BTreeMap<TaskName, u32>,
     jobs: BTreeMap<JobName, (u32, bool)>,
     /// Jobs that were answered "not run".
-    pub(crate) not_run: BTreeMap<JobName, ()>,
+    not_run: BTreeMap<JobName, ()>,
 }
 
 impl Checks {
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Takes the answer "not run" to a job.
+    pub(crate) fn told_not_run(&mut self, job: &JobName) {
+        let of = |task: &TaskName| task.as_str().rsplit_once('/').map(|(of, _)| of.to_owned());
+        if self.tokens.keys().any(|task| of(task).as_deref() == Some(job.as_str())) {
+            self.ran_not_run += 1;
+            self.note(format!("the caller of {job} was told that it did not run, it was started"));
+        }
+        self.not_run.insert(job.clone(), ());
+    }
+
     /// Takes a start on a worker.
     pub(crate) fn started(&mut self, token: Token, run: &Run) {
         if self.tokens.get(&run.task).is_some_and(|last| *last >= token) {
--- a/crates/tasks/tests/fake/world.rs
+++ b/crates/tasks/tests/fake/world.rs
@@ -256,7 +256,7 @@
         if let (Reply::NotRun(reason), Some(job)) = (reply, self.requests.get(request))
             && !matches!(reason, Reason::Conflict(_))
         {
-            self.checks.not_run.insert(job.clone(), ());
+            self.checks.told_not_run(job);
         }
     }
 
--- a/crates/tasks/tests/script/mod.rs
+++ b/crates/tasks/tests/script/mod.rs
@@ -156,6 +156,7 @@
             "kill" => world.kill(&worker.unwrap()),
             "gone" => world.tell(Event::Gone(worker.unwrap())),
             "list" => world.list_workers(),
+            "compact" => world.compact(),
             "cut" => {
                 let owner = owner.unwrap_or(world.owner());
                 world.cut.insert((owner, worker.unwrap()));
