--- a/crates/calls/tests/world/mod.rs
+++ b/crates/calls/tests/world/mod.rs
@@ -19,7 +19,7 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Attempt, CallId, Epoch, ExecutorName, InstanceName, Version};
 use sycamorerill_core::model::{Config, Service, Team, Urgency};
-use sycamorerill_core::rate::PerSecond;
+use sycamorerill_core::rate::{PerSecond, Share};
 use sycamorerill_core::size::Size;
 
 pub(crate) const LONGEST_RUN: Span = Span::from_ms(100);
@@ -216,6 +216,7 @@
             instance: Some(name(&format!("i{node}"))),
             domain: Some(name("d0")),
             hand_over: Span::from_ms(20),
+            hedge_budget: Share::new(0.5),
             keys: sycamorerill_calls::keys::Settings { shards: SHARDS, ..Default::default() },
             ..Settings::default()
         };
