--- a/crates/calls/tests/keys.rs
+++ b/crates/calls/tests/keys.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use sycamorerill_calls::keys::{self, End, Key, Record, Shard};
 use sycamorerill_calls::router::{
-    Answer, Call, Command, Event, Executor, InProgress, Outcome, Reason, Router, Settings,
+    Answer, Call, Command, Event, Executor, InProgress, Outcome, Reason, Refusal, Router, Settings,
 };
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{CallId, Epoch};
@@ -43,9 +43,8 @@
     router
 }
 
-/// Lets a keyed call arrive and its journal, executor and caller do their parts.
-fn call(router: &mut Router, now: Time, id: u64, key: Key) -> (Option<Outcome>, Vec<Command>) {
-    let call = Call {
+fn keyed(now: Time, id: u64, key: Key) -> Call {
+    Call {
         id: CallId(id),
         service: name("quote"),
         team: name("desk"),
@@ -55,9 +54,13 @@
         key: Some(key),
         claimed: false,
         hops: 0,
-    };
+    }
+}
+
+/// Lets a keyed call arrive and its journal, executor and caller do their parts.
+fn call(router: &mut Router, now: Time, id: u64, key: Key) -> (Option<Outcome>, Vec<Command>) {
     let mut seen = Vec::new();
-    router.handle(now, Event::Arrived(call), &mut seen);
+    router.handle(now, Event::Arrived(keyed(now, id, key)), &mut seen);
     router.handle(now, Event::KeyDurable { call: CallId(id) }, &mut seen);
     let sent = seen.iter().find_map(|command| match command {
         Command::Send { call, attempt, .. } => Some((*call, *attempt)),
@@ -159,3 +162,19 @@
         assert!(matches!(outcome, Some(Outcome::Answered { .. })), "{text}: {outcome:?}");
     }
 }
+
+#[test]
+fn the_end_of_a_call_is_recorded_only_if_its_beginning_lasts() {
+    let mut router = router(one_shard(), Vec::new());
+    let now = Time::from_ms(1);
+    let mut seen = Vec::new();
+    router.handle(now, Event::Arrived(keyed(now, 1, key("a", 1))), &mut seen);
+    let refused = Event::KeyRefused { call: CallId(1), refusal: Refusal::Down };
+    router.handle(now, refused, &mut seen);
+    let told = Command::Reply { call: CallId(1), outcome: Outcome::NotRun(Reason::StoreDown) };
+    assert!(seen.contains(&told));
+    let is_end = |command: &Command| {
+        matches!(command, Command::Journal { record: Record::Ended { .. }, .. })
+    };
+    assert!(!seen.iter().any(is_end), "{seen:?}");
+}
