calls: don't take an own pause for slow executors

After a pause of 3 s the answers that had waited made the mean run time so long that every call was refused as too late, and with no call sent nothing renewed the mean: the entry instance refused for good. The new scenario paused showed it. A service that had truly been slow stayed refused in the same way.

Nothing is learned from requests that were out across a pause, which a timer far overdue shows. One measurement counts for at most 8 times the mean. A call is not refused for the estimate while nothing runs here.

Red when calls are refused for the estimate while nothing runs, and when answers across a pause count in full.

--- a/crates/calls/benches/calls/owned/faults.rs
+++ b/crates/calls/benches/calls/owned/faults.rs
@@ -16,6 +16,18 @@
         }
     }
 
+    pub(crate) fn pause(&mut self, node: usize) {
+        self.nodes[node].paused = true;
+    }
+
+    pub(crate) fn resume(&mut self, net: &mut Net, node: usize) {
+        self.nodes[node].paused = false;
+        for event in std::mem::take(&mut self.nodes[node].inbox) {
+            self.handle(net, node, event);
+        }
+        self.handle(net, node, Event::Tick);
+    }
+
     /// The process of a node that finished its drain ends.
     pub(super) fn leave(&mut self, net: &mut Net, node: usize) {
         self.end(net, node);
--- a/crates/calls/benches/calls/owned/mod.rs
+++ b/crates/calls/benches/calls/owned/mod.rs
@@ -57,6 +57,8 @@
     router: Router,
     up: bool,
     draining: bool,
+    paused: bool,
+    inbox: Vec<Event>,
     life: u32,
     wake_ms: Option<f64>,
     origins: BTreeMap<CallId, Origin>,
@@ -124,6 +126,8 @@
             router: Router::new(settings, net.rng.u64(..)),
             up: true,
             draining: false,
+            paused: false,
+            inbox: Vec::new(),
             life,
             wake_ms: None,
             origins: BTreeMap::new(),
@@ -168,6 +172,9 @@
         if !self.nodes[node].up {
             return;
         }
+        if self.nodes[node].paused {
+            return self.nodes[node].inbox.push(event);
+        }
         let mut out = std::mem::take(&mut self.out);
         let entry = &mut self.nodes[node];
         entry.router.handle(time(net.now_ms), event, &mut out);
@@ -302,7 +309,9 @@
         if self.nodes[node].life != life || !self.nodes[node].up {
             return;
         }
-        self.announce(net, node);
+        if !self.nodes[node].paused {
+            self.announce(net, node);
+        }
         if net.now_ms < net.end_ms() {
             net.after(BEAT_MS, Item::Beat { node, life });
         }
--- a/crates/calls/benches/calls/scenario.rs
+++ b/crates/calls/benches/calls/scenario.rs
@@ -19,6 +19,8 @@
     DomainLost,
     /// An entry instance is replaced every 10 s, in turns gracefully and by a crash.
     Replaced,
+    /// An entry instance is paused for 3 s, and the balancer sees it after half a second.
+    Paused,
     /// The store is down throughout, with some calls that need a key.
     StoreDown,
     /// The store is up, with some calls that need a key.
@@ -69,6 +71,7 @@
             Self::new("slow-executor", 0.7, Fault::SlowExecutor),
             Self::new("domain-lost", 0.55, Fault::DomainLost),
             Self { measured_ms: 30_000.0, ..Self::new("replaced", 0.7, Fault::Replaced) },
+            Self::new("paused", 0.7, Fault::Paused),
             Self { keyed: 0.05, ..Self::new("store-down", 0.7, Fault::StoreDown) },
             Self { keyed: 0.05, ..Self::new("keys", 0.7, Fault::Keys) },
         ]
@@ -79,11 +82,11 @@
         let sharing = matches!(policy, Policy::Borrow | Policy::Blocks);
         let calm = matches!(self.fault, Fault::None | Fault::Flood(_));
         let keys = matches!(self.fault, Fault::StoreDown | Fault::Keys);
-        let own_flood = matches!(self.fault, Fault::OwnFlood(_));
+        let own = matches!(self.fault, Fault::OwnFlood(_) | Fault::Paused);
         match policy {
             Policy::Owned => true,
             Policy::Hedged => matches!(self.fault, Fault::None | Fault::SlowExecutor),
-            _ if keys || own_flood => false,
+            _ if keys || own => false,
             _ => calm || !sharing,
         }
     }
--- a/crates/calls/benches/calls/sim.rs
+++ b/crates/calls/benches/calls/sim.rs
@@ -20,6 +20,10 @@
 pub(crate) const FAR_MS: f64 = 1.5;
 /// Team that floods.
 pub(crate) const FLOOD_TEAM: usize = 4;
+/// Entry instance that is paused where that is measured, how long, and when it is seen.
+const PAUSED_NODE: usize = 1;
+const PAUSE_MS: f64 = 3_000.0;
+const PAUSE_SEEN_MS: f64 = 500.0;
 /// Part of the calls that may be hedged where hedging is measured.
 const HEDGE_BUDGET: f64 = 0.05;
 
@@ -138,7 +142,7 @@
                 self.net.after(start_ms, Item::Arrival { flood: true });
             }
             Fault::SlowExecutor => self.net.executors[7].slow = true,
-            Fault::DomainLost | Fault::Replaced => {
+            Fault::DomainLost | Fault::Replaced | Fault::Paused => {
                 self.net.after(start_ms + 1_000.0, Item::Fault { step: 0 });
             }
             Fault::None | Fault::StoreDown | Fault::Keys => {}
@@ -204,7 +208,26 @@
         }
     }
 
+    fn pause(&mut self, step: u32) {
+        let net = &mut self.net;
+        let Nodes::Owned(nodes) = &mut self.nodes else { return };
+        match step {
+            0 => nodes.pause(PAUSED_NODE),
+            1 => net.live[PAUSED_NODE] = false,
+            _ => {
+                nodes.resume(net, PAUSED_NODE);
+                net.live[PAUSED_NODE] = true;
+                return;
+            }
+        }
+        let next_ms = if step == 0 { PAUSE_SEEN_MS } else { PAUSE_MS - PAUSE_SEEN_MS };
+        net.after(next_ms, Item::Fault { step: step + 1 });
+    }
+
     fn fault(&mut self, step: u32) {
+        if self.net.scenario.fault == Fault::Paused {
+            return self.pause(step);
+        }
         let net = &mut self.net;
         if net.scenario.fault == Fault::DomainLost {
             for executor in (0..EXECUTORS).filter(|executor| domain(*executor) == 0) {
--- a/crates/calls/src/latency.rs
+++ b/crates/calls/src/latency.rs
@@ -8,6 +8,8 @@
 const HIGH_QUANTILE: f64 = 0.95;
 /// Step of the quantile as a share of the mean.
 const QUANTILE_STEP: f64 = 0.1;
+/// Multiple of the mean above which a measurement counts as that multiple.
+const MAX_RATIO: f64 = 8.0;
 /// Measurements before the estimate is used for refusals.
 const MIN_SAMPLES: u64 = 32;
 
@@ -20,9 +22,12 @@
 }
 
 impl Estimate {
-    /// Takes one measurement in.
+    /// Takes one measurement in; a single one far off moves the estimate little.
     pub(crate) fn add(&mut self, latency: Span) {
-        let ms = latency.as_ms_f64();
+        let mut ms = latency.as_ms_f64();
+        if self.is_sure() {
+            ms = ms.min(self.mean_ms * MAX_RATIO);
+        }
         if self.samples == 0 {
             self.mean_ms = ms;
             self.high_ms = ms;
--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -31,7 +31,9 @@
             Answer::Refused | Answer::NotSent => Evidence::Refused,
             Answer::Unknown | Answer::Expired => Evidence::Lost,
         };
-        self.learn(now, index, &service, evidence);
+        if flight.sent >= self.resumed {
+            self.learn(now, index, &service, evidence);
+        }
         self.end_attempt(now, id, attempt, answer, out);
         self.finish_release(index, out);
         if let Some(service) = service {
--- a/crates/calls/src/router/arrive.rs
+++ b/crates/calls/src/router/arrive.rs
@@ -34,8 +34,7 @@
         let Some(entry) = self.calls.get(&id) else { return };
         let (deadline, avoid) = (entry.call.deadline, entry.avoid);
         let service = entry.call.service.clone();
-        let least = self.mean(&service).scale(0.5);
-        if now >= deadline || now + least > deadline {
+        if now >= deadline || self.is_hopeless(now, &service, deadline) {
             return self.refuse(id, Reason::Deadline, out);
         }
         // A call that is placed anew does not go before those that wait.
@@ -50,6 +49,14 @@
         self.enqueue(now, id, out);
     }
 
+    /// Reports whether half of the mean run time is too much for the deadline.
+    ///
+    /// While nothing runs here the estimate may be out of date, and only calls renew it.
+    fn is_hopeless(&self, now: Time, service: &ServiceName, deadline: Time) -> bool {
+        let least = self.mean(service).scale(0.5);
+        now + least > deadline && self.fleet.total(service).in_flight > 0
+    }
+
     fn choose(&self, service: &ServiceName, avoid: Option<Index>) -> Option<Index> {
         let first = self.fleet.choose(service)?;
         match avoid {
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -52,6 +52,9 @@
 use service::Service;
 use wake::Timer;
 
+/// Time by which a timer may be late before the process is taken to have been paused.
+const MAX_LATE: Span = Span::from_ms(50);
+
 /// Decides where each call of one entry instance goes and what its caller is told.
 #[derive(Debug)]
 pub struct Router {
@@ -69,6 +72,8 @@
     serial: u64,
     /// Longest run that was ever declared, by service.
     longest_runs: BTreeMap<ServiceName, Span>,
+    /// End of the last pause of this process.
+    resumed: Time,
     draining: bool,
     finished: bool,
 }
@@ -91,6 +96,7 @@
             timers: BTreeSet::new(),
             serial: 0,
             longest_runs: BTreeMap::new(),
+            resumed: Time::ZERO,
             draining: false,
             finished: false,
             settings,
@@ -99,6 +105,7 @@
 
     /// Takes one event in and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Command>) {
+        self.notice_pause(now);
         self.wake(now, out);
         match event {
             Event::Configured(config) => self.configured(config),
@@ -148,6 +155,15 @@
         }
     }
 
+    /// Notices that this process was paused: a timer is long overdue.
+    ///
+    /// What was measured across a pause says nothing about executors.
+    fn notice_pause(&mut self, now: Time) {
+        if self.next_wake().is_some_and(|due| now.since(due) > MAX_LATE) {
+            self.resumed = now;
+        }
+    }
+
     fn peers_changed(&mut self, before: u32) {
         if self.peers.len() != before {
             self.declare();
--- a/crates/calls/tests/health.rs
+++ b/crates/calls/tests/health.rs
@@ -120,3 +120,30 @@
     }
     assert!(counter.most.iter().all(|most| *most == SLOTS), "{:?}", counter.most);
 }
+
+#[test]
+fn a_pause_of_the_router_is_not_taken_for_slowness() {
+    let mut counter = Counter::new(1);
+    offer_part(&mut counter, 0.9, 500);
+    counter.pause(Span::from_secs(3));
+    (counter.offered, counter.good) = (0, 0);
+    offer(&mut counter, 4_500);
+    counter.pass(Time::from_ms(5_000));
+    assert_eq!(ejected(&counter), 0);
+    assert_eq!(counter.good, counter.offered);
+}
+
+#[test]
+fn a_service_that_was_slow_is_called_again() {
+    let mut counter = Counter::new(1);
+    offer(&mut counter, 500);
+    counter.runs = [RUN.times(40); EXECUTORS];
+    offer(&mut counter, 10_000);
+    counter.runs = [RUN; EXECUTORS];
+    offer(&mut counter, 20_000);
+    (counter.offered, counter.good) = (0, 0);
+    offer(&mut counter, 21_000);
+    counter.pass(Time::from_ms(21_500));
+    // Calls that were out when counting began are answered as well.
+    assert!(counter.good >= counter.offered, "{} of {}", counter.good, counter.offered);
+}
--- a/crates/calls/tests/world/counter.rs
+++ b/crates/calls/tests/world/counter.rs
@@ -109,6 +109,20 @@
         }
     }
 
+    /// Lets time pass without the router: its events come when the pause is over.
+    pub(crate) fn pause(&mut self, span: Span) {
+        self.now += span;
+        while let Some((at, call, attempt, number)) = self.answers.first().copied() {
+            if at > self.now {
+                return;
+            }
+            self.answers.pop_first();
+            self.out[number] -= 1;
+            let answer = Answer::Whole { status: 200 };
+            self.event(Event::Answered { call, attempt: Attempt(attempt), answer });
+        }
+    }
+
     pub(crate) fn arrive(&mut self, team: TeamName, urgency: Urgency, flooding: bool) {
         self.next += 1;
         let id = CallId(self.next);
