calls: measure the memory of a router, and bound a ledger to 100,000 keys

A key takes 540 bytes, a call in progress 690 and an executor 370 to 660. At 200,000 keys a ledger took 108 MB, most of what an entry instance may use.

--- a/crates/calls/benches/calls/main.rs
+++ b/crates/calls/benches/calls/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(clippy::expect_used)]
 
+mod memory;
 mod net;
 mod owned;
 mod scenario;
@@ -57,6 +58,11 @@
             writeln!(out, "{line}")?;
         }
     }
+    if wanted("memory") {
+        for line in memory::lines() {
+            writeln!(out, "{line}")?;
+        }
+    }
     if wanted("decision") {
         for line in wall::lines(arguments.seed) {
             writeln!(out, "{line}")?;
--- a/crates/calls/benches/calls/wall.rs
+++ b/crates/calls/benches/calls/wall.rs
@@ -22,7 +22,7 @@
 /// Calls for each executor before measuring.
 const WARM_UP_PER_EXECUTOR: usize = 16;
 
-fn name<T: std::str::FromStr<Err = impl std::fmt::Debug>>(text: &str) -> T {
+pub(crate) fn name<T: std::str::FromStr<Err = impl std::fmt::Debug>>(text: &str) -> T {
     text.parse().expect("names of the bench are well formed")
 }
 
@@ -47,7 +47,7 @@
     }
 }
 
-fn router(executors: usize, seed: u64) -> Router {
+pub(crate) fn router(executors: usize, seed: u64) -> Router {
     let mut router = Router::new(Settings { domain: Some(name("d0")), ..Default::default() }, seed);
     let mut out = Vec::new();
     let list = (0..executors).map(|number| Executor {
--- a/crates/calls/src/keys/settings.rs
+++ b/crates/calls/src/keys/settings.rs
@@ -13,6 +13,6 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { shards: 64, max_keys: 200_000, max_answers: 5_000 }
+        Self { shards: 64, max_keys: 100_000, max_answers: 5_000 }
     }
 }
