control, daemon: keys of a process that is gone change hands at once

Cause: after a kill, calls with a key found no owner until their deadlines: a process was suspected after 2.5 s of silence only, and its shards then waited 3 s for it to come back. Change: a refused heartbeat is evidence, as a message of that incarnation had been here before; shards of keys do not wait for a restart once there is evidence. Slots and cells wait as before.

--- a/crates/control/src/ownership/plan.rs
+++ b/crates/control/src/ownership/plan.rs
@@ -147,6 +147,8 @@
             return true;
         }
         match (context.members.evidence(owner), shard.kind) {
+            // No call with a key runs until the shard has an owner, and it moves cheaply.
+            (Some(evidence), Kind::Keys) if evidence != Evidence::Newer => settled,
             (Some(evidence), _) => settled && self.waited(owner, evidence, context),
             (None, Kind::Slots) => false,
             (None, Kind::Keys | Kind::Cell) => settled && context.steady && context.doubts(owner),
--- a/crates/daemon/src/hub/control/mod.rs
+++ b/crates/daemon/src/hub/control/mod.rs
@@ -21,7 +21,7 @@
 use sycamorerill_control::session;
 use sycamorerill_control::store::State;
 use sycamorerill_core::clock::Span;
-use sycamorerill_core::id::{DomainName, InstanceName};
+use sycamorerill_core::id::{DomainName, Incarnation, InstanceName};
 use sycamorerill_core::model::Config;
 
 pub(crate) use self::operate::body;
@@ -64,6 +64,8 @@
     config: Arc<Config>,
     content: Bytes,
     addresses: BTreeMap<InstanceName, SocketAddr>,
+    /// Newest incarnation of each peer that a message came from.
+    incarnations: BTreeMap<InstanceName, Incarnation>,
     waiting: Waiting,
     questions: Questions,
     stores: Pool,
@@ -94,6 +96,7 @@
             config: Arc::default(),
             content: Bytes::new(),
             addresses: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
             waiting: Waiting::default(),
             questions: Questions::default(),
             stores: Pool::new("store", MAX_STORE),
@@ -157,6 +160,8 @@
 
     /// Notes where a peer listens.
     pub(crate) fn learn(&mut self, from: &Hello) {
+        let incarnation = self.incarnations.entry(from.instance.clone()).or_default();
+        *incarnation = from.incarnation.max(*incarnation);
         let known = self.addresses.insert(from.instance.clone(), from.address);
         if known != Some(from.address)
             && let Some(calls) = &self.calls
@@ -197,8 +202,19 @@
             return;
         };
         self.parts.shared.metrics.sent("control");
-        // A lost message is the agent's to repeat.
-        self.parts.peers.send(address, peer::Request::Control(message), PEER_TIME, |_| {});
+        // A message of the incarnation was here before the connection is started, so a
+        // refusal shows that its process is gone.
+        let incarnation = self.incarnations.get(to).copied();
+        let session =
+            incarnation.map(|incarnation| session::Name { instance: to.clone(), incarnation });
+        let inbox = self.parts.inbox.clone();
+        let request = peer::Request::Control(message);
+        self.parts.peers.send(address, request, PEER_TIME, move |reply| {
+            // Any other loss is the agent's to make good.
+            if let (Err(peer::Error::Refused), Some(session)) = (reply, session) {
+                inbox.send(Message::Evidence { session, evidence: Evidence::Refused });
+            }
+        });
     }
 
     fn probe(&self, session: session::Name) {
