control: compare members by digest and pull them where they differ for long

Beyond 16 instances news travelled only by being passed on, so an instance that missed it never learned of it. Heartbeats now carry a digest of the members; one that differs from a peer's for two seconds is settled by the whole list.

--- a/crates/control/src/agent/message.rs
+++ b/crates/control/src/agent/message.rs
@@ -20,6 +20,7 @@
         pub(crate) life: u64,
         pub(crate) version: Version,
         pub(crate) owners: u64,
+        pub(crate) members: u64,
         pub(crate) domain: DomainName,
         pub(crate) news: Vec<News>,
     }
@@ -38,6 +39,8 @@
         Content(Bytes),
         Pending(Misses),
         Lasting(Misses),
+        MembersWanted,
+        Members(Vec<News>),
     }
 }
 
@@ -65,6 +68,8 @@
             Body::Content(bytes) => root.set_content(bytes),
             Body::Pending(misses) => write_misses(root.init_pending(), misses.values()),
             Body::Lasting(misses) => write_misses(root.init_lasting(), misses.values()),
+            Body::MembersWanted => root.set_members_wanted(()),
+            Body::Members(news) => write_news(root.init_members(news.len() as u32), news),
         }
         codec::seal(&message)
     }
@@ -83,6 +88,10 @@
             Which::Content(bytes) => Body::Content(Bytes::copy_from_slice(bytes?)),
             Which::Pending(misses) => Body::Pending(read_misses(misses?)?),
             Which::Lasting(misses) => Body::Lasting(read_misses(misses?)?),
+            Which::MembersWanted(()) => Body::MembersWanted,
+            Which::Members(news) => {
+                Body::Members(news?.iter().map(read_news).collect::<Result<_, _>>()?)
+            }
         };
         Ok(Self { incarnation: Incarnation(root.get_incarnation()), body })
     }
@@ -93,9 +102,13 @@
     to.set_life(beat.life);
     to.set_version(beat.version.0);
     to.set_owners(beat.owners);
+    to.set_members(beat.members);
     to.set_domain(beat.domain.as_str());
-    let mut list = to.init_news(beat.news.len() as u32);
-    for (at, news) in beat.news.iter().enumerate() {
+    write_news(to.init_news(beat.news.len() as u32), &beat.news);
+}
+
+fn write_news(mut list: capnp::struct_list::Builder<'_, journal::news::Owned>, all: &[News]) {
+    for (at, news) in all.iter().enumerate() {
         let mut to = list.reborrow().get(at as u32);
         to.set_instance(news.instance.as_str());
         to.set_incarnation(news.incarnation.0);
@@ -111,6 +124,7 @@
         life: from.get_life(),
         version: Version(from.get_version()),
         owners: from.get_owners(),
+        members: from.get_members(),
         domain: codec::name(from.get_domain()?)?,
         news: from.get_news()?.iter().map(read_news).collect::<Result<_, _>>()?,
     })
--- a/crates/control/src/agent/plane.rs
+++ b/crates/control/src/agent/plane.rs
@@ -19,8 +19,10 @@
 const SESSION_POLL: Span = Span::from_ms(1_000);
 /// Largest group in which every instance looks at its session row all the time.
 const SESSION_POLL_GROUP: usize = 16;
-/// Time for which owners must differ from those of a peer, and between two questions.
-const OWNERS_ASK_AFTER: Span = Span::from_ms(2_000);
+/// Time for which digests must differ from those of a peer, and between two questions.
+const DIFFERS_FOR: Span = Span::from_ms(2_000);
+/// Instances for which the time between two questions is stated.
+const ASK_GROUP: u64 = 100;
 /// Time between two adjustments to the number of instances.
 const RETUNE_AFTER: Span = Span::from_ms(1_000);
 /// Time without the store after which an instance offers itself for no shards.
@@ -41,7 +43,7 @@
     store_since: Time,
     next_retune: Time,
     next_ask: Time,
-    /// Peers that know other owners, and since when.
+    /// Peers that know other owners or members, and since when.
     differs: BTreeMap<InstanceName, Time>,
 }
 
@@ -124,7 +126,7 @@
             Body::Beat(beat) => {
                 self.members.beat(now, from, message.incarnation, &beat, out);
                 self.config.heard(beat.version);
-                self.compare_owners(now, from, beat.owners, out);
+                self.compare(now, from, (beat.owners, beat.members), out);
             }
             Body::Handed(handed) => self.ownership.receive(from, handed, out),
             Body::Received(owners) => self.ownership.acknowledged(&owners),
@@ -133,6 +135,8 @@
                 let owners = self.ownership.table().owners().cloned().collect();
                 out.send(from.clone(), Body::Owners(owners));
             }
+            Body::MembersWanted => out.send(from.clone(), Body::Members(self.members.known())),
+            Body::Members(all) => self.members.told(now, &all, out),
             Body::Notify(version) => self.config.heard(version),
             Body::ContentWanted(known) => {
                 if let Some(body) = self.config.wanted(known) {
@@ -148,20 +152,30 @@
         }
     }
 
-    /// Asks a peer for the owners it knows when both have differed for a while.
+    /// Asks a peer for the owners or members it knows when both have differed for a while.
     ///
-    /// A change of owners is told to all and settles by itself within that time.
-    fn compare_owners(&mut self, now: Time, from: &InstanceName, digest: u64, out: &mut Out<'_>) {
-        if digest == self.ownership.table().digest() {
+    /// A change is told to all and settles by itself within that time.
+    fn compare(&mut self, now: Time, from: &InstanceName, digests: (u64, u64), out: &mut Out<'_>) {
+        let (owners, members) = digests;
+        let owners_differ = owners != self.ownership.table().digest();
+        let members_differ = members != self.members.digest();
+        if !owners_differ && !members_differ {
             self.differs.remove(from);
             return;
         }
         let since = *self.differs.entry(from.clone()).or_insert(now);
-        if now.since(since) >= OWNERS_ASK_AFTER && now >= self.next_ask {
-            self.differs.clear();
-            self.next_ask = now + OWNERS_ASK_AFTER;
+        if now.since(since) < DIFFERS_FOR || now < self.next_ask {
+            return;
+        }
+        self.differs.clear();
+        let crowd = (self.members.size() as u64).div_ceil(ASK_GROUP);
+        self.next_ask = now + DIFFERS_FOR.times(crowd);
+        if owners_differ {
             out.send(from.clone(), Body::OwnersWanted);
         }
+        if members_differ {
+            out.send(from.clone(), Body::MembersWanted);
+        }
     }
 
     pub(super) fn answer(
@@ -298,12 +312,8 @@
 
     fn tick_members(&mut self, now: Time, out: &mut Out<'_>) {
         let standing = self.standing(now);
+        self.members.stand(standing);
         let own = self.members.own();
-        if own.standing != standing {
-            // Among news of one incarnation the higher life count holds.
-            own.life += 1;
-            own.standing = standing;
-        }
         own.version = self.config.version();
         own.owners = self.ownership.table().digest();
         self.members.tick(now, &mut self.rng, out);
--- a/crates/control/src/membership/machine.rs
+++ b/crates/control/src/membership/machine.rs
@@ -42,6 +42,8 @@
     /// Revision for which the watched peers were chosen.
     pub(super) watch_revision: Option<u64>,
     pub(super) running: usize,
+    /// Digest of the members at the last tick.
+    pub(super) digest: u64,
     news: BTreeMap<InstanceName, (News, u32)>,
 }
 
@@ -59,6 +61,7 @@
             revision: 0,
             watch_revision: None,
             running: 1,
+            digest: 0,
             news: BTreeMap::new(),
         };
         peers.iter().for_each(|peer| machine.introduce(Time::ZERO, peer));
@@ -69,10 +72,21 @@
         &self.members
     }
 
+    /// Returns what this instance tells of itself, to be changed.
     pub(crate) fn own(&mut self) -> &mut Own {
         &mut self.own
     }
 
+    /// Changes the standing of this instance.
+    pub(crate) fn stand(&mut self, standing: Standing) {
+        if self.own.standing != standing {
+            // Among news of one incarnation the higher life count holds.
+            self.own.life += 1;
+            self.own.standing = standing;
+            self.revision += 1;
+        }
+    }
+
     /// Returns a number that grows with each change of a standing.
     pub(crate) const fn revision(&self) -> u64 {
         self.revision
@@ -181,6 +195,25 @@
         beat.news.iter().for_each(|news| self.learn(now, news, out));
     }
 
+    /// Returns a number that differs, but for chance, where two instances know other members.
+    pub(crate) const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns what is known of every member that runs, this instance included.
+    pub(crate) fn known(&self) -> Vec<News> {
+        let heard = |(_, member): &(&InstanceName, &Member)| {
+            member.incarnation != Incarnation::default() && member.standing != Standing::Gone
+        };
+        let others = self.members.iter().filter(heard);
+        others.map(|(name, member)| member_news(name, member)).chain([self.own_news()]).collect()
+    }
+
+    /// Takes what a peer knows of the members.
+    pub(crate) fn told(&mut self, now: Time, all: &[News], out: &mut Out<'_>) {
+        all.iter().for_each(|news| self.learn(now, news, out));
+    }
+
     fn recover(&mut self, now: Time, news: &News, out: &mut Out<'_>) {
         let Some(member) = self.members.get_mut(&news.instance) else { return };
         if member.incarnation == news.incarnation && member.standing == Standing::Suspect {
@@ -307,17 +340,21 @@
         let about_us = news.incarnation == self.own.name.incarnation;
         if about_us && news.standing == Standing::Suspect && news.life >= self.own.life {
             self.own.life = news.life + 1;
-            let own = News {
-                instance: self.own.name.instance.clone(),
-                incarnation: self.own.name.incarnation,
-                life: self.own.life,
-                standing: self.own.standing,
-                domain: self.own.domain.clone(),
-            };
+            let own = self.own_news();
             self.spread(own);
         }
     }
 
+    pub(super) fn own_news(&self) -> News {
+        News {
+            instance: self.own.name.instance.clone(),
+            incarnation: self.own.name.incarnation,
+            life: self.own.life,
+            standing: self.own.standing,
+            domain: self.own.domain.clone(),
+        }
+    }
+
     fn introduce(&mut self, now: Time, instance: &InstanceName) {
         if *instance == self.own.name.instance || self.members.contains_key(instance) {
             return;
--- a/crates/control/src/membership/watch.rs
+++ b/crates/control/src/membership/watch.rs
@@ -5,7 +5,7 @@
 use sycamorerill_core::id::{Incarnation, InstanceName};
 
 use super::machine::{Machine, member_news};
-use super::{Standing, ring};
+use super::{News, Standing, ring};
 use crate::agent::{Beat, Body, Command, Decision, Out};
 use crate::session;
 
@@ -53,6 +53,7 @@
         }
         self.watch_revision = Some(self.revision);
         self.running = self.peers().count() + 1;
+        self.digest = self.known().iter().fold(0, |all, news| all ^ digest(news));
         let chosen: Vec<InstanceName> = match self.members.len() < self.settings.full_mesh {
             true => self.peers().cloned().collect(),
             false => {
@@ -99,6 +100,7 @@
             life: self.own.life,
             version: self.own.version,
             owners: self.own.owners,
+            members: self.digest,
             domain: self.own.domain.clone(),
             news: self.next_news(),
         };
@@ -114,3 +116,8 @@
         }
     }
 }
+
+fn digest(news: &News) -> u64 {
+    let standing = news.incarnation.0.wrapping_shl(3) | u64::from(news.standing.code());
+    ring::score(standing, &news.instance)
+}
--- a/crates/schema/schema/journal.capnp
+++ b/crates/schema/schema/journal.capnp
@@ -129,6 +129,8 @@
     pending @9 :Penalties;
     # Entries of this sender that now last.
     lasting @10 :Penalties;
+    membersWanted @11 :Void;
+    members @12 :List(News);
   }
 }
 
@@ -139,6 +141,8 @@
   owners @3 :UInt64;
   domain @4 :Text;
   news @5 :List(News);
+  # Digest of the members and their standings.
+  members @6 :UInt64;
 }
 
 struct News {
