--- a/crates/control/src/journal/machine.rs
+++ b/crates/control/src/journal/machine.rs
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 struct Flight {
     number: u64,
+    /// Floor that the batch states.
+    floor: u64,
     records: Vec<Record>,
     bytes: Bytes,
     /// Whether an answer is awaited.
@@ -237,12 +239,13 @@
         // From now on the batch may exist, so it counts before its answer arrives.
         self.coverage.wrote(batch.number, &batch.records);
         let bytes = batch.encode();
-        Flight { number: batch.number, records: batch.records, bytes, sent: true }
+        let Batch { number, floor, records, .. } = batch;
+        Flight { number, floor, records, bytes, sent: true }
     }
 
     fn committed(&mut self) -> Change {
         let Some(flight) = self.flight.take() else { return Change::None };
-        self.stated_floor = self.floor.min(flight.number);
+        self.stated_floor = flight.floor;
         let last = flight.records.last().map(|record| record.sequence);
         self.durable = last.unwrap_or(self.durable);
         Change::Durable(self.durable)
