tasks: baselines meet memory as it is

Too much memory in use had the engine move tasks under the baselines as well, which they don't do. It is now part of the shipped policy only, and the stand-in of a worker fails its newest task when memory runs out.

--- a/crates/tasks/src/cell/interfere.rs
+++ b/crates/tasks/src/cell/interfere.rs
@@ -265,6 +265,9 @@
     ///
     /// Too much processor time slows tasks down, which is acted on as interference.
     fn make_fit(&mut self, now: Time, key: key::Worker, out: &mut Vec<Command>) {
+        if self.settings.placement != super::Placement::Learned {
+            return;
+        }
         let Some(entry) = self.workers.entry(key) else { return };
         let stays = |hold: &&Hold| hold.counted && matches!(hold.intent, Intent::Run(_));
         let used = entry.holds.values().filter(stays).map(Hold::memory);
--- a/crates/tasks/tests/fake/worker.rs
+++ b/crates/tasks/tests/fake/worker.rs
@@ -107,6 +107,23 @@
             }
             run.advance(*token, now, clock, passed, &mix, self.broken, truths);
         }
+        self.kill_newest(truths);
+    }
+
+    /// Fails the newest tasks while more memory is used than there is.
+    fn kill_newest(&mut self, truths: &Truths) {
+        let memory = |run: &Run| {
+            let declared = truths.declared.get(&run.class).copied().unwrap_or(run.size);
+            truths.of(&run.class).uses(declared).memory().0
+        };
+        let mut used: u64 = self.active().map(|(_, run)| memory(run)).sum();
+        while used > self.size.memory().0 {
+            let active = self.runs.values_mut().filter(|run| !run.phase.is_off());
+            let batch = active.filter(|run| truths.of(&run.class).run.is_some());
+            let Some(newest) = batch.max_by_key(|run| run.started) else { return };
+            used -= memory(newest);
+            newest.phase = Phase::Failed(Fault::Memory);
+        }
     }
 
     /// Returns the part of the worker's cores and the noise of each class.
