--- a/crates/calls/src/router/answer.rs
+++ b/crates/calls/src/router/answer.rs
@@ -31,7 +31,8 @@
             Answer::Refused | Answer::NotSent => Evidence::Refused,
             Answer::Unknown | Answer::Expired => Evidence::Lost,
         };
-        if flight.sent >= self.resumed {
+        let timed = matches!(evidence, Evidence::Good(_) | Evidence::Error(_));
+        if !timed || flight.sent >= self.resumed {
             self.learn(now, index, &service, evidence);
         }
         self.end_attempt(now, id, attempt, answer, out);
--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -53,7 +53,7 @@
 use wake::Timer;
 
 /// Time by which a timer may be late before the process is taken to have been paused.
-const MAX_LATE: Span = Span::from_ms(50);
+const MAX_LATE: Span = Span::from_ms(250);
 
 /// Decides where each call of one entry instance goes and what its caller is told.
 #[derive(Debug)]
