--- a/crates/calls/src/router/mod.rs
+++ b/crates/calls/src/router/mod.rs
@@ -17,8 +17,9 @@
 //!   still holds the shard, and at most once.
 //! - It says [`Event::Owned`] with [`InProgress::Unknown`] only with proof that the
 //!   process of the former owner is gone.
-//! - It sends [`Router::status`] to the peers every 100 ms and at [`Command::Announce`],
-//!   and [`Router::load`] along with each forwarded call and its answer.
+//! - It sends [`Router::status`] to the peers every 100 to 200 ms and at
+//!   [`Command::Announce`], and should send [`Router::load`] along with each forwarded
+//!   call and its answer, as [`Event::PeerLoad`].
 
 mod answer;
 mod arrive;
--- a/crates/calls/src/router/settings.rs
+++ b/crates/calls/src/router/settings.rs
@@ -48,7 +48,7 @@
             near: Span::from_ms_f64(0.1),
             flight: Span::from_ms(100),
             hand_over: Span::from_ms(200),
-            peer_silence: Span::from_ms(350),
+            peer_silence: Span::from_ms(600),
             announce_interval: Span::from_ms(50),
             max_hops: 2,
             max_attempts: 4,
