calls: record the end of a call whose key lasts

The mark that the beginning lasts was never set, so no end was journaled and a successor took every key for unknown, also those that had not run. The test now wants the end as well; it is red without the mark.

--- a/crates/calls/src/router/keyed.rs
+++ b/crates/calls/src/router/keyed.rs
@@ -90,10 +90,9 @@
 
     /// Sends a call whose key lasts now, if its caller still waits.
     pub(crate) fn key_durable(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
-        let journaling = self.calls.get(&id).is_some_and(|entry| entry.state == State::Journaling);
-        if !journaling {
-            return;
-        }
+        let found = self.calls.get_mut(&id).filter(|entry| entry.state == State::Journaling);
+        let Some(entry) = found else { return };
+        entry.durable = true;
         // The shard may have been lost since, and won back with another call's record.
         if self.ledger.is_running(id) {
             self.place(now, id, Why::Ranked, out);
--- a/crates/calls/tests/keys.rs
+++ b/crates/calls/tests/keys.rs
@@ -163,6 +163,10 @@
     }
 }
 
+fn is_end(command: &Command) -> bool {
+    matches!(command, Command::Journal { record: Record::Ended { .. }, .. })
+}
+
 #[test]
 fn the_end_of_a_call_is_recorded_only_if_its_beginning_lasts() {
     let mut router = router(one_shard(), Vec::new());
@@ -173,8 +177,7 @@
     router.handle(now, refused, &mut seen);
     let told = Command::Reply { call: CallId(1), outcome: Outcome::NotRun(Reason::StoreDown) };
     assert!(seen.contains(&told));
-    let is_end = |command: &Command| {
-        matches!(command, Command::Journal { record: Record::Ended { .. }, .. })
-    };
     assert!(!seen.iter().any(is_end), "{seen:?}");
+    let (_, seen) = call(&mut router, now, 2, key("a", 1));
+    assert!(seen.iter().any(is_end), "{seen:?}");
 }
