daemon: wrong use exits with 2, an unknown instance is not found

Cause: an unknown flag ended sycamorerilld with 1, and `drain` of a name that nobody has was told as unavailable. Change: flags are parsed with our own exit codes; drain answers not_found.

--- a/crates/daemon/src/hub/operator.rs
+++ b/crates/daemon/src/hub/operator.rs
@@ -157,6 +157,10 @@
         let Some(cells) = self.cells().cloned() else {
             return;
         };
+        if self.address_of(&instance).is_none() {
+            let message = format!("no instance is named `{instance}`");
+            return give(&respond, Response::failure(Kind::NotFound, message, "see `status`"));
+        }
         self.pass_to(&cells, &instance, request, 0, respond);
     }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::thread;
 
+use argh::FromArgs;
 use crossbeam_channel::{Receiver, bounded, select};
 use miette::Report;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -10,6 +11,8 @@
 use sycamorerill_daemon::settings::{Environment, Flags, Settings, resolve};
 use sycamorerill_daemon::{Daemon, End, Error, events};
 
+/// Name under which the program prints its usage.
+const PROGRAM: &str = "sycamorerilld";
 /// Exit code after wrong use.
 const WRONG_USE: u8 = 2;
 /// Exit code after a failure to start.
@@ -18,7 +21,10 @@
 const UNFINISHED: u8 = 3;
 
 fn main() -> ExitCode {
-    let flags: Flags = argh::from_env();
+    let flags = match flags() {
+        Ok(flags) => flags,
+        Err(code) => return code,
+    };
     if flags.version {
         // The version is the whole output; a closed pipe is no concern of ours.
         println!("sycamorerilld {}", env!("CARGO_PKG_VERSION"));
@@ -39,6 +45,24 @@
     }
 }
 
+/// Reads the flags; help and wrong use end the process with the code returned.
+fn flags() -> Result<Flags, ExitCode> {
+    let args: Vec<String> =
+        std::env::args_os().map(|arg| arg.to_string_lossy().into_owned()).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let (name, rest) = args.split_first().unwrap_or((&PROGRAM, &[]));
+    Flags::from_args(&[name], rest).map_err(|exit| match exit.status {
+        Ok(()) => {
+            print!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}Run `{PROGRAM} --help` for usage.", exit.output);
+            ExitCode::from(WRONG_USE)
+        }
+    })
+}
+
 fn report(report: Report, code: u8) -> ExitCode {
     eprintln!("{report:?}");
     ExitCode::from(code)
