--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -274,7 +274,9 @@
             }
             Happening::Probe { node, life, session } => self.probe(&node, life, session),
             Happening::Wake { node, life } => {
-                if self.is_running(&node, life) {
+                // A wake that was replaced by another is of no use.
+                let replaced = self.nodes.get(&node).is_some_and(|node| node.wake > self.now);
+                if self.is_running(&node, life) && !replaced {
                     if let Some(node) = self.nodes.get_mut(&node) {
                         node.wake = Time::ZERO;
                     }
