--- a/crates/tasks/src/cell/fleet.rs
+++ b/crates/tasks/src/cell/fleet.rs
@@ -9,7 +9,7 @@
 
 use super::{Cell, Command, key};
 use crate::job::{Job, Reason, Spread};
-use crate::worker::{Admission, Worker};
+use crate::worker::Worker;
 
 impl Cell {
     pub(super) fn configure(&mut self, now: Time, config: Arc<Config>, out: &mut Vec<Command>) {
@@ -60,9 +60,6 @@
         entry.leaving = worker.leaving;
         if new {
             self.dirty.insert(key);
-            self.ask_admission(key, out);
-        } else if entry.admission == Admission::None {
-            self.ask_admission(key, out);
         }
         if leaves {
             self.empty(now, key, out);
--- a/crates/tasks/src/cell/message.rs
+++ b/crates/tasks/src/cell/message.rs
@@ -51,6 +51,10 @@
         Unreachable(WorkerName),
         /// A worker is proved gone: it runs nothing and never will under this name.
         Gone(WorkerName),
+        /// The journal is fenced by a successor; the cell decides nothing any more.
+        ///
+        /// The fate of each record on its way is to be told first.
+        Fenced,
         /// The process of the former owner is proved gone; it renews no lease any more.
         PredecessorGone,
         /// A waiting job is to be handed to another cell.
--- a/crates/tasks/src/cell/mod.rs
+++ b/crates/tasks/src/cell/mod.rs
@@ -200,6 +200,7 @@
             Event::Reported { worker, report } => self.reported(now, &worker, report, out),
             Event::Unreachable(worker) => self.unreachable(now, &worker),
             Event::Gone(worker) => self.gone(now, &worker, out),
+            Event::Fenced => self.superseded = true,
             Event::PredecessorGone => self.predecessor_gone(now),
             Event::Move { job, to } => self.move_job(&job, &to, out),
             Event::Offered { from, transfer } => self.offered(from, *transfer, out),
--- a/crates/tasks/src/cell/restore.rs
+++ b/crates/tasks/src/cell/restore.rs
@@ -11,7 +11,6 @@
 use crate::job::Outcome;
 use crate::journal::{self, Entry, Record, Snapshot, Transfer};
 use crate::life::{Input, State};
-use crate::worker::Admission;
 
 impl Cell {
     /// Takes over what former owners made durable; the configuration must be in force.
@@ -47,7 +46,7 @@
     fn expect_worker(&mut self, now: Time, name: &sycamorerill_core::id::WorkerName) {
         let key = self.workers.add(name, now);
         if let Some(entry) = self.workers.entry_mut(key) {
-            entry.admission = Admission::Durable;
+            entry.recorded = true;
         }
         self.unfenced.insert(key);
         self.dirty.insert(key);
@@ -186,7 +185,7 @@
     /// Of records on their way it contains at most facts that workers told, which the
     /// records repeat without harm.
     pub fn snapshot(&self) -> Snapshot {
-        let admitted = self.workers.iter().filter(|(_, e)| e.admission == Admission::Durable);
+        let admitted = self.workers.iter().filter(|(_, entry)| entry.recorded);
         let ended = self.ended.iter().filter(|(name, _)| self.jobs.find(name).is_none());
         let ended = ended.map(|(name, ended)| {
             let until_ms = ended.until.as_ms();
--- a/crates/tasks/src/cell/word.rs
+++ b/crates/tasks/src/cell/word.rs
@@ -32,10 +32,15 @@
             return;
         }
         entry.fenced = true;
+        let incarnation = Some(report.at.incarnation());
+        let restarted = std::mem::replace(&mut entry.incarnation, incarnation) != incarnation;
         entry.lapsed = false;
         entry.size = report.size;
         entry.extras.clear();
         entry.foreign = Size::ZERO;
+        if restarted {
+            self.ask_admission(key, out);
+        }
         self.take_held(now, key, &report, out);
         self.unfenced.remove(&key);
         self.after_change(now, key);
--- a/crates/tasks/src/cell/write.rs
+++ b/crates/tasks/src/cell/write.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use sycamorerill_core::clock::Time;
-use sycamorerill_core::id::DomainName;
+use sycamorerill_core::id::{DomainName, Incarnation};
 
 use super::{Cell, Command, Reply, key};
 use crate::job::{Reason, Request};
@@ -15,7 +15,7 @@
 pub(crate) enum Effect {
     None,
     Accept(key::Job),
-    Admit(key::Worker),
+    Admit(key::Worker, Option<Incarnation>),
     Forget(key::Worker, Token),
     Cancel(key::Job, Request),
     Drop(key::Job),
@@ -79,7 +79,7 @@
         match effect {
             Effect::None => {}
             Effect::Accept(job) => self.accept(now, job, out),
-            Effect::Admit(worker) => self.admit(now, worker),
+            Effect::Admit(worker, incarnation) => self.admit(now, worker, incarnation),
             Effect::Forget(worker, token) => self.let_forget(worker, token),
             Effect::Cancel(job, request) => self.cancel_now(now, job, request, out),
             Effect::Drop(job) => self.drop_job(job),
@@ -98,7 +98,7 @@
                 self.jobs.remove(job);
             }
             // The other records are facts that have to be written again.
-            Effect::Admit(worker) => self.ask_admission(worker, out),
+            Effect::Admit(worker, _) => self.not_admitted(worker),
             Effect::Forget(worker, token) => self.write_again(now, worker, token, out),
             Effect::Drop(job) => self.end_job(now, job, out),
             Effect::Miss(job) => self.write_miss(job, out),
@@ -120,19 +120,30 @@
         }
     }
 
-    fn admit(&mut self, now: Time, worker: key::Worker) {
+    fn admit(&mut self, now: Time, worker: key::Worker, incarnation: Option<Incarnation>) {
         if let Some(entry) = self.workers.entry_mut(worker) {
-            entry.admission = Admission::Durable;
+            entry.recorded = true;
+            if entry.incarnation == incarnation {
+                entry.admission = Admission::Durable;
+            }
         }
         self.workers.reindex(worker, now, self.settings.silence);
         self.freed = true;
     }
 
+    /// Asks again with the next report.
+    fn not_admitted(&mut self, worker: key::Worker) {
+        if let Some(entry) = self.workers.entry_mut(worker) {
+            entry.admission = Admission::None;
+            entry.incarnation = None;
+        }
+    }
+
     pub(super) fn ask_admission(&mut self, worker: key::Worker, out: &mut Vec<Command>) {
         let Some(entry) = self.workers.entry_mut(worker) else { return };
         entry.admission = Admission::Asked;
-        let name = entry.name.clone();
-        self.journal(Entry::Admitted(name), Effect::Admit(worker), out);
+        let (name, incarnation) = (entry.name.clone(), entry.incarnation);
+        self.journal(Entry::Admitted(name), Effect::Admit(worker, incarnation), out);
     }
 
     fn let_forget(&mut self, worker: key::Worker, token: Token) {
--- a/crates/tasks/src/worker/exchange.rs
+++ b/crates/tasks/src/worker/exchange.rs
@@ -11,25 +11,40 @@
 use sycamorerill_core::size::{Cpu, Memory, Size};
 use sycamorerill_core::{data, value};
 
+/// Bits of a token that number it within its epoch.
+const NUMBER_BITS: u32 = 40;
+/// Those bits.
+const NUMBER_MASK: u64 = (1 << NUMBER_BITS) - 1;
+
 value! {
     /// Fencing token of one placement; a later placement of a task has a larger one.
-    pub struct Token(u128);
+    pub struct Token(u64);
 }
 
 impl Token {
     /// Returns the token numbered `number` under `epoch`.
     pub const fn new(epoch: Epoch, number: u64) -> Self {
-        Self(((epoch.0 as u128) << 64) | number as u128)
+        Self((epoch.0 << NUMBER_BITS) | (number & NUMBER_MASK))
     }
 
     /// Returns the epoch under which the token was given.
     pub const fn epoch(self) -> Epoch {
-        Epoch((self.0 >> 64) as u64)
+        Epoch(self.0 >> NUMBER_BITS)
     }
 
     /// Returns the number of the token within its epoch.
     pub const fn number(self) -> u64 {
-        self.0 as u64
+        self.0 & NUMBER_MASK
+    }
+
+    /// Returns the token as one number, ordered as tokens are.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the token of which `value` is the number.
+    pub const fn from_u64(value: u64) -> Self {
+        Self(value)
     }
 }
 
--- a/crates/tasks/src/worker/table.rs
+++ b/crates/tasks/src/worker/table.rs
@@ -4,14 +4,18 @@
 
 use fastrand::Rng;
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_core::id::{RackName, WorkerName};
+use sycamorerill_core::id::{Incarnation, RackName, WorkerName};
 use sycamorerill_core::size::Size;
 
 use super::{Command, Hold, Index, Intent, Link, Token};
 use crate::cell::key;
 use crate::learn::{self, Mix, Standing};
 
-/// Whether a successor would know that the worker may hold tasks.
+/// Whether a successor would know that the worker may hold tasks, and whether the owner
+/// was still the owner after the worker's incarnation had answered it.
+///
+/// A worker that restarts forgets the epochs that it has seen. The record that is made
+/// durable after its first report proves that nobody had taken over before that report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
     /// Not yet asked for.
@@ -31,6 +35,10 @@
     pub(crate) leaving: bool,
     pub(crate) listed: bool,
     pub(crate) admission: Admission,
+    /// Incarnation that last reported under the epoch of the cell.
+    pub(crate) incarnation: Option<Incarnation>,
+    /// Whether a durable record names the worker.
+    pub(crate) recorded: bool,
     /// Whether the worker has answered under the epoch of the cell.
     pub(crate) fenced: bool,
     /// Whether all that the worker held is known to be off.
@@ -133,6 +141,8 @@
             leaving: false,
             listed: false,
             admission: Admission::None,
+            incarnation: None,
+            recorded: false,
             fenced: false,
             lapsed: false,
             link: Link::new(now),
