--- a/crates/config/src/jobs.rs
+++ b/crates/config/src/jobs.rs
@@ -32,8 +32,9 @@
 ///
 /// ```
 /// let text = "[[job]]\nclass = \"cut-list\"\nteam = \"warehouse\"\ntasks = 40\n";
-/// let jobs = sycamorerill_config::parse_jobs("jobs.toml", text).unwrap();
+/// let jobs = sycamorerill_config::parse_jobs("jobs.toml", text)?;
 /// assert_eq!((jobs.len(), jobs[0].tasks), (1, 40));
+/// # Ok::<(), sycamorerill_config::Report>(())
 /// ```
 pub fn parse_jobs(name: &str, text: &str) -> Result<Vec<Submission>, Report> {
     check(&Arc::new(Source::new(name.to_owned(), text.to_owned())))
--- a/crates/daemon/src/hub/cells/mod.rs
+++ b/crates/daemon/src/hub/cells/mod.rs
@@ -1,5 +1,6 @@
 //! The actor that carries the cells owned here: their workers and their jobs.
 
+mod absence;
 mod exchange;
 mod jobs;
 mod wire;
@@ -21,6 +22,7 @@
 use sycamorerill_tasks::journal::{Record, Snapshot};
 use sycamorerill_tasks::worker::Worker;
 
+use self::absence::Absences;
 use self::exchange::Clocks;
 use super::calls::Calls;
 use super::control::Control;
@@ -66,6 +68,7 @@
     listed: BTreeMap<DomainName, Vec<Worker>>,
     clients: BTreeMap<WorkerName, platform::Client>,
     clocks: Clocks,
+    absences: Absences,
     /// Operators and submitters that wait, by the identity of their request.
     waiting: BTreeMap<Bytes, (JobName, Sender<Response>)>,
     next_request: u64,
@@ -83,6 +86,7 @@
             listed: BTreeMap::new(),
             clients: BTreeMap::new(),
             clocks: Clocks::default(),
+            absences: Absences::default(),
             waiting: BTreeMap::new(),
             next_request: 1,
             exchanges: Pool::new("exchanges", MAX_EXCHANGES),
@@ -161,6 +165,7 @@
         listed: BTreeMap<DomainName, Vec<Worker>>,
         clients: BTreeMap<WorkerName, platform::Client>,
     ) {
+        let gone = self.absences.note(&listed);
         self.listed = listed;
         // A client that is there already holds connections worth keeping.
         for (name, client) in clients {
@@ -174,6 +179,10 @@
                 self.start(cx, &domain);
             }
         }
+        for (domain, worker) in gone {
+            event!(Code::WorkerState, worker = worker, state = "gone");
+            self.drive(cx, &domain, Event::Gone(worker));
+        }
         self.count(cx);
     }
 
@@ -202,6 +211,14 @@
         call!([self.parts.calls], running_tasks(running));
     }
 
+    /// Takes word that the store has gone down or come up.
+    pub(crate) fn store_is(&mut self, cx: CX![], up: bool) {
+        for domain in self.domains() {
+            let event = if up { Event::StoreUp } else { Event::StoreDown };
+            self.drive(cx, &domain, event);
+        }
+    }
+
     /// Takes the journal's word on one record of a cell.
     pub(crate) fn written(
         &mut self,
--- a/crates/daemon/src/hub/control/mod.rs
+++ b/crates/daemon/src/hub/control/mod.rs
@@ -33,6 +33,8 @@
 use super::cells::Cells;
 use super::message::{Inbox, Message};
 use super::shards::Shards;
+use crate::event;
+use crate::events::Code;
 use crate::io::{Pool, Store};
 use crate::peer::{self, Hello, Peers};
 use crate::shared::Shared;
@@ -66,6 +68,8 @@
     addresses: BTreeMap<InstanceName, SocketAddr>,
     /// Newest incarnation of each peer that a message came from.
     incarnations: BTreeMap<InstanceName, Incarnation>,
+    /// State of the store as the cells were told.
+    store: State,
     waiting: Waiting,
     questions: Questions,
     stores: Pool,
@@ -97,6 +101,7 @@
             content: Bytes::new(),
             addresses: BTreeMap::new(),
             incarnations: BTreeMap::new(),
+            store: State::Up,
             waiting: Waiting::default(),
             questions: Questions::default(),
             stores: Pool::new("store", MAX_STORE),
@@ -241,6 +246,7 @@
     pub(crate) fn beat(&mut self, _: CX![]) {
         let store = self.parts.agent.store(self.parts.shared.clock.now());
         self.parts.shared.metrics.set_store(store == State::Up);
+        self.tell_store(store);
         let Some(calls) = &self.calls else {
             return;
         };
@@ -256,6 +262,17 @@
         }
     }
 
+    /// Tells the cells when the store has gone down or come up.
+    fn tell_store(&mut self, store: State) {
+        if std::mem::replace(&mut self.store, store) == store {
+            return;
+        }
+        event!(Code::StoreState, state = store.as_str());
+        if let Some(cells) = &self.cells {
+            call!([cells], store_is(store == State::Up));
+        }
+    }
+
     /// Returns the actor of the cells.
     pub(super) fn cells(&self) -> Option<&Actor<Cells>> {
         self.cells.as_ref()
