--- a/crates/daemon/src/events/catalogue.rs
+++ b/crates/daemon/src/events/catalogue.rs
@@ -69,14 +69,12 @@
     CallRouted = 100, Decision, "call.routed", "A routing decision for one call.";
     CallAnswered = 101, Decision, "call.answered", "The caller has been told the outcome of its call.";
     CallerRefused = 102, Warning, "caller.refused", "A request was malformed or beyond a limit.";
-    ExecutorState = 110, Decision, "executor.state", "An executor became suspect, ejected, leaving or healthy.";
     TaskPlaced = 200, Decision, "task.decided", "A placement, eviction or life-cycle decision for one task or job.";
     WorkerState = 210, Warning, "worker.state", "An exchange with a worker failed or was refused.";
     TargetMissed = 300, Warning, "target.missed", "A target was missed and counted.";
     ShardGained = 400, Info, "shard.gained", "This instance owns a shard from now on.";
     ShardLost = 401, Info, "shard.lost", "This instance no longer owns a shard.";
     ControlDecision = 402, Decision, "control.decided", "A decision on membership, ownership or the journal.";
-    PeerState = 410, Info, "peer.state", "Another entry instance joined, became suspect or is gone.";
     StoreState = 420, Warning, "store.state", "The platform's table or object store changed between up and down.";
     ListState = 421, Warning, "list.state", "The platform's instance list could not be read.";
     ConfigInForce = 500, Info, "config.in_force", "A configuration is in force on this instance.";
--- a/crates/daemon/src/hub/cells/jobs.rs
+++ b/crates/daemon/src/hub/cells/jobs.rs
@@ -13,7 +13,7 @@
 
 use super::Cells;
 use crate::http::{Request, Response};
-use crate::hub::control::body;
+use crate::hub::answer::{body, give};
 use crate::hub::message::Message;
 use crate::peer;
 
@@ -63,11 +63,6 @@
     Ok(Size::new(cpu, memory, parse("size.accel", &size.accel)?))
 }
 
-/// Gives an answer to a submitter who may have gone meanwhile.
-fn give(respond: &Sender<Response>, response: Response) {
-    let _ = respond.try_send(response);
-}
-
 impl Cells {
     /// Takes a submission for the cell of `domain`, which is owned here.
     pub(crate) fn submit(
--- a/crates/daemon/src/hub/control/mod.rs
+++ b/crates/daemon/src/hub/control/mod.rs
@@ -24,7 +24,6 @@
 use sycamorerill_core::id::{DomainName, Incarnation, InstanceName};
 use sycamorerill_core::model::Config;
 
-pub(crate) use self::operate::body;
 pub(crate) use self::release::Release;
 
 use self::journal::Waiting;
--- a/crates/daemon/src/hub/control/operate.rs
+++ b/crates/daemon/src/hub/control/operate.rs
@@ -5,7 +5,6 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use crossbeam_channel::Sender;
-use serde::de::DeserializeOwned;
 use stakker::CX;
 use sycamorerill_control::agent::{Event, StatusRow};
 use sycamorerill_control::config::{Apply, ApplyId, Outcome};
@@ -22,6 +21,7 @@
 use crate::event;
 use crate::events::Code;
 use crate::http::{Request, Response};
+use crate::hub::answer::{body, give};
 use crate::peer::Load;
 
 /// Advice after a conflict.
@@ -37,23 +37,6 @@
     next_settle: u64,
 }
 
-/// Gives an answer to an operator who may have gone meanwhile.
-fn give(respond: &Sender<Response>, response: Response) {
-    let _ = respond.try_send(response);
-}
-
-/// Reads a JSON body.
-///
-/// # Errors
-///
-/// Fails with the response that says what is wrong with the body.
-pub(crate) fn body<T: DeserializeOwned>(request: &Request) -> Result<T, Response> {
-    serde_json::from_slice(&request.body).map_err(|error| {
-        let hint = "see docs/CLI.md for the form of the body";
-        Response::failure(Kind::Malformed, format!("the body cannot be read: {error}"), hint)
-    })
-}
-
 impl Control {
     /// Answers `GET /v1/status` with the load of each instance.
     pub(crate) fn status(
--- a/crates/daemon/src/hub/mod.rs
+++ b/crates/daemon/src/hub/mod.rs
@@ -3,6 +3,7 @@
 //! All other threads hand it messages. It passes each to the actor that it is
 //! for, and runs the actors until they have nothing left to do.
 
+mod answer;
 mod calls;
 mod cells;
 mod control;
--- a/crates/daemon/src/hub/operator.rs
+++ b/crates/daemon/src/hub/operator.rs
@@ -8,19 +8,15 @@
 use sycamorerill_core::id::{DomainName, InstanceName, JobName};
 
 use super::Hub;
+use super::answer::{body, give};
 use super::cells::not_owned;
-use super::control::{Control, body};
+use super::control::Control;
 use super::message::Message;
 use crate::http::{Request, Response};
 
 /// Largest number of times that a request is passed on.
 const MAX_HOPS: u8 = 2;
 
-/// Gives an answer to an operator who may have gone meanwhile.
-fn give(respond: &Sender<Response>, response: Response) {
-    let _ = respond.try_send(response);
-}
-
 impl Hub {
     /// Answers a request, or passes it to the actor or the instance that does.
     pub(super) fn operate(&mut self, request: Request, hops: u8, respond: Sender<Response>) {
