daemon, cli: a token's own number on the wire, the names of built-in files once

Cause: the worker protocol was given tokens packed anew with 32 bits for the number, beside Token::as_u64 and from_u64, which leave it 40; the built-in configurations of the demo listed the same six file names twice. Change: the token's own form is used; the macro holds the names. Conclusion: one packing of tokens; numbers above 2^32 in an epoch no longer run into the epoch's bits.

--- a/crates/cli/src/demo/plan.rs
+++ b/crates/cli/src/demo/plan.rs
@@ -25,29 +25,24 @@
 type Files = &'static [(&'static str, &'static str)];
 
 macro_rules! files {
+    ($folder:literal) => {
+        files!(
+            $folder,
+            "10-teams.toml",
+            "20-domains.toml",
+            "30-services.toml",
+            "40-classes.toml",
+            "50-targets.toml",
+            "60-policy.toml",
+        )
+    };
     ($folder:literal, $($name:literal),* $(,)?) => {
         &[$(($name, include_str!(concat!("../../../../examples/", $folder, "/", $name)))),*]
     };
 }
 
-const ROPES: Files = files!(
-    "ropes",
-    "10-teams.toml",
-    "20-domains.toml",
-    "30-services.toml",
-    "40-classes.toml",
-    "50-targets.toml",
-    "60-policy.toml",
-);
-const HEATERS: Files = files!(
-    "heaters",
-    "10-teams.toml",
-    "20-domains.toml",
-    "30-services.toml",
-    "40-classes.toml",
-    "50-targets.toml",
-    "60-policy.toml",
-);
+const ROPES: Files = files!("ropes");
+const HEATERS: Files = files!("heaters");
 
 /// A class of which jobs are submitted.
 #[derive(Clone, Copy, Debug)]
--- a/crates/daemon/src/hub/cells/wire.rs
+++ b/crates/daemon/src/hub/cells/wire.rs
@@ -2,14 +2,12 @@
 
 use bytes::Bytes;
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_core::id::{Epoch, Incarnation, InstanceName};
+use sycamorerill_core::id::{Incarnation, InstanceName};
 use sycamorerill_core::model::Config;
 use sycamorerill_core::rate::Share;
 use sycamorerill_platform::worker as platform;
 use sycamorerill_tasks::worker as tasks;
 
-/// Bits of a platform token that hold the number within its epoch.
-const NUMBER_BITS: u32 = 32;
 /// Part of a lease's term for which an exchange may be on its way.
 const TRANSIT_PART: f64 = 0.3;
 
@@ -73,12 +71,7 @@
 }
 
 fn token(token: tasks::Token) -> platform::Token {
-    platform::Token((token.epoch().0 << NUMBER_BITS) | token.number())
-}
-
-fn read_token(token: platform::Token) -> tasks::Token {
-    let number = token.0 & ((1 << NUMBER_BITS) - 1);
-    tasks::Token::new(Epoch(token.0 >> NUMBER_BITS), number)
+    platform::Token(token.as_u64())
 }
 
 /// Translates a worker's answer to exchange `answers`.
@@ -106,7 +99,7 @@
     });
     tasks::Held {
         task: held.task,
-        token: read_token(held.token),
+        token: tasks::Token::from_u64(held.token.0),
         attempt: held.attempt,
         size: held.size,
         class: held.class,
