clients: the clients of our own stand-ins leave the name platform to the adapter

Cause: the users' platform needs a folder platform/ where the product meets it, and crates/platform held the clients of the product's own stand-ins.

--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use sycamorerill_clients::instances::{Change, Instance, Role, State};
 use sycamorerill_config::{Folder, encode_text};
 use sycamorerill_core::api;
 use sycamorerill_core::clock::Span;
@@ -12,7 +13,6 @@
 use sycamorerill_daemon::settings::{LogFormat, Settings};
 use sycamorerill_daemon::{Addresses, Daemon, End};
 use sycamorerill_fakes::Platform;
-use sycamorerill_platform::instances::{Change, Instance, Role, State};
 
 use super::Error;
 use super::plan::Plan;
--- a/crates/platform/tests/endpoint.rs
+++ b/crates/clients/tests/endpoint.rs
@@ -9,9 +9,9 @@
 use std::thread;
 
 use bytes::Bytes;
+use sycamorerill_clients::endpoint::{Answer, Call, Client};
+use sycamorerill_clients::{Doubt, Settings};
 use sycamorerill_core::clock::Span;
-use sycamorerill_platform::endpoint::{Answer, Call, Client};
-use sycamorerill_platform::{Doubt, Settings};
 
 /// What a server does after it has read a request.
 #[derive(Clone, Copy, Debug)]
--- a/crates/daemon/src/hub/calls/mod.rs
+++ b/crates/daemon/src/hub/calls/mod.rs
@@ -16,10 +16,10 @@
 use futures::channel::oneshot;
 use stakker::{Actor, CX, MinTimerKey, call, timer_min};
 use sycamorerill_calls::router::{self, Answer as Attempted, Command, Event, PeerAnswer, Router};
+use sycamorerill_clients::endpoint;
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Attempt, CallId, ExecutorName, InstanceName};
 use sycamorerill_core::model::Config;
-use sycamorerill_platform::endpoint;
 
 use self::arrival::Arrival;
 use self::load::Loads;
@@ -168,7 +168,7 @@
             }
             endpoint::Answer::Refused => Attempted::Refused,
             endpoint::Answer::NotSent { .. } => Attempted::NotSent,
-            endpoint::Answer::Unknown(sycamorerill_platform::Doubt::Timeout) => Attempted::Expired,
+            endpoint::Answer::Unknown(sycamorerill_clients::Doubt::Timeout) => Attempted::Expired,
             endpoint::Answer::Unknown(_) => Attempted::Unknown,
         };
         self.close(call);
--- a/crates/daemon/src/hub/calls/send.rs
+++ b/crates/daemon/src/hub/calls/send.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use sycamorerill_clients::endpoint::{self, Method};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{Attempt, CallId, ExecutorName, InstanceName};
-use sycamorerill_platform::endpoint::{self, Method};
 
 use super::Calls;
 use crate::hub::message::Message;
--- a/crates/daemon/src/hub/cells/exchange.rs
+++ b/crates/daemon/src/hub/cells/exchange.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use stakker::CX;
+use sycamorerill_clients::{Error, worker as platform};
 use sycamorerill_core::id::{DomainName, Epoch, Incarnation, WorkerName};
-use sycamorerill_platform::{Error, worker as platform};
 use sycamorerill_tasks::cell::Event;
 use sycamorerill_tasks::worker::Exchange;
 
--- a/crates/daemon/src/hub/cells/wire.rs
+++ b/crates/daemon/src/hub/cells/wire.rs
@@ -1,11 +1,11 @@
 //! Translates between the decisions on tasks and the workers' protocol.
 
 use bytes::Bytes;
+use sycamorerill_clients::worker as platform;
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Incarnation, InstanceName};
 use sycamorerill_core::model::Config;
 use sycamorerill_core::rate::Share;
-use sycamorerill_platform::worker as platform;
 use sycamorerill_tasks::worker as tasks;
 
 /// Part of a lease's term for which an exchange may be on its way.
--- a/crates/daemon/src/hub/directory.rs
+++ b/crates/daemon/src/hub/directory.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 
 use sycamorerill_calls::router;
+use sycamorerill_clients::instances::{Instance, Role, State};
+use sycamorerill_clients::{Settings, endpoint, worker};
 use sycamorerill_control::membership::Listing;
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{DomainName, ExecutorName, InstanceName, WorkerName};
-use sycamorerill_platform::instances::{Instance, Role, State};
-use sycamorerill_platform::{Settings, endpoint, worker};
 use sycamorerill_tasks::worker::Worker;
 
 /// Idle connections kept to one executor.
--- a/crates/daemon/src/hub/message.rs
+++ b/crates/daemon/src/hub/message.rs
@@ -2,13 +2,13 @@
 
 use crossbeam_channel::Sender;
 use futures::channel::oneshot;
+use sycamorerill_clients::{Error, endpoint, instances, worker};
 use sycamorerill_control::membership::Evidence;
 use sycamorerill_control::{session, store};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{
     Attempt, CallId, DomainName, Epoch, ExecutorName, JobName, WorkerName,
 };
-use sycamorerill_platform::{Error, endpoint, instances, worker};
 use sycamorerill_tasks::journal::Transfer;
 
 use crate::http::{Request, Response};
--- a/crates/daemon/src/hub/mod.rs
+++ b/crates/daemon/src/hub/mod.rs
@@ -21,9 +21,9 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
 use stakker::{Actor, ActorOwn, Stakker, call};
+use sycamorerill_clients::instances;
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{InstanceName, JobName};
-use sycamorerill_platform::instances;
 
 pub(crate) use self::message::{Inbox, Message};
 pub(crate) use self::start::{Parts, start};
@@ -202,7 +202,7 @@
         }
     }
 
-    fn take_list(&mut self, list: Result<Vec<instances::Instance>, sycamorerill_platform::Error>) {
+    fn take_list(&mut self, list: Result<Vec<instances::Instance>, sycamorerill_clients::Error>) {
         let list = match list {
             Ok(list) => list,
             Err(error) => {
--- a/crates/daemon/src/hub/start.rs
+++ b/crates/daemon/src/hub/start.rs
@@ -10,10 +10,10 @@
 use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
 use sycamorerill_calls::keys;
 use sycamorerill_calls::router::{self, Router};
+use sycamorerill_clients::{instances, object, table};
 use sycamorerill_control::agent::{self, Agent};
 use sycamorerill_control::{ownership, penalties};
 use sycamorerill_core::clock::Time;
-use sycamorerill_platform::{instances, object, table};
 
 use super::calls::{self, Calls};
 use super::cells::{self, Cells};
--- a/crates/daemon/src/io/store.rs
+++ b/crates/daemon/src/io/store.rs
@@ -1,11 +1,11 @@
 //! Carries out the control plane's requests to the platform's store.
 
+use sycamorerill_clients::object::Put;
+use sycamorerill_clients::table::{self, Expect, Identity, Key};
+use sycamorerill_clients::{Error, object};
 use sycamorerill_control::store::{
     Expected, Request, RequestId, Response, Row, RowVersion, Transaction,
 };
-use sycamorerill_platform::object::Put;
-use sycamorerill_platform::table::{self, Expect, Identity, Key};
-use sycamorerill_platform::{Error, object};
 
 /// Clients of the table and the object store.
 #[derive(Clone)]
--- a/crates/fakes/benches/standins.rs
+++ b/crates/fakes/benches/standins.rs
@@ -12,14 +12,14 @@
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use serde_json::json;
+use sycamorerill_clients::endpoint::{Answer, Call, Client, headers};
+use sycamorerill_clients::table::{self, Identity, Transaction};
+use sycamorerill_clients::worker::{self, Command, Exchange, Start, Token};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{Attempt, Epoch};
 use sycamorerill_core::rate::PerSecond;
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
 use sycamorerill_fakes::{Platform, Settings};
-use sycamorerill_platform::endpoint::{Answer, Call, Client, headers};
-use sycamorerill_platform::table::{self, Identity, Transaction};
-use sycamorerill_platform::worker::{self, Command, Exchange, Start, Token};
 
 /// Calls of each line.
 const CALLS: u64 = 20_000;
--- a/crates/fakes/src/deployment/mod.rs
+++ b/crates/fakes/src/deployment/mod.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use sycamorerill_clients::instances::{Instance, Role, State};
 use sycamorerill_core::id::{self, DomainName, RackName, RegionName, ServiceName};
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
-use sycamorerill_platform::instances::{Instance, Role, State};
 
 /// Workers in a rack.
 const RACK_WORKERS: u32 = 8;
--- a/crates/fakes/src/executor/call.rs
+++ b/crates/fakes/src/executor/call.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
+use sycamorerill_clients::endpoint::headers;
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_platform::endpoint::headers;
 
 use super::ledger::{Ran, of_body};
 use super::pool::{Entry, Pool};
--- a/crates/fakes/src/executor/pool.rs
+++ b/crates/fakes/src/executor/pool.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, PoisonError, RwLock};
 
+use sycamorerill_clients::instances::{Instance, Role};
 use sycamorerill_core::clock::Time;
-use sycamorerill_platform::instances::{Instance, Role};
 
 use super::ledger::{Ledger, Ran};
 use crate::counts;
--- a/crates/fakes/src/faults/model.rs
+++ b/crates/fakes/src/faults/model.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
+use sycamorerill_clients::wire;
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{InstanceName, JobName};
-use sycamorerill_platform::wire;
 
 use super::select::Select;
 
--- a/crates/fakes/src/faults/select.rs
+++ b/crates/fakes/src/faults/select.rs
@@ -1,8 +1,8 @@
 //! Which instances a fault is for.
 
 use serde::{Deserialize, Serialize};
+use sycamorerill_clients::instances::Instance;
 use sycamorerill_core::id::{DomainName, RackName};
-use sycamorerill_platform::instances::Instance;
 
 /// Which instances a fault is for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/fakes/src/fleet/command.rs
+++ b/crates/fakes/src/fleet/command.rs
@@ -1,8 +1,8 @@
 //! Commands on tasks that a worker holds.
 
+use sycamorerill_clients::worker::{Command, Refusal, Start, State, Token};
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::TaskName;
-use sycamorerill_platform::worker::{Command, Refusal, Start, State, Token};
 
 use super::task::Task;
 use super::worker::Worker;
--- a/crates/fakes/src/fleet/nature.rs
+++ b/crates/fakes/src/fleet/nature.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::f64::consts::TAU;
 
+use sycamorerill_clients::worker::Start;
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{ClassName, JobName, TaskName};
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
-use sycamorerill_platform::worker::Start;
 
 use crate::chance;
 use crate::settings::Settings;
--- a/crates/fakes/src/fleet/progress.rs
+++ b/crates/fakes/src/fleet/progress.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use sycamorerill_clients::worker::{Checkpoint, Start, State};
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::ClassName;
-use sycamorerill_platform::worker::{Checkpoint, Start, State};
 
 use super::nature::Nature;
 use super::task::Task;
--- a/crates/fakes/src/fleet/state.rs
+++ b/crates/fakes/src/fleet/state.rs
@@ -4,12 +4,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
+use sycamorerill_clients::worker::{
+    Answer, Checkpoint, Command, Exchange, Outcome, Reading, Refusal, Start, State,
+};
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{JobName, TaskName};
 use sycamorerill_core::size::Size;
-use sycamorerill_platform::worker::{
-    Answer, Checkpoint, Command, Exchange, Outcome, Reading, Refusal, Start, State,
-};
 
 use super::command;
 use super::nature::Nature;
--- a/crates/fakes/src/fleet/task.rs
+++ b/crates/fakes/src/fleet/task.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 
+use sycamorerill_clients::worker::{Held, Start, State, Usage};
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::size::{Cpu, Size};
-use sycamorerill_platform::worker::{Held, Start, State, Usage};
 
 use super::nature::Truth;
 
--- a/crates/fakes/src/fleet/worker.rs
+++ b/crates/fakes/src/fleet/worker.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use sycamorerill_clients::worker::{Guard, Report, Token};
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::id::{Epoch, TaskName};
 use sycamorerill_core::size::Size;
-use sycamorerill_platform::worker::{Guard, Report, Token};
 
 use super::task::Task;
 use crate::faults::Work;
--- a/crates/fakes/src/instances.rs
+++ b/crates/fakes/src/instances.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use sycamorerill_clients::instances::{Change, Instance, State};
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_platform::instances::{Change, Instance, State};
 
 /// Instances as they are, and the list as it is shown.
 #[derive(Debug)]
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sycamorerill_clients::instances::Change;
 use sycamorerill_core::id;
-use sycamorerill_platform::instances::Change;
 
 use crate::counts::Counts;
 use crate::executor::Ran;
--- a/crates/fakes/src/router/faults.rs
+++ b/crates/fakes/src/router/faults.rs
@@ -1,7 +1,7 @@
 //! Faults as they are switched and shown.
 
+use sycamorerill_clients::instances::Instance;
 use sycamorerill_core::clock::Time;
-use sycamorerill_platform::instances::Instance;
 
 use super::{Router, lock};
 use crate::faults::{Fault, Faults};
--- a/crates/fakes/src/router/mod.rs
+++ b/crates/fakes/src/router/mod.rs
@@ -9,8 +9,8 @@
 
 use hyper::{Method, StatusCode};
 use serde::de::DeserializeOwned;
+use sycamorerill_clients::instances::{Change, Instance, Role, State};
 use sycamorerill_core::clock::{Clock, Span, Time};
-use sycamorerill_platform::instances::{Change, Instance, Role, State};
 
 use crate::counts::Counts;
 use crate::executor::{Pool, Ran};
--- a/crates/fakes/src/router/services.rs
+++ b/crates/fakes/src/router/services.rs
@@ -1,8 +1,8 @@
 //! The table, the object store and the instance list.
 
 use hyper::{Method, StatusCode};
-use sycamorerill_platform::instances::Change;
-use sycamorerill_platform::table::{RowRequest, ScanRequest, Transaction};
+use sycamorerill_clients::instances::Change;
+use sycamorerill_clients::table::{RowRequest, ScanRequest, Transaction};
 
 use super::{Router, lock, not_found, parsed};
 use crate::server::{Incoming, Reply};
--- a/crates/fakes/src/router/worker.rs
+++ b/crates/fakes/src/router/worker.rs
@@ -2,8 +2,8 @@
 
 use async_io::Timer;
 use hyper::StatusCode;
+use sycamorerill_clients::worker::Exchange;
 use sycamorerill_core::clock::Span;
-use sycamorerill_platform::worker::Exchange;
 
 use super::{Router, lock, not_found, read};
 use crate::server::{Incoming, Reply};
--- a/crates/fakes/src/store/objects.rs
+++ b/crates/fakes/src/store/objects.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use sycamorerill_platform::object::Entry;
+use sycamorerill_clients::object::Entry;
 
 /// Objects by key.
 #[derive(Debug, Default)]
--- a/crates/fakes/src/store/table.rs
+++ b/crates/fakes/src/store/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use sycamorerill_platform::table::{
+use sycamorerill_clients::table::{
     Committed, Condition, Conflict, Expect, Key, Row, RowVersion, ScanPage, ScanRequest,
     Transaction,
 };
--- a/crates/fakes/tests/common/mod.rs
+++ b/crates/fakes/tests/common/mod.rs
@@ -2,10 +2,10 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+use sycamorerill_clients::{endpoint, table, worker};
 use sycamorerill_core::clock::{Clock, Span};
 use sycamorerill_core::rate::PerSecond;
 use sycamorerill_fakes::{Platform, Settings};
-use sycamorerill_platform::{endpoint, table, worker};
 
 /// Long enough that a loaded machine answers within it.
 pub const PATIENCE: Span = Span::from_secs(30);
@@ -30,8 +30,8 @@
     Platform::start(settings).expect("the stand-ins start on a free port")
 }
 
-pub fn patient() -> sycamorerill_platform::Settings {
-    sycamorerill_platform::Settings { timeout: PATIENCE, ..Default::default() }
+pub fn patient() -> sycamorerill_clients::Settings {
+    sycamorerill_clients::Settings { timeout: PATIENCE, ..Default::default() }
 }
 
 pub fn executor(platform: &Platform, name: &str) -> endpoint::Client {
--- a/crates/fakes/tests/executors.rs
+++ b/crates/fakes/tests/executors.rs
@@ -8,11 +8,11 @@
 
 use bytes::Bytes;
 use common::{PATIENCE, executor, platform, quick, wait_until};
+use sycamorerill_clients::Doubt;
+use sycamorerill_clients::endpoint::{Answer, Call, Method};
 use sycamorerill_core::clock::Span;
 use sycamorerill_fakes::faults::{Execute, Select};
 use sycamorerill_fakes::{Fault, Ran};
-use sycamorerill_platform::Doubt;
-use sycamorerill_platform::endpoint::{Answer, Call, Method};
 
 /// Longer than any test.
 const ENDLESS_MS: u64 = 600_000;
--- a/crates/fakes/tests/judge.rs
+++ b/crates/fakes/tests/judge.rs
@@ -10,12 +10,12 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
 use common::{platform, quick, worker};
+use sycamorerill_clients::worker::{Client, Command, Exchange, Outcome, Start, Token};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{Attempt, Epoch};
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
 use sycamorerill_fakes::faults::{Select, Work};
 use sycamorerill_fakes::{Deployment, Fault, Platform, Settings};
-use sycamorerill_platform::worker::{Client, Command, Exchange, Outcome, Start, Token};
 
 const NAMES: [&str; 2] = ["w-vejle-a-01", "w-vejle-a-02"];
 /// Longer than any test.
--- a/crates/fakes/tests/protocol.rs
+++ b/crates/fakes/tests/protocol.rs
@@ -6,10 +6,10 @@
 
 use common::{platform, quick};
 use serde::de::DeserializeOwned;
+use sycamorerill_clients::instances::Change;
+use sycamorerill_clients::table::{Conflict, Row, ScanRequest, Transaction};
+use sycamorerill_clients::worker::Exchange;
 use sycamorerill_fakes::{Counts, Fault, Ran};
-use sycamorerill_platform::instances::Change;
-use sycamorerill_platform::table::{Conflict, Row, ScanRequest, Transaction};
-use sycamorerill_platform::worker::Exchange;
 
 const PAGE: &str = include_str!("../../../docs/PLATFORM.md");
 
--- a/crates/fakes/tests/services.rs
+++ b/crates/fakes/tests/services.rs
@@ -6,21 +6,21 @@
 
 use bytes::Bytes;
 use common::{patient, platform, quick, table, wait_until};
+use sycamorerill_clients::instances::{self, Change, State};
+use sycamorerill_clients::object::{self, Put};
+use sycamorerill_clients::table::{Client, Expect, Identity, Key, RowVersion, Transaction};
+use sycamorerill_clients::{Doubt, Error, endpoint};
 use sycamorerill_core::clock::{Clock, Span};
 use sycamorerill_core::rate::PerSecond;
 use sycamorerill_fakes::faults::{Loss, Service};
 use sycamorerill_fakes::{Fault, Platform, Settings};
-use sycamorerill_platform::instances::{self, Change, State};
-use sycamorerill_platform::object::{self, Put};
-use sycamorerill_platform::table::{Client, Expect, Identity, Key, RowVersion, Transaction};
-use sycamorerill_platform::{Doubt, Error, endpoint};
 
 fn transaction(identity: &str) -> Transaction {
     Transaction::new(Identity::new(identity))
 }
 
 fn impatient(platform: &Platform) -> Client {
-    let settings = sycamorerill_platform::Settings {
+    let settings = sycamorerill_clients::Settings {
         timeout: Span::from_ms(300),
         client: Some("entry-1".parse().unwrap()),
         ..Default::default()
@@ -73,7 +73,7 @@
     table.transact(&all).unwrap();
     let prefix = Key::from("p/");
     let first = table.scan(&prefix, None, 2).unwrap();
-    let names = |page: &sycamorerill_platform::table::ScanPage| {
+    let names = |page: &sycamorerill_clients::table::ScanPage| {
         page.rows.iter().map(|row| row.key.to_string()).collect::<Vec<_>>()
     };
     assert_eq!((names(&first), first.more), (vec!["p/1".to_owned(), "p/2".to_owned()], true));
@@ -201,7 +201,7 @@
     let body = Bytes::from(vec![7_u8; 5 << 20]);
     objects.put("large", body.clone(), Put::Replace).unwrap();
     assert!(objects.get("large").unwrap().unwrap() == body);
-    let bounded = sycamorerill_platform::Settings { max_answer: 1 << 20, ..patient() };
+    let bounded = sycamorerill_clients::Settings { max_answer: 1 << 20, ..patient() };
     let bounded = object::Client::new(platform.address(), bounded).get("large").unwrap_err();
     let limit = 1 << 20;
     assert!(
--- a/crates/fakes/tests/workers.rs
+++ b/crates/fakes/tests/workers.rs
@@ -5,16 +5,16 @@
 mod common;
 
 use common::{platform, quick, wait_until, worker};
+use sycamorerill_clients::Error;
+use sycamorerill_clients::worker::{
+    Answer, Checkpoint, Client, Command, Exchange, Held, Outcome, Reading, Refusal, Start, State,
+    Token,
+};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::id::{Attempt, Epoch};
 use sycamorerill_core::size::{Accel, Cpu, Memory, Size};
 use sycamorerill_fakes::faults::{Select, Service, Work};
 use sycamorerill_fakes::{Fault, Platform, Settings};
-use sycamorerill_platform::Error;
-use sycamorerill_platform::worker::{
-    Answer, Checkpoint, Client, Command, Exchange, Held, Outcome, Reading, Refusal, Start, State,
-    Token,
-};
 
 const ONE: &str = "w-vejle-a-01";
 const TWO: &str = "w-vejle-a-02";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,9 @@
 //! embedder needs one dependency.
 
 pub use sycamorerill_calls as calls;
+pub use sycamorerill_clients as clients;
 pub use sycamorerill_config as config;
 pub use sycamorerill_control as control;
 pub use sycamorerill_core as core;
 pub use sycamorerill_daemon as daemon;
-pub use sycamorerill_platform as platform;
 pub use sycamorerill_tasks as tasks;
