--- a/crates/core/src/macros.rs
+++ b/crates/core/src/macros.rs
@@ -10,6 +10,11 @@
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         $vis struct $name($(#[$imeta])* $ivis $inner);
     };
+    ($(#[$meta:meta])* $vis:vis struct $name:ident { $($body:tt)* }) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        $vis struct $name { $($body)* }
+    };
     ($(#[$meta:meta])* $vis:vis enum $name:ident { $($body:tt)* }) => {
         $(#[$meta])*
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -30,6 +30,12 @@
         println!("sycamorerilld {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if flags.edge {
+        return match sycamorerill_platform::run() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => report(Report::msg(error), FAILED),
+        };
+    }
     let environment: Environment = std::env::vars().collect();
     let settings = match resolve(&flags, &environment) {
         Ok(settings) => settings,
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -64,6 +64,9 @@
     /// seed of the random choices (default: taken from the name)
     #[argh(option)]
     pub seed: Option<String>,
+    /// serve jobs on the users' platform, by the settings file that it writes
+    #[argh(switch)]
+    pub edge: bool,
     /// print the version and exit
     #[argh(switch)]
     pub version: bool,
--- /dev/null
+++ b/crates/jobs/src/shard/end.rs
@@ -0,0 +1,373 @@
+//! Jobs that come, are cancelled and end; runs that are closed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use sycamorerill_core::clock::{Span, Time};
+
+use super::entry::{Entry, Stage, Stop};
+use super::message::{Closing, Note, Order};
+use super::rank::Rank;
+use super::{Command, Shard};
+use crate::executor::{Ended, How};
+use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
+use crate::progress::State;
+use crate::spec::Accepted;
+
+/// Pause before a task that failed by itself runs again.
+const FAILED_PAUSE: Span = Span::from_ms(20);
+/// Longest pause of a task that fails again and again.
+const LONGEST_PAUSE: Span = Span::from_ms(1_000);
+
+impl Shard {
+    /// Takes an accepted job.
+    pub(super) fn accept(&mut self, now: Time, wall_ms: u64, id: JobId, accepted: Accepted) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.jobs.insert(id, new_entry(accepted));
+        self.begin(now, wall_ms, id);
+    }
+
+    /// Begins what is due of a job that is new to this shard.
+    pub(super) fn begin(&mut self, now: Time, wall_ms: u64, id: JobId) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !entry.is_active() {
+            return;
+        }
+        if entry.job.schedule.is_some() {
+            self.scheduled.insert(id);
+            self.begin_due(wall_ms);
+            return;
+        }
+        if !entry.occurrences.contains_key(&0) && !entry.finished.contains(&0) {
+            let occurrence = entry.occurrence(0, now);
+            entry.occurrences.insert(0, occurrence);
+            entry.next_occurrence = 1;
+        }
+        self.begin_steps(now, wall_ms, id, 0);
+    }
+
+    /// Begins the occurrences of scheduled jobs that are due.
+    pub(super) fn begin_due(&mut self, wall_ms: u64) {
+        let jobs: Vec<JobId> = self.scheduled.iter().copied().collect();
+        let now = self.next_tick;
+        for id in jobs {
+            while let Some(number) = self.begin_next(now, wall_ms, id) {
+                self.begin_steps(now, wall_ms, id, number);
+            }
+        }
+    }
+
+    /// Begins the next occurrence of a job if it is due.
+    fn begin_next(&mut self, now: Time, wall_ms: u64, id: JobId) -> Option<u32> {
+        let entry = self.jobs.get_mut(&id)?;
+        let number = entry.next_occurrence;
+        if !entry.is_active() || number >= entry.job.occurrences() {
+            self.scheduled.remove(&id);
+            return None;
+        }
+        if entry.due_ms(number) > wall_ms {
+            return None;
+        }
+        entry.next_occurrence += 1;
+        if entry.finished.contains(&number) || entry.occurrences.contains_key(&number) {
+            return Some(number);
+        }
+        let occurrence = entry.occurrence(number, now);
+        entry.occurrences.insert(number, occurrence);
+        Some(number)
+    }
+
+    /// Lets the steps of an occurrence wait whose turn has come.
+    pub(super) fn begin_steps(&mut self, now: Time, wall_ms: u64, id: JobId, number: u32) {
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(occurrence) = entry.occurrences.get(&number) else {
+            return;
+        };
+        let queue = self.config.queues.get(&entry.queue);
+        let rank = Rank::of(entry, queue, occurrence.begin_ms, wall_ms);
+        let ready: Vec<u32> = (0..occurrence.steps.len() as u32)
+            .filter(|step| {
+                let after = &entry.job.steps[*step as usize].after;
+                !occurrence.steps[*step as usize].begun
+                    && after.iter().all(|a| occurrence.steps[*a as usize].left == 0)
+            })
+            .collect();
+        for step in ready {
+            self.begin_step(now, StepId { job: id, occurrence: number, step }, rank);
+        }
+    }
+
+    fn begin_step(&mut self, now: Time, id: StepId, rank: Rank) {
+        let Some(step) =
+            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
+        else {
+            return;
+        };
+        step.begun = true;
+        step.since = now;
+        step.rank = Some(rank);
+        let idle = |task: &super::entry::Task| !task.done && task.open.is_empty();
+        step.waiting =
+            (0..).zip(&step.tasks).filter(|(_, task)| idle(task)).map(|(index, _)| index).collect();
+        if !step.waiting.is_empty() {
+            self.waiting.insert((rank, id));
+            self.fresh = true;
+        }
+    }
+
+    /// Cancels a job: nothing of it starts any more, and what runs is stopped.
+    pub(super) fn cancel(&mut self, now: Time, id: JobId) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !entry.is_active() {
+            return;
+        }
+        entry.cancelled = true;
+        self.finish(now, id, State::Cancelled);
+    }
+
+    /// Ends a job, and stops what runs of it.
+    pub(super) fn finish(&mut self, now: Time, id: JobId, state: State) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        entry.state = state;
+        entry.ended = Some(now);
+        self.scheduled.remove(&id);
+        let mut steps = Vec::new();
+        let mut dropped = Vec::new();
+        for (number, occurrence) in &mut entry.occurrences {
+            for (index, step) in (0..).zip(&mut occurrence.steps) {
+                let step_id = StepId { job: id, occurrence: *number, step: index };
+                step.waiting.clear();
+                if let Some(rank) = step.rank {
+                    steps.push((rank, step_id));
+                }
+                for (task, found) in (0..).zip(&mut step.tasks) {
+                    for open in &mut found.open {
+                        match open.stage {
+                            Stage::Writing => dropped.push((step_id.task(task), open.run)),
+                            _ if open.stop == Stop::No => open.stop = Stop::Wanted,
+                            _ => {}
+                        }
+                    }
+                }
+            }
+        }
+        for waiting in &steps {
+            self.waiting.remove(waiting);
+        }
+        for (task, run) in dropped {
+            self.close(now, &task, run, Closing::NotRecorded, None);
+        }
+        self.dirty.insert(id);
+        self.out.push(Command::Log(Note::Finished { job: id, state }));
+        self.stop_wanted(now, id);
+    }
+
+    /// Takes the end of a run as an executor lists it.
+    pub(super) fn end(&mut self, now: Time, wall_ms: u64, id: &ExecutorId, ended: &Ended) {
+        let Some(entry) = self.jobs.get_mut(&ended.task.step.job) else {
+            return;
+        };
+        let Some(task) = entry.task_mut(&ended.task) else {
+            return;
+        };
+        let known = task.open.iter().any(|o| o.run == ended.run && o.executor == *id);
+        if !known {
+            return;
+        }
+        if !ended.saved.is_empty() {
+            task.saved.clone_from(&ended.saved);
+        }
+        self.close(now, &ended.task, ended.run, Closing::Ended(ended.how), Some(wall_ms));
+    }
+
+    /// Closes a run by evidence, and decides what becomes of its task.
+    pub(super) fn close(
+        &mut self,
+        now: Time,
+        task: &TaskId,
+        run: Run,
+        by: Closing,
+        wall_ms: Option<u64>,
+    ) {
+        let Some(executor) = self.drop_open(task, run) else {
+            return;
+        };
+        let order = Order { executor: executor.clone(), task: *task, run };
+        self.out.push(Command::Log(Note::Closed { order, by }));
+        self.dirty.insert(task.step.job);
+        self.fresh = true;
+        match by {
+            Closing::Ended(How::Done) => self.task_done(now, task, &executor, wall_ms),
+            Closing::Ended(How::Failed) => self.task_failed(now, task, &executor),
+            _ => self.wait_again(task),
+        }
+    }
+
+    /// Takes a run off its task and its executor.
+    pub(super) fn drop_open(&mut self, task: &TaskId, run: Run) -> Option<ExecutorId> {
+        let entry = self.jobs.get_mut(&task.step.job)?;
+        let step = entry.job.steps.get(task.step.step as usize)?;
+        let (taken, cpu, filling) = (step.taken(), step.room.cpu, step.filling);
+        let serving = step.objective_ms.is_some();
+        let found = entry.task_mut(task)?;
+        let at = found.open.iter().position(|open| open.run == run)?;
+        let open = found.open.swap_remove(at);
+        let same = found.open.iter().any(|other| other.executor == open.executor);
+        if let Some(executor) = self.executors.get_mut(&open.executor) {
+            executor.used = executor.used.less(&taken);
+            if filling {
+                executor.filling = executor.filling.saturating_sub(cpu);
+            }
+            if serving {
+                executor.serving = executor.serving.saturating_sub(cpu);
+            }
+            if !same {
+                executor.open.remove(task);
+                executor.tails.remove(task);
+            }
+            self.idle.insert(open.executor.clone());
+        }
+        Some(open.executor)
+    }
+
+    fn task_done(&mut self, now: Time, id: &TaskId, executor: &ExecutorId, wall_ms: Option<u64>) {
+        if let Some(executor) = self.executors.get_mut(executor) {
+            executor.health.succeeded();
+        }
+        let Some(entry) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let gang = entry.job.steps[id.step.step as usize].gang;
+        let Some(step) = entry.step_mut(id.step.occurrence, id.step.step) else {
+            return;
+        };
+        let mut others = Vec::new();
+        for (index, task) in (0..).zip(&mut step.tasks) {
+            let member = index == id.index || gang;
+            if !member || task.done {
+                continue;
+            }
+            task.done = true;
+            step.left -= 1;
+            step.waiting.remove(&index);
+            others.extend(task.open.iter().map(|open| (id.step.task(index), open.run)));
+        }
+        for (task, run) in others {
+            if gang {
+                // One end stands for all members: they ended together.
+                self.drop_open(&task, run);
+            } else {
+                self.want_stop(now, &task, run);
+            }
+        }
+        let left = self.step_left(id.step);
+        if left == Some(0) {
+            self.step_done(now, id.step, wall_ms.unwrap_or(0));
+        }
+    }
+
+    fn step_left(&mut self, id: StepId) -> Option<u32> {
+        let step = self.jobs.get_mut(&id.job)?.step_mut(id.occurrence, id.step)?;
+        Some(step.left)
+    }
+
+    fn step_done(&mut self, now: Time, id: StepId, wall_ms: u64) {
+        let Some(entry) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if let Some(step) = entry.step_mut(id.occurrence, id.step)
+            && let Some(rank) = step.rank
+        {
+            self.waiting.remove(&(rank, id));
+        }
+        let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
+            return;
+        };
+        if occurrence.steps.iter().any(|step| step.left > 0) {
+            self.begin_steps(now, wall_ms, id.job, id.occurrence);
+            return;
+        }
+        let copies = occurrence.steps.iter().flat_map(|s| &s.tasks).any(|t| !t.open.is_empty());
+        entry.finished.insert(id.occurrence);
+        if !copies {
+            entry.occurrences.remove(&id.occurrence);
+        }
+        if entry.finished.len() as u32 == entry.job.occurrences() && entry.is_active() {
+            self.finish(now, id.job, State::Completed);
+        }
+    }
+
+    fn task_failed(&mut self, now: Time, id: &TaskId, executor: &ExecutorId) {
+        if let Some(found) = self.executors.get_mut(executor)
+            && let Some(pause) = found.health.failed(now, id.step.job)
+        {
+            self.out.push(Command::Log(Note::Quarantined(executor.clone(), pause)));
+        }
+        let Some(entry) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let lasting = entry.job.steps[id.step.step as usize].lasting;
+        let attempts = self.config.queues.get(&entry.queue).map(|queue| queue.attempts);
+        let Some(task) = entry.task_mut(id) else {
+            return;
+        };
+        task.failed += 1;
+        task.avoid = Some(executor.clone());
+        let factor = 1_u64 << task.failed.min(6).saturating_sub(1);
+        let pause = if lasting { Span::ZERO } else { FAILED_PAUSE.times(factor) };
+        task.not_before = now + pause.min(LONGEST_PAUSE);
+        let exhausted = attempts.is_some_and(|most| task.failed >= most.max(1)) && !lasting;
+        if exhausted && entry.is_active() {
+            self.finish(now, id.step.job, State::Failed);
+        } else {
+            self.wait_again(id);
+        }
+    }
+
+    /// Lets a task wait to be placed again, unless it is done, runs or its job has ended.
+    fn wait_again(&mut self, id: &TaskId) {
+        let Some(entry) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let active = entry.is_active();
+        let Some(step) = entry.step_mut(id.step.occurrence, id.step.step) else {
+            return;
+        };
+        let task = &step.tasks[id.index as usize];
+        if !active || task.done || !task.open.is_empty() || !step.begun {
+            return;
+        }
+        step.waiting.insert(id.index);
+        if let Some(rank) = step.rank {
+            self.waiting.insert((rank, id.step));
+        }
+    }
+}
+
+/// Returns the entry of a job of which nothing has begun.
+pub(super) fn new_entry(accepted: Accepted) -> Entry {
+    Entry {
+        text: Arc::from(accepted.job.text.as_str()),
+        lasting: accepted.job.is_lasting(),
+        job: accepted.job,
+        queue: accepted.queue,
+        accepted_ms: accepted.at_ms,
+        cancelled: false,
+        state: State::Queued,
+        shown: State::Queued,
+        occurrences: BTreeMap::new(),
+        finished: BTreeSet::new(),
+        next_occurrence: 0,
+        ended: None,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/fleet.rs
@@ -0,0 +1,291 @@
+//! Executors as the shard believes them to be.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sycamorerill_core::clock::{Span, Time};
+
+use super::entry::Stop;
+use super::message::Note;
+use super::{Command, Shard};
+use crate::executor::{Born, Listed, Standing, Steady};
+use crate::id::{ExecutorId, TaskId};
+use crate::spec::Room;
+
+/// Slowest rate of an executor's clock against ours.
+const SLOWEST_CLOCK: f64 = 0.98;
+
+/// An executor.
+#[derive(Debug)]
+pub(super) struct Executor {
+    pub(super) listed: Listed,
+    /// Whether its entry is in the list.
+    pub(super) present: bool,
+    pub(super) since: Time,
+    /// When it may leave, where it drains.
+    pub(super) leaves: Option<Time>,
+    /// A lower bound of its clock and when that held.
+    clock: (Steady, Time),
+    /// Latest deadline that it may have been given.
+    pub(super) deadline: Steady,
+    /// Whether no order of a predecessor can take effect there any more.
+    pub(super) fenced: bool,
+    /// Whether its present life has answered a look, where it had another before.
+    pub(super) greeted: bool,
+    /// When orders and leases of predecessors are over, whatever happens.
+    pub(super) inherited_until: Time,
+    /// Open runs there.
+    pub(super) open: BTreeSet<TaskId>,
+    /// Room that open runs take.
+    pub(super) used: Room,
+    /// Processor time that filling runs there ask for, in thousandths of a core.
+    pub(super) filling: u64,
+    /// Processor time that serving runs there ask for, in thousandths of a core.
+    pub(super) serving: u64,
+    /// Highest number of an end that was taken in.
+    pub(super) taken: u64,
+    /// Highest number of an end whose record lasts.
+    pub(super) recorded: u64,
+    /// Highest number of an end that the executor was told is recorded.
+    pub(super) told: u64,
+    /// Number of the latest look.
+    pub(super) looks: u64,
+    /// When the look in flight was sent.
+    pub(super) looking: Option<Time>,
+    /// Not looked at before.
+    pub(super) look_after: Time,
+    /// Since when it does not answer.
+    pub(super) silent: Option<Time>,
+    pub(super) health: super::health::Health,
+    /// Latest tails of the serving tasks there: tail and since when over objective.
+    pub(super) tails: BTreeMap<TaskId, super::pace::Tail>,
+}
+
+impl Executor {
+    pub(super) fn new(now: Time, listed: Listed) -> Self {
+        let clock = (listed.clock, now);
+        let mut executor = Self {
+            listed,
+            present: true,
+            since: now,
+            leaves: None,
+            clock,
+            deadline: Steady(0),
+            fenced: true,
+            greeted: true,
+            inherited_until: Time::ZERO,
+            open: BTreeSet::new(),
+            used: Room::default(),
+            filling: 0,
+            serving: 0,
+            taken: 0,
+            recorded: 0,
+            told: 0,
+            looks: 0,
+            looking: None,
+            look_after: Time::ZERO,
+            silent: None,
+            health: super::health::Health::default(),
+            tails: BTreeMap::new(),
+        };
+        executor.note_leave(now);
+        executor
+    }
+
+    /// Returns a lower bound of the executor's clock at `now`.
+    pub(super) fn clock(&self, now: Time) -> Steady {
+        let passed = now.since(self.clock.1).scale(SLOWEST_CLOCK).as_ms();
+        Steady(self.clock.0.0 + passed)
+    }
+
+    /// Takes its clock as heard at `now`.
+    pub(super) fn heard(&mut self, now: Time, clock: Steady) {
+        if clock > self.clock(now) {
+            self.clock = (clock, now);
+        }
+    }
+
+    /// Returns the deadline `lease` from `now`, and notes that it may be given.
+    pub(super) fn extend(&mut self, now: Time, lease: Span) -> Steady {
+        let deadline = Steady(self.clock(now).0 + lease.as_ms());
+        self.deadline = self.deadline.max(deadline);
+        deadline
+    }
+
+    /// Reports whether all leases there have lapsed by its own clock.
+    pub(super) fn has_lapsed(&self, now: Time) -> bool {
+        if !self.fenced {
+            return now >= self.inherited_until;
+        }
+        self.clock(now) > self.deadline
+    }
+
+    /// Begins a new life: nothing runs there and its counts start anew.
+    pub(super) fn reborn(&mut self, now: Time, born: Born, clock: Steady) {
+        self.listed.born = born;
+        self.clock = (clock, now);
+        self.greeted = false;
+        self.taken = 0;
+        self.recorded = 0;
+        self.told = 0;
+        self.looking = None;
+        self.look_after = now;
+        self.silent = None;
+        self.since = now;
+        self.tails.clear();
+    }
+
+    fn note_leave(&mut self, now: Time) {
+        self.leaves = match (self.listed.standing, self.listed.remaining) {
+            (Standing::Draining, Some(remaining)) => Some(now + remaining),
+            (Standing::Draining, None) => Some(now),
+            (Standing::Ready, _) => None,
+        };
+    }
+
+    /// Reports whether new work may go there.
+    pub(super) fn takes_work(&self) -> bool {
+        self.present
+            && self.listed.standing == Standing::Ready
+            && self.silent.is_none()
+            && self.greeted
+            && (self.fenced || self.open.is_empty())
+    }
+}
+
+impl Shard {
+    /// Takes the entry of an executor.
+    pub(super) fn list(&mut self, now: Time, listed: Listed) {
+        self.fresh = true;
+        let id = listed.id.clone();
+        let Some(executor) = self.executors.get_mut(&id) else {
+            self.executors.insert(id, Executor::new(now, listed));
+            return;
+        };
+        if listed.born < executor.listed.born {
+            return;
+        }
+        if listed.born > executor.listed.born {
+            self.note_rebirth(now, &id, listed.born, listed.clock);
+        }
+        let Some(executor) = self.executors.get_mut(&id) else {
+            return;
+        };
+        executor.heard(now, listed.clock);
+        executor.listed = listed;
+        executor.present = true;
+        executor.note_leave(now);
+    }
+
+    /// Takes that an executor's entry is gone.
+    pub(super) fn unlist(&mut self, now: Time, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.present = false;
+        if executor.open.is_empty() && executor.told >= executor.taken {
+            self.executors.remove(id);
+        } else if executor.looking.is_none() {
+            executor.look_after = now;
+            self.idle.insert(id.clone());
+        }
+    }
+
+    /// Takes that an executor has begun a new life: what ran there is over.
+    ///
+    /// An order that was not answered may still reach the new life, so its run stays
+    /// open until a stop is answered there.
+    pub(super) fn note_rebirth(&mut self, now: Time, id: &ExecutorId, born: Born, clock: Steady) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let old = executor.listed.born;
+        let was_fenced = executor.fenced;
+        executor.reborn(now, born, clock);
+        self.out.push(Command::Log(Note::Reborn(id.clone(), born)));
+        let open: Vec<TaskId> = executor.open.iter().copied().collect();
+        let mut pending = false;
+        for task in open {
+            pending |= self.outlive(now, id, &task, old, was_fenced);
+        }
+        if !pending && let Some(executor) = self.executors.get_mut(id) {
+            executor.deadline = Steady(0);
+        }
+        self.idle.insert(id.clone());
+        self.fresh = true;
+    }
+
+    /// Returns whether an order of the task may still be carried out by the new life.
+    fn outlive(
+        &mut self,
+        now: Time,
+        id: &ExecutorId,
+        task: &TaskId,
+        old: Born,
+        fenced: bool,
+    ) -> bool {
+        let Some(found) = self.jobs.get_mut(&task.step.job).and_then(|e| e.task_mut(task)) else {
+            return false;
+        };
+        let mut pending = false;
+        let mut over = Vec::new();
+        for open in &mut found.open {
+            if open.executor != *id || open.born != old {
+                continue;
+            }
+            let may_come = matches!(
+                open.stage,
+                super::entry::Stage::Sent
+                    | super::entry::Stage::Unknown
+                    | super::entry::Stage::Inherited
+            );
+            if may_come || !fenced {
+                open.stop = Stop::Wanted;
+                pending = true;
+            } else if open.stage != super::entry::Stage::Writing {
+                over.push(open.run);
+            }
+        }
+        for run in over {
+            self.close(now, task, run, super::message::Closing::Gone, None);
+        }
+        pending
+    }
+
+    /// Closes the runs on executors whose leases have lapsed, and forgets executors
+    /// that are gone.
+    pub(super) fn close_lapsed(&mut self, now: Time) {
+        let lapsed: Vec<ExecutorId> = self
+            .executors
+            .iter()
+            .filter(|(_, e)| !e.open.is_empty() && e.has_lapsed(now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            let Some(executor) = self.executors.get_mut(&id) else {
+                continue;
+            };
+            executor.fenced = true;
+            let open: Vec<TaskId> = executor.open.iter().copied().collect();
+            for task in open {
+                self.close_at(now, &id, &task, super::message::Closing::Lapsed);
+            }
+        }
+        self.executors.retain(|_, e| e.present || !e.open.is_empty() || e.looking.is_some());
+    }
+
+    /// Closes the runs of `task` at executor `id`, but for those that are not yet sent.
+    fn close_at(&mut self, now: Time, id: &ExecutorId, task: &TaskId, by: super::message::Closing) {
+        let Some(found) = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task)) else {
+            return;
+        };
+        let runs: Vec<_> = found
+            .open
+            .iter()
+            .filter(|o| o.executor == *id && o.stage != super::entry::Stage::Writing)
+            .map(|open| open.run)
+            .collect();
+        for run in runs {
+            self.close(now, task, run, by, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/mod.rs
@@ -0,0 +1,155 @@
+//! The owner of some executors and of the jobs placed there.
+//!
+//! A run is recorded before it is ordered, so that a successor knows where each
+//! task may be running. A run is closed only by evidence: its listed end, a look
+//! under our own epoch or after an answered stop that does not list it, a lease
+//! that has lapsed by the executor's own clock, or the end of the executor's life.
+
+mod drain;
+mod end;
+mod entry;
+mod fleet;
+mod health;
+mod look;
+mod message;
+mod order;
+mod pace;
+mod place;
+mod rank;
+mod restore;
+mod settings;
+mod write;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use sycamorerill_core::clock::Time;
+
+use self::entry::Entry;
+use self::fleet::Executor;
+use self::rank::Rank;
+use crate::config::Config;
+use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
+use crate::progress::State;
+
+pub use self::message::{Batch, Closing, Command, Event, Glance, Note, Order};
+pub use self::restore::Restored;
+pub use self::settings::Settings;
+
+/// The owner of a shard under one epoch.
+#[derive(Debug)]
+pub struct Shard {
+    settings: Settings,
+    config: Arc<Config>,
+    jobs: BTreeMap<JobId, Entry>,
+    executors: BTreeMap<ExecutorId, Executor>,
+    /// Steps with tasks that wait to be placed, in the order of placement.
+    waiting: BTreeSet<(Rank, StepId)>,
+    /// Jobs whose record is behind.
+    dirty: BTreeSet<JobId>,
+    /// The batch that is being recorded.
+    writing: Option<write::Writing>,
+    /// Executors that may be due for a look.
+    idle: BTreeSet<ExecutorId>,
+    /// Scheduled jobs with occurrences to come.
+    scheduled: BTreeSet<JobId>,
+    /// Whether tasks wait that may find room now.
+    fresh: bool,
+    /// Runs that are ordered once they are recorded.
+    placed: Vec<(TaskId, Run)>,
+    /// Whether ends were taken in since the last batch.
+    taken_anew: bool,
+    /// Time of day at the latest event, in milliseconds since 1970.
+    wall_ms: u64,
+    next_tick: Time,
+    learned: pace::Learned,
+    out: Vec<Command>,
+}
+
+impl Shard {
+    /// Returns a shard without jobs and executors.
+    pub fn new(settings: Settings, config: Arc<Config>) -> Self {
+        Self {
+            settings,
+            config,
+            jobs: BTreeMap::new(),
+            executors: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            writing: None,
+            idle: BTreeSet::new(),
+            scheduled: BTreeSet::new(),
+            fresh: false,
+            placed: Vec::new(),
+            taken_anew: false,
+            wall_ms: 0,
+            next_tick: Time::ZERO,
+            learned: pace::Learned::default(),
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes an event that happens at `now`; `wall_ms` is the time of day.
+    ///
+    /// What follows from it is asked for by the next [`Shard::turn`].
+    pub fn handle(&mut self, now: Time, wall_ms: u64, event: Event) {
+        self.wall_ms = wall_ms;
+        match event {
+            Event::Configured(config) => self.configure(config),
+            Event::Accepted(job, accepted) => self.accept(now, wall_ms, job, *accepted),
+            Event::Cancelled(job) => self.cancel(now, job),
+            Event::Listed(listed) => self.list(now, *listed),
+            Event::Unlisted(executor) => self.unlist(now, &executor),
+            Event::Recorded => self.recorded(now),
+            Event::Started(order, answer) => self.started(now, &order, answer),
+            Event::Stopped(order, answer) => self.stopped(now, &order, answer),
+            Event::Paced(order, percent, answer) => self.was_paced(now, &order, percent, answer),
+            Event::Looked(glance, report) => self.looked(now, &glance, report),
+            Event::NotLooked(glance, answer) => self.not_looked(now, &glance, answer),
+        }
+    }
+
+    /// Decides what is to be done at `now`, after a series of events.
+    pub fn turn(&mut self, now: Time, wall_ms: u64) -> Vec<Command> {
+        self.wall_ms = wall_ms;
+        if now >= self.next_tick {
+            self.next_tick = now + self.settings.tick;
+            self.tick(now, wall_ms);
+        }
+        self.place_waiting(now, wall_ms);
+        self.write();
+        self.look_around(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns how long after a turn the next is due without an event.
+    pub const fn tick_every(&self) -> sycamorerill_core::clock::Span {
+        self.settings.tick
+    }
+
+    /// Returns the number of jobs that have not ended.
+    pub fn unfinished(&self) -> usize {
+        self.jobs.values().filter(|entry| !entry.state.is_terminal()).count()
+    }
+
+    /// Returns the recorded or decided state of a job.
+    pub fn state(&self, job: JobId) -> Option<State> {
+        self.jobs.get(&job).map(|entry| entry.state)
+    }
+
+    fn tick(&mut self, now: Time, wall_ms: u64) {
+        self.begin_due(wall_ms);
+        self.retry_orders(now);
+        self.close_lapsed(now);
+        self.leave_draining(now);
+        self.relieve(now);
+        self.fresh = true;
+    }
+
+    fn configure(&mut self, config: Arc<Config>) {
+        if config.version > self.config.version || self.config.version == 0 {
+            self.config = config;
+            self.fresh = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/order.rs
@@ -0,0 +1,241 @@
+//! Orders to start and stop runs, and what their answers say.
+
+use sycamorerill_core::clock::Time;
+
+use super::Shard;
+use super::entry::{Stage, Stop};
+use super::message::{Closing, Command, Note, Order};
+use crate::executor::{Answer, Refusal};
+use crate::id::{ExecutorId, JobId, Run, TaskId};
+
+impl Shard {
+    /// Orders a run whose record lasts.
+    pub(super) fn order_start(&mut self, now: Time, task: &TaskId, run: Run) {
+        let lease = self.settings.lease;
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let text = std::sync::Arc::clone(&entry.text);
+        let Some(step) = entry.step_mut(task.step.occurrence, task.step.step) else {
+            return;
+        };
+        let found = &mut step.tasks[task.index as usize];
+        let saved = (!found.saved.is_empty()).then(|| found.saved.clone());
+        let Some(open) = found.open_mut(run) else {
+            return;
+        };
+        let Some(executor) = self.executors.get_mut(&open.executor) else {
+            return;
+        };
+        if open.stage == Stage::Writing {
+            open.ordered = now;
+        }
+        open.stage = Stage::Sent;
+        open.sent = now;
+        let ticket = step.tickets.get(&open.executor).map(|(ticket, _)| ticket.clone());
+        let order = Order { executor: open.executor.clone(), task: *task, run };
+        let deadline = executor.extend(now, lease);
+        let address = executor.listed.address;
+        self.idle.insert(order.executor.clone());
+        self.out.push(Command::Start { order, address, text, deadline, saved, ticket });
+    }
+
+    /// Takes the outcome of an order to start.
+    pub(super) fn started(&mut self, now: Time, order: &Order, answer: Answer) {
+        self.heard_answer(now, &order.executor, answer);
+        let since_look = self.next_look(&order.executor);
+        let Some(open) = self.open_mut(order) else {
+            return;
+        };
+        let repeated = open.sent > open.ordered;
+        match answer {
+            Answer::Done(_) => {
+                if !matches!(open.stage, Stage::Running { .. }) {
+                    open.stage = Stage::Running { since_look };
+                    open.progress = (0, now);
+                }
+                self.look_soon(&order.executor);
+            }
+            Answer::NotSent if !repeated && open.stop == Stop::No => {
+                self.doubt(now, &order.executor);
+                self.close(now, &order.task, order.run, Closing::NotSent, None);
+            }
+            Answer::Unknown | Answer::NotSent => {
+                if open.stage == Stage::Sent {
+                    open.stage = Stage::Unknown;
+                }
+            }
+            Answer::Refused(refusal, _) => self.start_refused(now, order, refusal, repeated),
+        }
+    }
+
+    fn start_refused(&mut self, now: Time, order: &Order, refusal: Refusal, repeated: bool) {
+        if refusal == Refusal::Unhealthy
+            && let Some(executor) = self.executors.get_mut(&order.executor)
+        {
+            let pause = executor.health.refused(now);
+            self.out.push(Command::Log(Note::Quarantined(order.executor.clone(), pause)));
+        }
+        let Some(open) = self.open_mut(order) else {
+            return;
+        };
+        // An earlier order of the run may still be carried out, so it is stopped first.
+        if repeated && !matches!(refusal, Refusal::Old) {
+            if open.stop == Stop::No {
+                open.stop = Stop::Wanted;
+            }
+            self.stop_wanted(now, order.task.step.job);
+            return;
+        }
+        match refusal {
+            // It ended there already: a look lists the end.
+            Refusal::Old => {
+                let since_look = self.next_look(&order.executor);
+                if let Some(open) = self.open_mut(order) {
+                    open.stage = Stage::Running { since_look };
+                }
+                self.look_soon(&order.executor);
+            }
+            Refusal::Incarnation => {
+                self.look_soon(&order.executor);
+                self.close(now, &order.task, order.run, Closing::Refused(refusal), None);
+            }
+            _ => self.close(now, &order.task, order.run, Closing::Refused(refusal), None),
+        }
+    }
+
+    /// Takes the outcome of an order to stop.
+    pub(super) fn stopped(&mut self, now: Time, order: &Order, answer: Answer) {
+        self.heard_answer(now, &order.executor, answer);
+        let since_look = self.next_look(&order.executor);
+        let Some(open) = self.open_mut(order) else {
+            return;
+        };
+        match answer {
+            Answer::Done(_) | Answer::Refused(Refusal::Old, _) => {
+                open.stop = Stop::Answered { since_look };
+                self.look_soon(&order.executor);
+            }
+            Answer::Refused(Refusal::Incarnation, _) => self.look_soon(&order.executor),
+            Answer::Refused(..) | Answer::NotSent | Answer::Unknown => {}
+        }
+    }
+
+    /// Repeats orders that were not answered in time.
+    pub(super) fn retry_orders(&mut self, now: Time) {
+        let pause = self.settings.order_retry;
+        let mut starts = Vec::new();
+        let mut stops = Vec::new();
+        for (id, executor) in &self.executors {
+            for task in &executor.open {
+                let Some(found) = self.jobs.get(&task.step.job).and_then(|e| e.task(task)) else {
+                    continue;
+                };
+                for open in found.open.iter().filter(|open| open.executor == *id) {
+                    let due = now.since(open.sent) >= pause;
+                    match (open.stop, open.stage) {
+                        (Stop::Wanted, Stage::Writing) => {}
+                        (Stop::Wanted, _) => stops.push((*task, open.run)),
+                        (Stop::Sent(at), _) if now.since(at) >= pause.times(4) => {
+                            stops.push((*task, open.run));
+                        }
+                        (Stop::No, Stage::Unknown) if due && executor.silent.is_none() => {
+                            starts.push((*task, open.run));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        for (task, run) in starts {
+            self.order_start(now, &task, run);
+        }
+        for (task, run) in stops {
+            self.order_stop(now, &task, run);
+        }
+    }
+
+    /// Wants a run stopped.
+    pub(super) fn want_stop(&mut self, now: Time, task: &TaskId, run: Run) {
+        let found = self.jobs.get_mut(&task.step.job).and_then(|entry| entry.task_mut(task));
+        let Some(open) = found.and_then(|found| found.open_mut(run)) else {
+            return;
+        };
+        if open.stage == Stage::Writing {
+            self.close(now, task, run, Closing::NotRecorded, None);
+        } else if open.stop == Stop::No {
+            open.stop = Stop::Wanted;
+            self.order_stop(now, task, run);
+        }
+    }
+
+    /// Orders the stops that are wanted of a job.
+    pub(super) fn stop_wanted(&mut self, now: Time, job: JobId) {
+        let Some(entry) = self.jobs.get(&job) else {
+            return;
+        };
+        let mut wanted = Vec::new();
+        for (number, occurrence) in &entry.occurrences {
+            for (index, step) in (0..).zip(&occurrence.steps) {
+                let id = crate::id::StepId { job, occurrence: *number, step: index };
+                for (task, found) in (0..).zip(&step.tasks) {
+                    let stops = found.open.iter().filter(|open| open.stop == Stop::Wanted);
+                    wanted.extend(stops.map(|open| (id.task(task), open.run)));
+                }
+            }
+        }
+        for (task, run) in wanted {
+            self.order_stop(now, &task, run);
+        }
+    }
+
+    fn order_stop(&mut self, now: Time, task: &TaskId, run: Run) {
+        let found = self.jobs.get_mut(&task.step.job).and_then(|entry| entry.task_mut(task));
+        let Some(open) = found.and_then(|found| found.open_mut(run)) else {
+            return;
+        };
+        let Some(executor) = self.executors.get(&open.executor) else {
+            return;
+        };
+        open.stop = Stop::Sent(now);
+        let order = Order { executor: open.executor.clone(), task: *task, run };
+        self.out.push(Command::Stop { order, address: executor.listed.address });
+    }
+
+    /// Returns the open run that an order is about.
+    pub(super) fn open_mut(&mut self, order: &Order) -> Option<&mut super::entry::Open> {
+        let entry = self.jobs.get_mut(&order.task.step.job)?;
+        entry.task_mut(&order.task)?.open_mut(order.run)
+    }
+
+    /// Takes what any answer says of its executor.
+    pub(super) fn heard_answer(&mut self, now: Time, id: &ExecutorId, answer: Answer) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if let Answer::Done(clock) | Answer::Refused(_, Some(clock)) = answer {
+            executor.heard(now, clock);
+        }
+    }
+
+    /// Returns the number of the next look at an executor.
+    fn next_look(&self, id: &ExecutorId) -> u64 {
+        self.executors.get(id).map_or(0, |executor| executor.looks + 1)
+    }
+
+    fn look_soon(&mut self, id: &ExecutorId) {
+        self.idle.insert(id.clone());
+    }
+
+    /// Takes that an executor could not be connected to.
+    pub(super) fn doubt(&mut self, now: Time, id: &ExecutorId) {
+        if let Some(executor) = self.executors.get_mut(id)
+            && executor.silent.is_none()
+        {
+            executor.silent = Some(now);
+            executor.look_after = now + self.settings.look_retry;
+            self.idle.insert(id.clone());
+            self.out.push(Command::Log(Note::Unreachable(id.clone())));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/place.rs
@@ -0,0 +1,326 @@
+//! Where waiting tasks run.
+
+use sycamorerill_core::clock::Time;
+
+use super::Shard;
+use super::entry::{Open, Stage, Stop};
+use super::fleet::Executor;
+use super::message::{Command, Note, Order};
+use super::rank::Rank;
+use crate::id::{ExecutorId, Run, ServiceName, StepId, TaskId};
+use crate::spec::Step;
+
+/// Most steps without room that one turn tries.
+const BLOCKED_PER_TURN: usize = 200;
+/// Least share of its processor time at which a filling task is worth starting.
+const LEAST_SHARE: f64 = 0.3;
+/// What a doubted executor must be better by.
+const DOUBT: f64 = 0.5;
+/// What an executor on which the task failed must be better by.
+const AVOIDED: f64 = 2.0;
+/// What an executor that is still slow after its start must be better by.
+const COLD: f64 = 0.5;
+
+/// A step and what its placement needs to know.
+struct Need<'a> {
+    id: StepId,
+    step: &'a Step,
+    service: &'a ServiceName,
+    /// Rack of tasks of the step that run already, where one rack is preferred.
+    rack: Option<crate::id::Label>,
+}
+
+impl Shard {
+    /// Places waiting tasks, the most urgent first.
+    pub(super) fn place_waiting(&mut self, now: Time, wall_ms: u64) {
+        if !std::mem::take(&mut self.fresh) {
+            return;
+        }
+        let mut budget = self.settings.placed_per_turn;
+        let mut blocked = 0;
+        let order: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
+        for (rank, id) in order {
+            if self.is_overdue(rank, id, wall_ms) {
+                continue;
+            }
+            match self.place_step(now, id, &mut budget) {
+                true => {
+                    self.waiting.remove(&(rank, id));
+                }
+                false => blocked += 1,
+            }
+            if budget == 0 {
+                self.fresh = true;
+                return;
+            }
+            if blocked >= BLOCKED_PER_TURN {
+                return;
+            }
+        }
+    }
+
+    /// Puts a step behind all others when its job can no longer earn.
+    fn is_overdue(&mut self, rank: Rank, id: StepId, wall_ms: u64) -> bool {
+        if rank.is_hopeless() {
+            return false;
+        }
+        let Some(entry) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
+            return false;
+        };
+        let queue = self.config.queues.get(&entry.queue);
+        let anew = Rank::of(entry, queue, occurrence.begin_ms, wall_ms);
+        if !anew.is_hopeless() {
+            return false;
+        }
+        self.waiting.remove(&(rank, id));
+        self.waiting.insert((anew, id));
+        if let Some(step) =
+            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
+        {
+            step.rank = Some(anew);
+        }
+        true
+    }
+
+    /// Places waiting tasks of a step; returns whether none is left.
+    fn place_step(&mut self, now: Time, id: StepId, budget: &mut usize) -> bool {
+        let Some(entry) = self.jobs.get(&id.job) else {
+            return true;
+        };
+        let Some(service) = self.config.queues.get(&entry.queue).map(|q| q.service.clone()) else {
+            return false;
+        };
+        let Some(spec) = entry.job.steps.get(id.step as usize).cloned() else {
+            return true;
+        };
+        let Some(step) =
+            entry.occurrences.get(&id.occurrence).and_then(|o| o.steps.get(id.step as usize))
+        else {
+            return true;
+        };
+        let waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        if spec.gang {
+            return self.place_gang(now, id, &spec, &service, &waiting, budget);
+        }
+        let mut left = waiting.len();
+        for index in waiting {
+            if *budget == 0 {
+                return false;
+            }
+            let task = id.task(index);
+            if self.not_before(&task) > now {
+                continue;
+            }
+            let rack = self.rack_of(id, &spec);
+            let need = Need { id, step: &spec, service: &service, rack };
+            let Some(executor) = self.choose(now, &need, &task) else {
+                return false;
+            };
+            let run = self.next_run(&task);
+            self.open(now, &task, run, executor, &spec);
+            *budget -= 1;
+            left -= 1;
+        }
+        left == 0
+    }
+
+    /// Places all tasks of a gang or none; returns whether they were placed.
+    fn place_gang(
+        &mut self,
+        now: Time,
+        id: StepId,
+        spec: &Step,
+        service: &ServiceName,
+        waiting: &[u32],
+        budget: &mut usize,
+    ) -> bool {
+        let whole = waiting.len() == spec.count as usize;
+        if !whole || waiting.iter().any(|index| self.not_before(&id.task(*index)) > now) {
+            return false;
+        }
+        let run = waiting.iter().map(|index| self.next_run(&id.task(*index))).max();
+        let run = run.unwrap_or(Run(1));
+        self.share_checkpoint(id);
+        let mut placed = Vec::new();
+        for index in waiting {
+            let task = id.task(*index);
+            let rack = self.rack_of(id, spec);
+            let need = Need { id, step: spec, service, rack };
+            let Some(executor) = self.choose(now, &need, &task) else {
+                for task in placed {
+                    self.unplace(&task, run);
+                }
+                return false;
+            };
+            self.open(now, &task, run, executor, spec);
+            placed.push(task);
+        }
+        *budget = budget.saturating_sub(placed.len());
+        true
+    }
+
+    /// Gives all members of a gang the checkpoint that is furthest on.
+    fn share_checkpoint(&mut self, id: StepId) {
+        let Some(step) =
+            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
+        else {
+            return;
+        };
+        let saved = step.tasks.iter().map(|task| task.saved.clone()).max().unwrap_or_default();
+        for task in &mut step.tasks {
+            task.saved.clone_from(&saved);
+        }
+    }
+
+    /// Takes back a placement that was not asked to be recorded.
+    fn unplace(&mut self, task: &TaskId, run: Run) {
+        self.placed.retain(|placed| *placed != (*task, run));
+        let found = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|entry| entry.step_mut(task.step.occurrence, task.step.step));
+        if let Some(step) = found {
+            step.waiting.insert(task.index);
+        }
+        self.drop_open(task, run);
+    }
+
+    fn not_before(&self, task: &TaskId) -> Time {
+        let found = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task));
+        found.map_or(Time::ZERO, |task| task.not_before)
+    }
+
+    fn next_run(&self, task: &TaskId) -> Run {
+        let found = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task));
+        Run(found.map_or(0, |task| task.run) + 1)
+    }
+
+    /// Returns the rack on which tasks of the step run, where one rack is preferred.
+    fn rack_of(&self, id: StepId, spec: &Step) -> Option<crate::id::Label> {
+        if !spec.one_rack {
+            return None;
+        }
+        let entry = self.jobs.get(&id.job)?;
+        let step = entry.occurrences.get(&id.occurrence)?.steps.get(id.step as usize)?;
+        let open = step.tasks.iter().flat_map(|task| &task.open).next()?;
+        self.executors.get(&open.executor)?.listed.rack().cloned()
+    }
+
+    /// Opens a run, which is ordered once it is recorded.
+    fn open(&mut self, now: Time, task: &TaskId, run: Run, id: ExecutorId, spec: &Step) {
+        let Some(executor) = self.executors.get_mut(&id) else {
+            return;
+        };
+        let Some(step) = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|entry| entry.step_mut(task.step.occurrence, task.step.step))
+        else {
+            return;
+        };
+        executor.used = executor.used.plus(&spec.taken());
+        executor.filling += if spec.filling { spec.room.cpu } else { 0 };
+        executor.serving += if spec.objective_ms.is_some() { spec.room.cpu } else { 0 };
+        executor.open.insert(*task);
+        step.waiting.remove(&task.index);
+        let waited_ms = now.since(step.since).as_ms();
+        let found = &mut step.tasks[task.index as usize];
+        found.run = run.0;
+        found.open.push(Open {
+            run,
+            executor: id.clone(),
+            born: executor.listed.born,
+            stage: Stage::Writing,
+            stop: Stop::No,
+            percent: 100,
+            ordered: now,
+            sent: now,
+            progress: (0, now),
+        });
+        self.placed.push((*task, run));
+        self.dirty.insert(task.step.job);
+        let order = Order { executor: id, task: *task, run };
+        self.out.push(Command::Log(Note::Placed { order, waited_ms }));
+    }
+
+    /// Returns the best executor for a task.
+    fn choose(&self, now: Time, need: &Need<'_>, task: &TaskId) -> Option<ExecutorId> {
+        let avoid = self.jobs.get(&task.step.job)?.task(task)?.avoid.as_ref();
+        let mut best: Option<(f64, &ExecutorId)> = None;
+        for (id, executor) in &self.executors {
+            let Some(mut score) = self.score(now, need, executor) else {
+                continue;
+            };
+            if avoid == Some(id) {
+                score -= AVOIDED;
+            }
+            if best.is_none_or(|(most, _)| score > most) {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Returns how well a task of the step would do at an executor, if it may run there.
+    fn score(&self, now: Time, need: &Need<'_>, executor: &Executor) -> Option<f64> {
+        let step = need.step;
+        let listed = &executor.listed;
+        if !executor.takes_work() || listed.service != *need.service {
+            return None;
+        }
+        if executor.health.is_paused(now) {
+            return None;
+        }
+        if step.label.as_ref().is_some_and(|label| !listed.labels.contains(label)) {
+            return None;
+        }
+        if !listed.capacity.less(&executor.used).fits(&step.taken()) {
+            return None;
+        }
+        if step.spread.is_some_and(|most| here(need.id, executor) >= most as usize) {
+            return None;
+        }
+        let mut score =
+            if step.filling { self.share(step, executor)? } else { closeness(step, executor) };
+        score -= self.distance(need, executor);
+        score -= if executor.health.is_doubted() { DOUBT } else { 0.0 };
+        score -= if listed.cold.as_ms() > 0 { COLD } else { 0.0 };
+        Some(score)
+    }
+
+    /// Returns what running away from its data or its peers costs a task.
+    fn distance(&self, need: &Need<'_>, executor: &Executor) -> f64 {
+        let rack = executor.listed.rack();
+        let away = |wanted: Option<&crate::id::Label>| wanted.is_some() && wanted != rack;
+        let far = away(need.step.data_rack.as_ref()) || away(need.rack.as_ref());
+        if far { self.settings.remote_penalty - 1.0 } else { 0.0 }
+    }
+
+    /// Returns the share of its processor time that a filling task would get, less the
+    /// harm it would do.
+    fn share(&self, step: &Step, executor: &Executor) -> Option<f64> {
+        let serving = executor.serving as f64 * self.settings.serving_use;
+        let others = executor.used.cpu.saturating_sub(executor.serving) as f64;
+        let left = (executor.listed.capacity.cpu as f64 - others - serving).max(0.0);
+        let share = left / (executor.filling + step.room.cpu).max(1) as f64;
+        if share < LEAST_SHARE {
+            return None;
+        }
+        Some(share.min(1.0) - self.harm(executor))
+    }
+}
+
+/// Returns how closely a task fits, so that large gaps are kept for large tasks.
+fn closeness(step: &Step, executor: &Executor) -> f64 {
+    let capacity = executor.listed.capacity;
+    let left = capacity.less(&executor.used).less(&step.taken());
+    1.0 - left.cpu as f64 / capacity.cpu.max(1) as f64
+}
+
+/// Returns the number of tasks of the step at an executor.
+fn here(id: StepId, executor: &Executor) -> usize {
+    executor.open.range(id.task(0)..=id.task(u32::MAX)).count()
+}
--- /dev/null
+++ b/crates/jobs/src/shard/rank.rs
@@ -0,0 +1,44 @@
+//! The order in which waiting steps are placed.
+
+use sycamorerill_core::value;
+
+use super::entry::Entry;
+use crate::config::Queue;
+
+/// Group of steps whose job can no longer earn.
+const HOPELESS: u32 = u32::MAX;
+/// Times the objective up to which a late job still earns.
+const LATE_FACTOR: u64 = 3;
+
+value! {
+    /// Rank of a waiting step; lower ones are placed first.
+    pub(crate) struct Rank {
+        /// Tasks that last, then by urgency.
+        group: u32,
+        /// When the job is due, in milliseconds since 1970.
+        due_ms: u64,
+    }
+}
+
+impl Rank {
+    /// Returns the rank of the steps of `entry` in an occurrence due at `begin_ms`.
+    pub(super) fn of(entry: &Entry, queue: Option<&Queue>, begin_ms: u64, wall_ms: u64) -> Self {
+        let (priority, stretch, objective) = queue
+            .map_or((0, 1.0, 0), |queue| (queue.priority, queue.stretch, queue.objective.as_ms()));
+        let span = entry.job.chain().scale(stretch).as_ms() + objective;
+        let due_ms = begin_ms + span;
+        let group = if entry.lasting {
+            0
+        } else if wall_ms > begin_ms + LATE_FACTOR * span {
+            HOPELESS
+        } else {
+            1 + priority
+        };
+        Self { group, due_ms }
+    }
+
+    /// Reports whether the job can no longer earn.
+    pub(super) const fn is_hopeless(self) -> bool {
+        self.group == HOPELESS
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/restore.rs
@@ -0,0 +1,189 @@
+//! How a successor goes on from what is recorded.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::data;
+
+use super::Shard;
+use super::end::new_entry;
+use super::entry::{Entry, Open, Stage, Stop};
+use super::fleet::Executor;
+use crate::executor::{Born, Listed, Standing, Steady};
+use crate::id::{DomainName, ExecutorId, JobId, Run, ServiceName, StepId, TaskId};
+use crate::progress::{Progress, State, TaskRecord};
+use crate::spec::{Accepted, Room};
+
+/// Slowest rate of an executor's clock against ours.
+const SLOWEST_CLOCK: f64 = 0.98;
+
+data! {
+    /// What is recorded of a shard.
+    #[derive(Default)]
+    pub struct Restored {
+        /// Accepted jobs.
+        pub jobs: Vec<(JobId, Accepted)>,
+        /// Jobs that were cancelled.
+        pub cancelled: Vec<JobId>,
+        /// Records of jobs.
+        pub progress: Vec<(JobId, Progress)>,
+    }
+}
+
+impl Shard {
+    /// Takes what predecessors recorded, after the executors were listed.
+    pub fn restore(&mut self, now: Time, wall_ms: u64, restored: Restored) {
+        self.wall_ms = wall_ms;
+        for (id, accepted) in restored.jobs {
+            self.jobs.insert(id, new_entry(accepted));
+        }
+        for (id, progress) in restored.progress {
+            self.restore_job(now, id, &progress);
+        }
+        for id in restored.cancelled {
+            self.cancel(now, id);
+        }
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in jobs {
+            self.begin(now, wall_ms, id);
+            self.stop_wanted(now, id);
+        }
+        self.fresh = true;
+    }
+
+    fn restore_job(&mut self, now: Time, id: JobId, progress: &Progress) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        entry.state = progress.state;
+        entry.shown = progress.state;
+        if progress.state.is_terminal() {
+            entry.ended = Some(now);
+        }
+        for done in &progress.done {
+            restore_done(entry, now, done.occurrence, done.step, &done.indices);
+        }
+        let whole: Vec<u32> = entry
+            .occurrences
+            .iter()
+            .filter(|(_, found)| found.steps.iter().all(|step| step.left == 0))
+            .map(|(number, _)| *number)
+            .collect();
+        entry.finished.extend(whole);
+        let stop = if progress.state.is_terminal() { Stop::Wanted } else { Stop::No };
+        for record in &progress.tasks {
+            self.restore_task(now, id, record, stop);
+        }
+    }
+
+    fn restore_task(&mut self, now: Time, job: JobId, record: &TaskRecord, stop: Stop) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        begin_occurrence(entry, now, record.occurrence);
+        let id = StepId { job, occurrence: record.occurrence, step: record.step };
+        let id = id.task(record.index);
+        let Some(task) = entry.task_mut(&id) else {
+            return;
+        };
+        task.run = record.run;
+        task.failed = record.failed;
+        task.saved.clone_from(&record.saved);
+        let stop = if task.done { Stop::Wanted } else { stop };
+        task.open = record
+            .open
+            .iter()
+            .map(|open| Open {
+                run: Run(open.run),
+                executor: open.executor.clone(),
+                born: Born(open.born),
+                stage: Stage::Inherited,
+                stop,
+                percent: 100,
+                ordered: now,
+                sent: now,
+                progress: (0, now),
+            })
+            .collect();
+        for open in &record.open {
+            self.inherit(now, &id, &open.executor, Born(open.born));
+        }
+    }
+
+    /// Takes that a predecessor's run may be at an executor.
+    fn inherit(&mut self, now: Time, task: &TaskId, id: &ExecutorId, born: Born) {
+        let settings = self.settings;
+        let room = self.jobs.get(&task.step.job).map(|entry| {
+            let step = &entry.job.steps[task.step.step as usize];
+            (step.taken(), step.room.cpu, step.filling, step.objective_ms.is_some())
+        });
+        let Some((taken, cpu, filling, serving)) = room else {
+            return;
+        };
+        let executor =
+            self.executors.entry(id.clone()).or_insert_with(|| Executor::unknown(now, id, born));
+        executor.fenced = false;
+        let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + Span::from_ms(200);
+        executor.inherited_until = now + settings.predecessor + lease;
+        executor.open.insert(*task);
+        executor.used = executor.used.plus(&taken);
+        executor.filling += if filling { cpu } else { 0 };
+        executor.serving += if serving { cpu } else { 0 };
+        self.idle.insert(id.clone());
+    }
+}
+
+impl Executor {
+    /// Returns an executor that runs were recorded on and that is not listed.
+    fn unknown(now: Time, id: &ExecutorId, born: Born) -> Self {
+        let listed = Listed {
+            id: id.clone(),
+            born,
+            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            service: ServiceName::from(""),
+            domain: DomainName::from(""),
+            standing: Standing::Draining,
+            cold: Span::ZERO,
+            remaining: None,
+            capacity: Room::default(),
+            labels: Vec::new(),
+            clock: Steady(0),
+        };
+        let mut executor = Self::new(now, listed);
+        executor.present = false;
+        executor
+    }
+
+    /// Reports whether its address is known.
+    pub(super) fn has_address(&self) -> bool {
+        self.listed.address.port() != 0
+    }
+}
+
+fn begin_occurrence(entry: &mut Entry, now: Time, number: u32) {
+    if !entry.occurrences.contains_key(&number) {
+        let occurrence = entry.occurrence(number, now);
+        entry.occurrences.insert(number, occurrence);
+    }
+    entry.next_occurrence = entry.next_occurrence.max(number + 1);
+    if entry.state == State::Queued {
+        entry.state = State::Running;
+    }
+}
+
+fn restore_done(entry: &mut Entry, now: Time, occurrence: u32, step: u32, indices: &[u32]) {
+    begin_occurrence(entry, now, occurrence);
+    let Some(step) = entry.step_mut(occurrence, step) else {
+        return;
+    };
+    let all = 0..step.tasks.len() as u32;
+    let indices = if indices.is_empty() { all.collect() } else { indices.to_vec() };
+    for index in indices {
+        if let Some(task) = step.tasks.get_mut(index as usize)
+            && !task.done
+        {
+            task.done = true;
+            step.left -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/settings.rs
@@ -0,0 +1,59 @@
+//! Times and thresholds of a shard.
+
+use sycamorerill_core::clock::Span;
+use sycamorerill_core::data;
+
+data! {
+    /// Times and thresholds of a shard.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Time between looks at timers.
+        pub tick: Span,
+        /// Lease that each look and order gives.
+        pub lease: Span,
+        /// Longest lease that an executor gives, from the platform's bounds.
+        pub longest_lease: Span,
+        /// Longest wait of a look for an end.
+        pub look_wait: Span,
+        /// Pause before an executor that did not answer is looked at again.
+        pub look_retry: Span,
+        /// Pause before an order without an answer is repeated.
+        pub order_retry: Span,
+        /// How long a predecessor may go on extending leases unseen.
+        pub predecessor: Span,
+        /// Longest time that a stop takes at an executor.
+        pub stop_grace: Span,
+        /// Factor on run time away from the data or from other tasks of the step.
+        pub remote_penalty: f64,
+        /// Longest time over its objective that a task may be held by others.
+        pub harm: Span,
+        /// How long a finished job is remembered.
+        pub remember: Span,
+        /// Most runs placed in one turn.
+        pub placed_per_turn: usize,
+        /// Share of a serving task's processor time that it is thought to use.
+        pub serving_use: f64,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            tick: Span::from_ms(50),
+            // Outlives a takeover of the shard, about 2 s, twice.
+            lease: Span::from_ms(5_000),
+            longest_lease: Span::from_ms(10_000),
+            // The longest that executors offer: each look is paid for.
+            look_wait: Span::from_ms(2_000),
+            look_retry: Span::from_ms(250),
+            order_retry: Span::from_ms(200),
+            predecessor: Span::from_ms(8_000),
+            stop_grace: Span::from_ms(900),
+            remote_penalty: 1.5,
+            harm: Span::from_ms(4_000),
+            remember: Span::from_secs(150),
+            placed_per_turn: 128,
+            serving_use: 0.5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/shard/write.rs
@@ -0,0 +1,173 @@
+//! What is recorded, and what may happen once it lasts.
+
+use std::collections::BTreeSet;
+
+use sycamorerill_core::clock::Time;
+
+use super::Shard;
+use super::entry::{Entry, Stage};
+use super::message::{Batch, Command};
+use crate::executor::Born;
+use crate::id::{ExecutorId, JobId, Run, TaskId};
+use crate::progress::{DoneRecord, OpenRun, Progress, State, TaskRecord};
+
+/// Most jobs in one batch: each takes up to two of the 100 entries of a transaction.
+const JOBS_PER_BATCH: usize = 45;
+
+/// A batch that is being recorded.
+#[derive(Debug, Default)]
+pub(super) struct Writing {
+    /// Runs that are ordered when it is recorded.
+    starts: Vec<(TaskId, Run)>,
+    /// Ends that are recorded with it.
+    ends: Vec<(ExecutorId, Born, u64)>,
+    /// Jobs that are forgotten with it.
+    forgotten: Vec<JobId>,
+}
+
+impl Shard {
+    /// Asks for a batch to be recorded, if something is to be and none is under way.
+    pub(super) fn write(&mut self) {
+        if self.writing.is_some() {
+            return;
+        }
+        if self.dirty.is_empty() {
+            self.settle_known_ends();
+            return;
+        }
+        let jobs: BTreeSet<JobId> = self.dirty.iter().copied().take(JOBS_PER_BATCH).collect();
+        self.dirty.retain(|job| !jobs.contains(job));
+        let mut batch = Batch::default();
+        let mut writing = Writing::default();
+        for job in &jobs {
+            self.write_job(*job, &mut batch);
+        }
+        let placed = std::mem::take(&mut self.placed);
+        let (ready, later) = placed.into_iter().partition(|(t, _)| jobs.contains(&t.step.job));
+        writing.starts = ready;
+        self.placed = later;
+        if self.dirty.is_empty() {
+            writing.ends = self.ends_taken();
+            self.taken_anew = false;
+        }
+        self.writing = Some(writing);
+        self.out.push(Command::Record(batch));
+    }
+
+    fn write_job(&mut self, id: JobId, batch: &mut Batch) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let started = |entry: &Entry| entry.occurrences.values().any(has_started);
+        if entry.state == State::Queued && started(entry) {
+            entry.state = State::Running;
+        }
+        batch.progress.push((id, progress(entry)));
+        if entry.shown != entry.state {
+            entry.shown = entry.state;
+            batch.states.push((id, entry.state));
+        }
+    }
+
+    /// Returns the ends that were taken in and are not recorded.
+    fn ends_taken(&self) -> Vec<(ExecutorId, Born, u64)> {
+        self.executors
+            .iter()
+            .filter(|(_, executor)| executor.taken > executor.recorded)
+            .map(|(id, executor)| (id.clone(), executor.listed.born, executor.taken))
+            .collect()
+    }
+
+    /// Takes ends that changed nothing as recorded.
+    fn settle_known_ends(&mut self) {
+        if !std::mem::take(&mut self.taken_anew) {
+            return;
+        }
+        for (id, born, taken) in self.ends_taken() {
+            self.end_recorded(&id, born, taken);
+        }
+    }
+
+    fn end_recorded(&mut self, id: &ExecutorId, born: Born, taken: u64) {
+        if let Some(executor) = self.executors.get_mut(id)
+            && executor.listed.born == born
+        {
+            executor.recorded = executor.recorded.max(taken);
+            self.idle.insert(id.clone());
+        }
+    }
+
+    /// Takes that the batch is recorded.
+    pub(super) fn recorded(&mut self, now: Time) {
+        let Some(writing) = self.writing.take() else {
+            return;
+        };
+        for (id, born, taken) in writing.ends {
+            self.end_recorded(&id, born, taken);
+        }
+        for (task, run) in writing.starts {
+            let entry = self.jobs.get(&task.step.job);
+            let open = entry
+                .and_then(|e| e.task(&task))
+                .and_then(|found| found.open.iter().find(|open| open.run == run));
+            if open.is_some_and(|open| open.stage == Stage::Writing) {
+                self.order_start(now, &task, run);
+            }
+        }
+        for job in writing.forgotten {
+            self.jobs.remove(&job);
+        }
+    }
+}
+
+fn has_started(occurrence: &super::entry::Occurrence) -> bool {
+    occurrence.steps.iter().flat_map(|step| &step.tasks).any(|task| task.run > 0)
+}
+
+/// Returns the record of a job.
+fn progress(entry: &Entry) -> Progress {
+    let mut done = Vec::new();
+    let mut tasks = Vec::new();
+    let whole = |occurrence: u32| {
+        (0..entry.job.steps.len() as u32).map(move |step| DoneRecord {
+            occurrence,
+            step,
+            indices: Vec::new(),
+        })
+    };
+    let kept = |number: &&u32| !entry.occurrences.contains_key(number);
+    done.extend(entry.finished.iter().filter(kept).copied().flat_map(whole));
+    for (occurrence, found) in &entry.occurrences {
+        for (number, step) in (0..).zip(&found.steps) {
+            let all = step.left == 0;
+            let indices: Vec<u32> = (0..)
+                .zip(&step.tasks)
+                .filter(|(_, task)| task.done && !all)
+                .map(|(index, _)| index)
+                .collect();
+            if all || !indices.is_empty() {
+                done.push(DoneRecord { occurrence: *occurrence, step: number, indices });
+            }
+            let touched = (0..)
+                .zip(&step.tasks)
+                .filter(|(_, task)| (task.run > 0 && !task.done) || !task.open.is_empty());
+            tasks.extend(touched.map(|(index, task)| TaskRecord {
+                occurrence: *occurrence,
+                step: number,
+                index,
+                run: task.run,
+                failed: task.failed,
+                saved: task.saved.clone(),
+                open: task.open.iter().map(open_run).collect(),
+            }));
+        }
+    }
+    if entry.state.is_terminal() {
+        tasks.retain(|task| !task.open.is_empty());
+    }
+    Progress { state: entry.state, done, tasks }
+}
+
+fn open_run(open: &super::entry::Open) -> OpenRun {
+    OpenRun { run: open.run.0, executor: open.executor.clone(), born: open.born.0 }
+}
--- /dev/null
+++ b/crates/jobs/src/tenure.rs
@@ -0,0 +1,187 @@
+//! When an entry instance claims a shard, renews its claim and gives it up.
+//!
+//! The claim is a row of the platform's store. It is taken over by a write under
+//! the condition that it is unchanged, so that two claimants cannot both succeed.
+//! A holder that is thought dead but lives loses nothing but its claim: all that
+//! it would record is conditional on the row, and executors refuse its lower epoch.
+
+use serde::{Deserialize, Serialize};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::data;
+
+use crate::id::InstanceName;
+
+data! {
+    /// The row that says who owns a shard.
+    #[derive(Serialize, Deserialize)]
+    pub struct Claim {
+        /// Epoch, which rises with each claim; the fencing token of all orders.
+        #[serde(rename = "e")]
+        pub epoch: u64,
+        /// Instance that holds the shard; none where it was given up.
+        #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+        pub holder: Option<InstanceName>,
+        /// Start of the holder's process in milliseconds since 1970.
+        #[serde(rename = "b", default)]
+        pub started_ms: u64,
+        /// Number of renewals.
+        #[serde(rename = "n", default)]
+        pub renewal: u64,
+    }
+}
+
+data! {
+    /// Times that govern claims.
+    #[derive(Copy)]
+    pub struct Settings {
+        /// Time between renewals of a held claim.
+        pub renew_every: Span,
+        /// Silence of a holder after which others may claim its shard.
+        pub patience: Span,
+        /// Time by which instances that would claim at once are spread.
+        pub spread: Span,
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            // A third of the patience, so that two renewals may be lost or slow.
+            renew_every: Span::from_ms(400),
+            // Longer than two renewals at the store's usual worst answer.
+            patience: Span::from_ms(1_500),
+            // A claim's write and the news of it take about 30 ms.
+            spread: Span::from_ms(150),
+        }
+    }
+}
+
+/// What is to be done about a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing now.
+    Wait,
+    /// Write a claim with a higher epoch, on condition that the row is unchanged.
+    Claim,
+    /// Renew the claim.
+    Renew,
+}
+
+/// What an instance knows of the claim on one shard.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    settings: Settings,
+    me: InstanceName,
+    started_ms: u64,
+    /// Fraction of the spread that this instance waits, 0 to 1.
+    rank: f64,
+    seen: Option<Claim>,
+    /// When the claim last changed, or the store was first heard after silence.
+    changed: Option<Time>,
+    renewed: Time,
+    confirmed: Time,
+    attempt: Option<Time>,
+}
+
+impl Tenure {
+    /// Returns what `me`, a process started at `started_ms`, knows at the start.
+    ///
+    /// `rank` from 0 to 1 orders instances that would claim at once.
+    pub fn new(settings: Settings, me: InstanceName, started_ms: u64, rank: f64) -> Self {
+        let rank = rank.clamp(0.0, 1.0);
+        Self {
+            settings,
+            me,
+            started_ms,
+            rank,
+            seen: None,
+            changed: None,
+            renewed: Time::ZERO,
+            confirmed: Time::ZERO,
+            attempt: None,
+        }
+    }
+
+    /// Takes the claim as read from the store at `now`; `None` where there is no row.
+    pub fn observe(&mut self, now: Time, claim: Option<Claim>) {
+        if self.seen != claim || self.changed.is_none() {
+            self.seen = claim;
+            self.changed = Some(now);
+        }
+    }
+
+    /// Takes that the store was out of reach until `now`: a holder's silence during
+    /// that time says nothing.
+    pub fn store_was_away(&mut self, now: Time) {
+        if self.changed.is_some() {
+            self.changed = Some(now);
+        }
+    }
+
+    /// Takes that a renewal or claim was acknowledged that was sent at `sent`.
+    pub fn renewed(&mut self, sent: Time, claim: Claim) {
+        self.renewed = sent;
+        self.confirm(sent);
+        self.changed = Some(sent);
+        self.attempt = None;
+        self.seen = Some(claim);
+    }
+
+    /// Takes that a write under the claim was acknowledged that was sent at `sent`.
+    pub fn confirm(&mut self, sent: Time) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// Returns the latest claim seen.
+    pub const fn claim(&self) -> Option<&Claim> {
+        self.seen.as_ref()
+    }
+
+    /// Returns when the latest write under the claim that was acknowledged was sent.
+    pub const fn confirmed(&self) -> Time {
+        self.confirmed
+    }
+
+    /// Reports whether the claim names this process.
+    pub fn is_mine(&self) -> bool {
+        self.seen.as_ref().is_some_and(|claim| {
+            claim.holder.as_ref() == Some(&self.me) && claim.started_ms == self.started_ms
+        })
+    }
+
+    /// Returns the claim that this process would write next.
+    pub fn next_claim(&self) -> Claim {
+        let holder = Some(self.me.clone());
+        let (epoch, renewal) = match &self.seen {
+            Some(claim) if self.is_mine() => (claim.epoch, claim.renewal + 1),
+            Some(claim) => (claim.epoch + 1, 0),
+            None => (1, 0),
+        };
+        Claim { epoch, holder, started_ms: self.started_ms, renewal }
+    }
+
+    /// Returns the claim that gives the shard up, keeping its epoch.
+    pub fn release(&self) -> Claim {
+        let epoch = self.seen.as_ref().map_or(0, |claim| claim.epoch);
+        Claim { epoch, holder: None, started_ms: 0, renewal: 0 }
+    }
+
+    /// Returns what is to be done at `now`.
+    pub fn step(&mut self, now: Time) -> Step {
+        let Some(changed) = self.changed else {
+            return Step::Wait;
+        };
+        if self.is_mine() {
+            let due = now.since(self.renewed) >= self.settings.renew_every;
+            return if due { Step::Renew } else { Step::Wait };
+        }
+        let held = self.seen.as_ref().is_some_and(|claim| claim.holder.is_some());
+        let patience = if held { self.settings.patience } else { Span::ZERO };
+        let spread = self.settings.spread.scale(self.rank);
+        if now.since(changed) < patience + spread || self.attempt.is_some_and(|at| at > now) {
+            return Step::Wait;
+        }
+        self.attempt = Some(now + self.settings.spread + Span::from_ms(400));
+        Step::Claim
+    }
+}
--- /dev/null
+++ b/crates/node/src/keeper/commit.rs
@@ -0,0 +1,125 @@
+//! Writes under the claim on a shard, repeated until their outcome is known.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use serde::{Deserialize, Serialize};
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::data;
+use sycamorerill_jobs::id::ShardId;
+use sycamorerill_jobs::tenure::Claim;
+
+use crate::clock;
+use crate::front::{decode, encode};
+use crate::layout::{self, CLAIM, SEQUENCE};
+use crate::port::{Error, Platform, Row, Table, Transaction, Version};
+use crate::run::Outside;
+
+/// Time that the store has for one attempt.
+const ATTEMPT: Span = Span::from_ms(500);
+/// Pause after the store refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(60);
+/// Attempts at a claim.
+const CLAIM_ATTEMPTS: u32 = 4;
+
+data! {
+    /// The row that each transaction of an owner rewrites: it tells whether a
+    /// transaction whose answer was lost took effect.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(super) struct Sequence {
+        /// Epoch of the owner.
+        #[serde(rename = "e")]
+        pub(super) epoch: u64,
+        /// Number of the transaction under this epoch.
+        #[serde(rename = "n")]
+        pub(super) number: u64,
+    }
+}
+
+data! {
+    /// The outcome of a transaction of an owner.
+    pub(crate) enum Committed {
+        /// It took effect.
+        Done {
+            /// When it was first sent.
+            sent: Time,
+            /// Version of the sequence row.
+            sequence: Version,
+            /// Version of the claim, where it was rewritten.
+            claim: Option<Version>,
+        },
+        /// Another owns the shard.
+        Lost(Option<Row>),
+    }
+}
+
+/// Writes a claim on condition that the row has `version`; returns the row that is
+/// there instead where it has another.
+pub(super) async fn claim<P: Platform>(
+    outside: &Outside<P>,
+    shard: ShardId,
+    claim: Claim,
+    version: Version,
+) -> Result<(Claim, Version), Option<Row>> {
+    let place = layout::of_shard(Table::Claims, shard, CLAIM);
+    let first = Sequence { epoch: claim.epoch, number: 0 };
+    let sequence = layout::of_shard(Table::Progress, shard, SEQUENCE);
+    let change = Transaction {
+        expected: vec![(place.clone(), version)],
+        writes: vec![(place, encode(&claim)), (sequence, encode(&first))],
+        removes: Vec::new(),
+    };
+    for _ in 0..CLAIM_ATTEMPTS {
+        match outside.platform.transact(&change, ATTEMPT).await {
+            Ok(version) => return Ok((claim, version)),
+            Err(Error::Conflict(rows)) => {
+                let row = rows.into_iter().find(|row| row.name == CLAIM);
+                let mine = row.as_ref().and_then(decode) == Some(claim.clone());
+                return match row {
+                    Some(row) if mine => Ok((claim, row.version)),
+                    row => Err(row),
+                };
+            }
+            Err(Error::Unknown) => {}
+            Err(_) => {
+                Timer::after(REFUSED_PAUSE).await;
+            }
+        }
+    }
+    Err(None)
+}
+
+/// Makes a change of an owner, again and again until its outcome is known.
+pub(super) async fn commit<P: Platform>(
+    outside: &Outside<P>,
+    change: Transaction,
+    mine: Sequence,
+    renews: bool,
+) -> Committed {
+    let sent = clock::now();
+    loop {
+        match outside.platform.transact(&change, ATTEMPT).await {
+            Ok(version) => {
+                let claim = renews.then_some(version);
+                return Committed::Done { sent, sequence: version, claim };
+            }
+            Err(Error::Conflict(rows)) => return judge(sent, &rows, mine, renews),
+            Err(Error::Unknown) => {}
+            Err(_) => {
+                Timer::after(REFUSED_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells from the rows whether an earlier attempt took effect.
+fn judge(sent: Time, rows: &[Row], mine: Sequence, renews: bool) -> Committed {
+    let sequence = rows.iter().find(|row| row.name == SEQUENCE);
+    match sequence {
+        Some(row) if decode(row) == Some(mine) => {
+            let claim = renews.then_some(row.version);
+            Committed::Done { sent, sequence: row.version, claim }
+        }
+        _ => Committed::Lost(rows.iter().find(|row| row.name == CLAIM).cloned()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/keeper/note.rs
@@ -0,0 +1,81 @@
+//! Log lines of shards.
+
+use sycamorerill_jobs::executor::Answer;
+use sycamorerill_jobs::id::ShardId;
+use sycamorerill_jobs::shard::{Event, Note, Order};
+
+use crate::log::{Code, Line};
+
+/// Logs a decision of a shard.
+pub(super) fn write(shard: ShardId, note: &Note) {
+    match note {
+        Note::Placed { order, waited_ms } => {
+            run(Code::Placed, shard, order).number("waited_ms", *waited_ms).write();
+        }
+        Note::Closed { order, by } => {
+            run(Code::Closed, shard, order).text("by", format_args!("{by:?}")).write();
+        }
+        Note::Finished { job, state } => Line::new(Code::Finished)
+            .text("job", job)
+            .text("state", format_args!("{state:?}"))
+            .write(),
+        Note::Unreachable(executor) => {
+            Line::new(Code::Executor).text("executor", executor).text("state", "silent").write();
+        }
+        Note::Reachable(executor) => {
+            Line::new(Code::Executor).text("executor", executor).text("state", "answers").write();
+        }
+        Note::Reborn(executor, born) => Line::new(Code::Executor)
+            .text("executor", executor)
+            .text("state", "reborn")
+            .number("born", born.0)
+            .write(),
+        Note::Quarantined(executor, pause) => Line::new(Code::Quarantined)
+            .text("executor", executor)
+            .number("pause_ms", pause.as_ms())
+            .write(),
+        Note::Paced { order, percent } => {
+            run(Code::Paced, shard, order).number("percent", u64::from(*percent)).write();
+        }
+    }
+}
+
+/// Logs an answer that is not the usual one.
+pub(super) fn answer(what: &str, order: &Order, answer: Answer) {
+    if matches!(answer, Answer::Done(_)) {
+        return;
+    }
+    Line::new(Code::OrderFailed)
+        .text("order", what)
+        .text("task", order.task)
+        .text("run", order.run)
+        .text("executor", &order.executor)
+        .text("answer", format_args!("{answer:?}"))
+        .write();
+}
+
+/// Logs an event that changes what a shard believes of an executor.
+pub(super) fn event(shard: ShardId, event: &Event) {
+    let line = |executor, state| {
+        Line::new(Code::Executor)
+            .text("shard", shard)
+            .text("executor", executor)
+            .text("state", state)
+            .write();
+    };
+    match event {
+        Event::Unlisted(executor) => line(executor, "unlisted"),
+        Event::NotLooked(glance, answer) => {
+            line(&glance.executor, &*format!("not looked: {answer:?}"));
+        }
+        _ => {}
+    }
+}
+
+fn run(code: Code, shard: ShardId, order: &Order) -> Line {
+    Line::new(code)
+        .text("shard", shard)
+        .text("task", order.task)
+        .text("run", order.run)
+        .text("executor", &order.executor)
+}
--- /dev/null
+++ b/crates/node/src/layout.rs
@@ -0,0 +1,127 @@
+//! Where rows lie: parts of tables for jobs and shards.
+
+use serde::{Deserialize, Serialize};
+use sycamorerill_core::data;
+use sycamorerill_jobs::id::{JobId, Label, ShardId};
+use sycamorerill_jobs::spec::Job;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::port::{Key, Table};
+
+/// Parts over which accepted jobs are spread: each takes 200 transactions a second.
+pub(crate) const JOB_PARTS: u64 = 4;
+/// Executors for which one owner is meant.
+const EXECUTORS_PER_SHARD: usize = 75;
+/// Name of the row with the claim on a shard.
+pub(crate) const CLAIM: &str = "owner";
+/// Name of the row that each transaction of an owner rewrites.
+pub(crate) const SEQUENCE: &str = "sequence";
+/// Name of the row with the layout.
+const LAYOUT: &str = "layout";
+/// What follows a job's identifier in the name of the row that cancels it.
+const CANCEL_MARK: &str = "!";
+
+data! {
+    /// Number of shards, agreed once for a deployment.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct Layout {
+        /// Number of shards, at least 1.
+        pub(crate) shards: u32,
+    }
+}
+
+impl Layout {
+    /// Returns the layout for a number of executors.
+    pub(crate) fn for_executors(executors: usize) -> Self {
+        Self { shards: executors.div_ceil(EXECUTORS_PER_SHARD).max(1) as u32 }
+    }
+
+    /// Returns all shards.
+    pub(crate) fn shards(self) -> impl Iterator<Item = ShardId> {
+        (0..self.shards).map(ShardId)
+    }
+
+    /// Returns the shard of executors in a rack.
+    pub(crate) fn of_rack(self, rack: Option<&Label>) -> ShardId {
+        let hash = rack.map_or(0, |rack| xxh3_64(rack.as_str().as_bytes()));
+        ShardId((hash % u64::from(self.shards)) as u32)
+    }
+
+    /// Returns the shard of a job: that of its data, or one by its identifier.
+    pub(crate) fn of_job(self, id: JobId, job: &Job) -> ShardId {
+        match job.steps.iter().find_map(|step| step.data_rack.as_ref()) {
+            Some(rack) => self.of_rack(Some(rack)),
+            None => ShardId((id.0 % u64::from(self.shards)) as u32),
+        }
+    }
+
+    /// Returns the parts of a table.
+    pub(crate) fn parts(self, table: Table) -> Vec<String> {
+        let jobs = (0..JOB_PARTS).map(job_part_name);
+        let shards = self.shards().map(shard_part);
+        match table {
+            Table::Accepted => jobs.collect(),
+            Table::States => jobs.chain(shards).collect(),
+            Table::Progress | Table::Claims => shards.collect(),
+            Table::Declared | Table::Executors | Table::Status => vec![String::new()],
+        }
+    }
+}
+
+/// Returns the place of the layout.
+pub(crate) fn layout() -> Key {
+    Key { table: Table::Claims, part: String::new(), name: LAYOUT.to_owned() }
+}
+
+/// Returns the part of a shard.
+pub(crate) fn shard_part(shard: ShardId) -> String {
+    shard.to_string()
+}
+
+/// Returns the part of an accepted job.
+pub(crate) fn job_part(id: JobId) -> String {
+    // The low bits choose the shard.
+    job_part_name((id.0 >> 32) % JOB_PARTS)
+}
+
+fn job_part_name(number: u64) -> String {
+    format!("j{number}")
+}
+
+/// Returns the place of an accepted job.
+pub(crate) fn accepted(id: JobId) -> Key {
+    Key { table: Table::Accepted, part: job_part(id), name: id.to_string() }
+}
+
+/// Returns the place of the row that cancels a job.
+pub(crate) fn cancelled(id: JobId) -> Key {
+    Key { table: Table::Accepted, part: job_part(id), name: format!("{id}{CANCEL_MARK}") }
+}
+
+/// Returns the place of the row that says that a job was accepted.
+pub(crate) fn queued(id: JobId) -> Key {
+    Key { table: Table::States, part: job_part(id), name: id.to_string() }
+}
+
+/// Returns the place of a row of a shard.
+pub(crate) fn of_shard(table: Table, shard: ShardId, name: &str) -> Key {
+    Key { table, part: shard_part(shard), name: name.to_owned() }
+}
+
+/// A row of the table of accepted jobs, by its name.
+pub(crate) enum AcceptedRow {
+    /// The job itself.
+    Job(JobId),
+    /// Its cancelling.
+    Cancel(JobId),
+}
+
+impl AcceptedRow {
+    /// Reads the name of a row; none where it is another's.
+    pub(crate) fn parse(name: &str) -> Option<Self> {
+        match name.strip_suffix(CANCEL_MARK) {
+            Some(id) => id.parse().ok().map(Self::Cancel),
+            None => name.parse().ok().map(Self::Job),
+        }
+    }
+}
