jobs: learn by pairs of images what filling tasks press on serving ones

A fit over 22,529 reports showed that each serving image minds only some filling images: the logarithm of its tail grows by 5 to 9 times the share of processors that those use, and by about 0 for the others. Change: least squares by pair over recent reports; filling tasks are placed where the expected tail stays under the objective and paced by weight; serving tasks of one image go together; an alarm paces all when a task stays over. Looks wait 0.8 s on executors with both.

--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -216,24 +216,15 @@
     /// Takes a run off its task and its executor.
     pub(super) fn drop_open(&mut self, task: &TaskId, run: Run) -> Option<ExecutorId> {
         let entry = self.jobs.get_mut(&task.step.job)?;
-        let step = entry.job.steps.get(task.step.step as usize)?;
-        let (taken, cpu, filling) = (step.taken(), step.room.cpu, step.filling);
-        let serving = step.objective_ms.is_some();
+        let step = entry.job.steps.get(task.step.step as usize)?.clone();
         let found = entry.task_mut(task)?;
         let at = found.open.iter().position(|open| open.run == run)?;
         let open = found.open.swap_remove(at);
         let same = found.open.iter().any(|other| other.executor == open.executor);
         if let Some(executor) = self.executors.get_mut(&open.executor) {
-            executor.used = executor.used.less(&taken);
-            if filling {
-                executor.filling = executor.filling.saturating_sub(cpu);
-            }
-            if serving {
-                executor.serving = executor.serving.saturating_sub(cpu);
-            }
+            executor.give_room(&step);
             if !same {
                 executor.open.remove(task);
-                executor.tails.remove(task);
             }
             self.idle.insert(open.executor.clone());
         }
--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -8,8 +8,8 @@
 use super::message::Note;
 use super::{Command, Shard};
 use crate::executor::{Born, Listed, Standing, Steady};
-use crate::id::{ExecutorId, TaskId};
-use crate::spec::Room;
+use crate::id::{ExecutorId, Image, TaskId};
+use crate::spec::{Room, Step};
 
 /// Slowest rate of an executor's clock against ours.
 const SLOWEST_CLOCK: f64 = 0.98;
@@ -37,8 +37,10 @@
     pub(super) open: BTreeSet<TaskId>,
     /// Room that open runs take.
     pub(super) used: Room,
-    /// Processor time that filling runs there ask for, in thousandths of a core.
-    pub(super) filling: u64,
+    /// Processor time that filling runs there ask for, by image.
+    pub(super) fills: BTreeMap<Image, u64>,
+    /// Processor time that serving runs there ask for, by image.
+    pub(super) servings: BTreeMap<Image, u64>,
     /// Processor time that serving runs there ask for, in thousandths of a core.
     pub(super) serving: u64,
     /// Highest number of an end that was taken in.
@@ -56,8 +58,8 @@
     /// Since when it does not answer.
     pub(super) silent: Option<Time>,
     pub(super) health: super::health::Health,
-    /// Latest tails of the serving tasks there: tail and since when over objective.
-    pub(super) tails: BTreeMap<TaskId, super::pace::Tail>,
+    /// Latest tails of the serving images there.
+    pub(super) tails: BTreeMap<Image, super::pace::Tail>,
 }
 
 impl Executor {
@@ -75,7 +77,8 @@
             inherited_until: Time::ZERO,
             open: BTreeSet::new(),
             used: Room::default(),
-            filling: 0,
+            fills: BTreeMap::new(),
+            servings: BTreeMap::new(),
             serving: 0,
             taken: 0,
             recorded: 0,
@@ -134,6 +137,33 @@
         self.tails.clear();
     }
 
+    /// Takes room for a run of a step.
+    pub(super) fn take_room(&mut self, task: TaskId, step: &Step) {
+        self.used = self.used.plus(&step.taken());
+        let cpu = step.room.cpu;
+        if step.filling {
+            *self.fills.entry(super::pace::image(step)).or_default() += cpu;
+        }
+        if step.objective_ms.is_some() {
+            self.serving += cpu;
+            *self.servings.entry(super::pace::image(step)).or_default() += cpu;
+        }
+        self.open.insert(task);
+    }
+
+    /// Gives back the room of a run of a step.
+    pub(super) fn give_room(&mut self, step: &Step) {
+        self.used = self.used.less(&step.taken());
+        let cpu = step.room.cpu;
+        if step.filling {
+            give(&mut self.fills, step);
+        }
+        if step.objective_ms.is_some() {
+            self.serving = self.serving.saturating_sub(cpu);
+            give(&mut self.servings, step);
+        }
+    }
+
     fn note_leave(&mut self, now: Time) {
         self.leaves = match (self.listed.standing, self.listed.remaining) {
             (Standing::Draining, Some(remaining)) => Some(now + remaining),
@@ -152,6 +182,17 @@
     }
 }
 
+fn give(from: &mut BTreeMap<Image, u64>, step: &Step) {
+    let image = super::pace::image(step);
+    let Some(cpu) = from.get_mut(&image) else {
+        return;
+    };
+    *cpu = cpu.saturating_sub(step.room.cpu);
+    if *cpu == 0 {
+        from.remove(&image);
+    }
+}
+
 impl Shard {
     /// Takes the entry of an executor.
     pub(super) fn list(&mut self, now: Time, listed: Listed) {
--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -48,7 +48,10 @@
         executor.looking = Some(now);
         let wait = match executor.silent {
             None if !executor.open.is_empty() && executor.fenced && executor.greeted => {
-                settings.look_wait
+                match executor.fills.is_empty() || executor.servings.is_empty() {
+                    true => settings.look_wait,
+                    false => settings.look_wait_mixed,
+                }
             }
             _ => NO_WAIT,
         };
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod look;
 mod message;
+mod model;
 mod order;
 mod pace;
 mod place;
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -7,100 +7,196 @@
 use super::Shard;
 use super::fleet::Executor;
 use super::message::{Command, Note, Order};
+use super::model::{Model, Shares};
 use crate::executor::{Answer, Running};
-use crate::id::{ExecutorId, Run, TaskId};
-
-/// Tail over objective above which filling tasks are slowed at once.
-const HIGH: f64 = 0.9;
-/// Tail over objective below which filling tasks are let on.
-const LOW: f64 = 0.7;
-/// Factor on the share of filling tasks when a tail is high.
-const SLOWER: f64 = 0.5;
-/// Share below which a filling task stands still, in percent.
-const LEAST_PERCENT: u32 = 10;
-/// Share by which filling tasks are let on, in percent.
-const FASTER: u32 = 20;
-/// Time between two steps up.
-const UP_EVERY: Span = Span::from_ms(700);
-/// Time between two steps down: the tail is over the last half second.
-const DOWN_EVERY: Span = Span::from_ms(600);
-/// Harm of one serving task beside a filling one, as a share of its work.
-const HARM_PER_SERVING: f64 = 0.02;
-/// Harm where a serving task is near its objective already.
-const HARM_NEAR_OBJECTIVE: f64 = 0.4;
-
-/// The latest tail of a serving task.
+use crate::id::{ExecutorId, Image, Run, TaskId};
+use crate::spec::Step;
+
+/// Tail over objective that pacing aims at, as a logarithm.
+const AIM: f64 = -0.29;
+/// Tail over objective up to which filling tasks are placed, as a logarithm.
+const PLACED_UP_TO: f64 = -0.36;
+/// Weight below which a filling image is taken to do no harm.
+const HARMLESS: f64 = 0.4;
+/// Time between two paces at an executor: the tail is over the last half second.
+const PACE_EVERY: Span = Span::from_ms(500);
+/// Smallest change of pace worth an order, in percent.
+const LEAST_CHANGE: u32 = 15;
+/// Largest step up, in percent.
+const STEP_UP: u32 = 35;
+/// Part of the longest harm after which all filling tasks are slowed, whatever is
+/// learned.
+const ALARM: f64 = 0.3;
+/// Part of the longest harm after which all filling tasks stand still.
+const HALT: f64 = 0.55;
+/// Pace of all filling tasks after the alarm, in percent.
+const ALARM_PERCENT: u32 = 30;
+/// What a rise of the logarithm of a tail costs a placement.
+const PRESSURE_COST: f64 = 0.4;
+
+/// The latest tail of the tasks of a serving image at an executor.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Tail {
     /// Tail over objective.
     pub(super) ratio: f64,
+    /// Since when it is over its objective.
+    pub(super) over: Option<Time>,
 }
 
-/// When filling tasks at an executor were last slowed or let on.
+/// What is learned of images, and when executors were last paced.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Learned {
-    stepped: BTreeMap<ExecutorId, Time>,
+    model: Model,
+    paced: BTreeMap<ExecutorId, Time>,
+}
+
+/// A filling run at an executor.
+struct Filling {
+    task: TaskId,
+    run: Run,
+    image: Image,
+    /// Share of the executor's processors that it would use at full pace.
+    share: f64,
+    percent: u32,
 }
 
 impl Shard {
     /// Takes what the tasks at an executor use and how their users fare.
     pub(super) fn observe(&mut self, now: Time, id: &ExecutorId, running: &[Running]) {
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let capacity = executor.listed.capacity.cpu.max(1) as f64;
+        let mut shares = Shares::new();
+        let mut others = 0.0;
+        let mut tails: BTreeMap<Image, f64> = BTreeMap::new();
         for row in running {
-            let objective = self
-                .jobs
-                .get(&row.task.step.job)
-                .and_then(|entry| entry.job.steps.get(row.task.step.step as usize)?.objective_ms);
-            let (Some(objective), Some(tail)) = (objective, row.load) else {
+            let (Some(step), Some(load)) = (self.spec(&row.task), row.load) else {
                 continue;
             };
-            let Some(executor) = self.executors.get_mut(id) else {
-                return;
-            };
-            let ratio = tail as f64 / objective.max(1) as f64;
-            executor.tails.insert(row.task, Tail { ratio });
+            let load = load as f64;
+            match (step.objective_ms, step.filling) {
+                (Some(objective), _) => {
+                    let tail = tails.entry(image(step)).or_default();
+                    *tail = tail.max(load / objective.max(1) as f64);
+                }
+                (None, true) => *shares.entry(image(step)).or_default() += load / capacity,
+                (None, false) => others += load / capacity,
+            }
+        }
+        for (serving, ratio) in tails.iter().filter(|(_, ratio)| **ratio > 0.0) {
+            self.learned.model.learn(now, serving, *ratio, &shares, others);
+        }
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.note_tails(now, tails);
         }
         self.pace(now, id);
     }
 
-    /// Slows filling tasks beside a serving one near its objective, or lets them on.
+    /// Returns the step of a task.
+    fn spec(&self, task: &TaskId) -> Option<&Step> {
+        self.jobs.get(&task.step.job)?.job.steps.get(task.step.step as usize)
+    }
+
+    /// Slows filling tasks beside serving ones near their objective, or lets them on.
     fn pace(&mut self, now: Time, id: &ExecutorId) {
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        if executor.filling == 0 {
+        let since = self.learned.paced.get(id).map_or(Span::MAX, |at| now.since(*at));
+        if executor.fills.is_empty() || since < PACE_EVERY {
             return;
         }
-        let worst = executor.worst_tail();
-        let since = self.learned.stepped.get(id).map_or(Span::MAX, |at| now.since(*at));
-        let down = worst > HIGH && since >= DOWN_EVERY;
-        let up = worst < LOW && since >= UP_EVERY;
-        if !down && !up {
-            return;
+        let fillings = self.fillings(id, executor);
+        let wanted = self.paces(now, executor, &fillings);
+        let orders: Vec<(TaskId, Run, u32)> = fillings
+            .iter()
+            .zip(wanted)
+            .map(|(filling, percent)| (filling, percent.min(filling.percent + STEP_UP)))
+            .filter(|(filling, percent)| {
+                let change = percent.abs_diff(filling.percent);
+                change >= LEAST_CHANGE || (change > 0 && (*percent == 0 || *percent == 100))
+            })
+            .map(|(filling, percent)| (filling.task, filling.run, percent))
+            .collect();
+        if !orders.is_empty() {
+            self.learned.paced.insert(id.clone(), now);
         }
-        let mut orders = Vec::new();
+        for (task, run, percent) in orders {
+            self.order_pace(id, task, run, percent);
+        }
+    }
+
+    /// Returns the filling runs at an executor.
+    fn fillings(&self, id: &ExecutorId, executor: &Executor) -> Vec<Filling> {
+        let capacity = executor.listed.capacity.cpu.max(1) as f64;
+        let mut fillings = Vec::new();
         for task in &executor.open {
-            let Some(entry) = self.jobs.get(&task.step.job) else {
+            let Some(step) = self.spec(task).filter(|step| step.filling) else {
                 continue;
             };
-            if !entry.job.steps[task.step.step as usize].filling {
-                continue;
-            }
-            let Some(found) = entry.task(task) else {
+            let Some(found) = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task))
+            else {
                 continue;
             };
-            for open in found.open.iter().filter(|open| open.executor == *id) {
-                let percent = if down { slower(open.percent) } else { faster(open.percent) };
-                if percent != open.percent {
-                    orders.push((*task, open.run, percent));
-                }
+            let here = found.open.iter().filter(|open| open.executor == *id);
+            fillings.extend(here.map(|open| Filling {
+                task: *task,
+                run: open.run,
+                image: image(step),
+                share: step.room.cpu as f64 / capacity,
+                percent: open.percent,
+            }));
+        }
+        fillings
+    }
+
+    /// Returns the pace of each filling run at which all serving tasks keep their
+    /// objective.
+    fn paces(&self, now: Time, executor: &Executor, fillings: &[Filling]) -> Vec<u32> {
+        let mut paces = vec![100; fillings.len()];
+        for (serving, tail) in &executor.tails {
+            let mine = self.paces_for(now, serving, tail, fillings);
+            for (pace, mine) in paces.iter_mut().zip(mine) {
+                *pace = (*pace).min(mine);
             }
         }
-        if !orders.is_empty() {
-            self.learned.stepped.insert(id.clone(), now);
+        paces
+    }
+
+    fn paces_for(&self, now: Time, serving: &Image, tail: &Tail, fillings: &[Filling]) -> Vec<u32> {
+        let harm = self.settings.harm;
+        let over = tail.over.map_or(Span::ZERO, |since| now.since(since));
+        if over >= harm.scale(HALT) {
+            return vec![0; fillings.len()];
         }
-        for (task, run, percent) in orders {
-            self.order_pace(id, task, run, percent);
+        let most = if over >= harm.scale(ALARM) { ALARM_PERCENT } else { 100 };
+        let weights: Vec<f64> = fillings
+            .iter()
+            .map(|filling| self.learned.model.weight(serving, &filling.image))
+            .collect();
+        let pressure = |(filling, weight): (&Filling, &f64)| filling.share * weight;
+        let now_pressing: f64 = fillings
+            .iter()
+            .zip(&weights)
+            .map(|pair| pressure(pair) * f64::from(pair.0.percent) / 100.0)
+            .sum();
+        // What the filling tasks may press in all for the tail to be as aimed at.
+        let mut budget = (now_pressing + AIM - tail.ratio.max(0.01).ln()).max(0.0);
+        let mut order: Vec<usize> = (0..fillings.len()).collect();
+        order.sort_by(|a, b| weights[*a].total_cmp(&weights[*b]));
+        let mut paces = vec![most; fillings.len()];
+        for index in order {
+            let weight = weights[index];
+            if weight < HARMLESS {
+                continue;
+            }
+            let full = fillings[index].share * weight;
+            let part = (budget / full.max(f64::MIN_POSITIVE)).min(1.0);
+            paces[index] = most.min((part * 100.0) as u32);
+            budget -= part * full;
         }
+        paces
     }
 
     fn order_pace(&mut self, id: &ExecutorId, task: TaskId, run: Run, percent: u32) {
@@ -108,9 +204,10 @@
         let Some(address) = self.executors.get(id).map(|executor| executor.listed.address) else {
             return;
         };
-        if let Some(open) = self.open_mut(&order) {
-            open.percent = percent;
-        }
+        let Some(open) = self.open_mut(&order) else {
+            return;
+        };
+        open.percent = percent;
         self.out.push(Command::Log(Note::Paced { order: order.clone(), percent }));
         self.out.push(Command::Pace { order, address, percent });
     }
@@ -121,40 +218,62 @@
         if matches!(answer, Answer::Done(_)) {
             return;
         }
-        // Not known to be in force: the next step starts from the other end.
+        // Not known to be in force: what is wanted next differs from it, and is ordered.
         if let Some(open) = self.open_mut(order)
             && open.percent == percent
         {
-            open.percent = if percent == 100 { LEAST_PERCENT } else { 100 };
-            self.learned.stepped.remove(&order.executor);
+            open.percent = if percent == 100 { 0 } else { 100 };
+            self.learned.paced.remove(&order.executor);
         }
     }
 
-    /// Returns the harm that a filling task would do at an executor.
-    pub(super) fn harm(&self, executor: &Executor) -> f64 {
-        let near = executor.worst_tail() > LOW;
-        let near = if near { HARM_NEAR_OBJECTIVE } else { 0.0 };
-        HARM_PER_SERVING * executor.tails.len() as f64 + near
+    /// Returns what a filling task of the step would press on serving tasks at an
+    /// executor; none where it would push one over its objective.
+    pub(super) fn pressure(&self, step: &Step, executor: &Executor) -> Option<f64> {
+        let capacity = executor.listed.capacity.cpu.max(1) as f64;
+        let filling = image(step);
+        let mut cost = 0.0;
+        for serving in executor.servings.keys() {
+            let model = &self.learned.model;
+            let there: f64 = executor
+                .fills
+                .iter()
+                .map(|(image, cpu)| model.weight(serving, image) * *cpu as f64 / capacity)
+                .sum();
+            let added = model.weight(serving, &filling) * step.room.cpu as f64 / capacity;
+            let seen = executor.tails.get(serving).map_or(0.0, |tail| tail.ratio);
+            let expected = model.alone(serving) + there + added;
+            let harmless = model.weight(serving, &filling) < HARMLESS;
+            if !harmless && (expected > PLACED_UP_TO || seen > 1.0) {
+                return None;
+            }
+            cost += PRESSURE_COST * added;
+        }
+        Some(cost)
     }
 
-    /// Reconsiders executors where filling tasks are slowed and none is looked at.
+    /// Forgets when executors were paced that have not been for long.
     pub(super) fn relieve(&mut self, now: Time) {
-        self.learned.stepped.retain(|_, at| now.since(*at) < UP_EVERY.times(10));
+        self.learned.paced.retain(|_, at| now.since(*at) < PACE_EVERY);
     }
 }
 
 impl Executor {
-    /// Returns the worst tail over objective of the serving tasks there.
-    fn worst_tail(&self) -> f64 {
-        self.tails.values().map(|tail| tail.ratio).fold(0.0, f64::max)
+    /// Takes the tails of the serving images there.
+    fn note_tails(&mut self, now: Time, tails: BTreeMap<Image, f64>) {
+        let before = std::mem::take(&mut self.tails);
+        self.tails = tails
+            .into_iter()
+            .map(|(image, ratio)| {
+                let since = before.get(&image).and_then(|tail| tail.over);
+                let over = (ratio > 1.0).then(|| since.unwrap_or(now));
+                (image, Tail { ratio, over })
+            })
+            .collect();
     }
 }
 
-fn slower(percent: u32) -> u32 {
-    let percent = (f64::from(percent) * SLOWER) as u32;
-    if percent < LEAST_PERCENT { 0 } else { percent }
-}
-
-fn faster(percent: u32) -> u32 {
-    (percent + FASTER).min(100)
+/// Returns the image of a step; steps without one behave alike.
+pub(super) fn image(step: &Step) -> Image {
+    step.image.clone().unwrap_or_else(|| Image::from(""))
 }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -18,6 +18,8 @@
 const DOUBT: f64 = 0.5;
 /// What an executor on which the task failed must be better by.
 const AVOIDED: f64 = 2.0;
+/// What serving tasks of the same image beside it are worth to a serving task.
+const ALIKE: f64 = 1.0;
 /// What an executor that is still slow after its start must be better by.
 const COLD: f64 = 0.5;
 
@@ -221,10 +223,7 @@
         else {
             return;
         };
-        executor.used = executor.used.plus(&spec.taken());
-        executor.filling += if spec.filling { spec.room.cpu } else { 0 };
-        executor.serving += if spec.objective_ms.is_some() { spec.room.cpu } else { 0 };
-        executor.open.insert(*task);
+        executor.take_room(*task, spec);
         step.waiting.remove(&task.index);
         let waited_ms = now.since(step.since).as_ms();
         let found = &mut step.tasks[task.index as usize];
@@ -305,11 +304,12 @@
         let serving = executor.serving as f64 * self.settings.serving_use;
         let others = executor.used.cpu.saturating_sub(executor.serving) as f64;
         let left = (executor.listed.capacity.cpu as f64 - others - serving).max(0.0);
-        let share = left / (executor.filling + step.room.cpu).max(1) as f64;
+        let filling: u64 = executor.fills.values().sum();
+        let share = left / (filling + step.room.cpu).max(1) as f64;
         if share < LEAST_SHARE {
             return None;
         }
-        Some(share.min(1.0) - self.harm(executor))
+        Some(share.min(1.0) - self.pressure(step, executor)?)
     }
 }
 
@@ -317,7 +317,14 @@
 fn closeness(step: &Step, executor: &Executor) -> f64 {
     let capacity = executor.listed.capacity;
     let left = capacity.less(&executor.used).less(&step.taken());
-    1.0 - left.cpu as f64 / capacity.cpu.max(1) as f64
+    let close = 1.0 - left.cpu as f64 / capacity.cpu.max(1) as f64;
+    let all: u64 = executor.servings.values().sum();
+    if step.objective_ms.is_none() || all == 0 {
+        return close;
+    }
+    // Serving tasks of one image mind the same filling ones, so they go together.
+    let alike = executor.servings.get(&super::pace::image(step)).copied().unwrap_or(0);
+    close + ALIKE * (alike as f64 / all as f64 - 0.5)
 }
 
 /// Returns the number of tasks of the step at an executor.
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -113,11 +113,11 @@
     /// Takes that a predecessor's run may be at an executor.
     fn inherit(&mut self, now: Time, task: &TaskId, id: &ExecutorId, born: Born) {
         let settings = self.settings;
-        let room = self.jobs.get(&task.step.job).map(|entry| {
-            let step = &entry.job.steps[task.step.step as usize];
-            (step.taken(), step.room.cpu, step.filling, step.objective_ms.is_some())
-        });
-        let Some((taken, cpu, filling, serving)) = room else {
+        let step = self
+            .jobs
+            .get(&task.step.job)
+            .and_then(|entry| entry.job.steps.get(task.step.step as usize).cloned());
+        let Some(step) = step else {
             return;
         };
         let executor =
@@ -125,10 +125,7 @@
         executor.fenced = false;
         let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + Span::from_ms(200);
         executor.inherited_until = now + settings.predecessor + lease;
-        executor.open.insert(*task);
-        executor.used = executor.used.plus(&taken);
-        executor.filling += if filling { cpu } else { 0 };
-        executor.serving += if serving { cpu } else { 0 };
+        executor.take_room(*task, &step);
         self.idle.insert(id.clone());
     }
 }
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -15,6 +15,8 @@
         pub longest_lease: Span,
         /// Longest wait of a look for an end.
         pub look_wait: Span,
+        /// Longest wait of a look where tasks that fill run beside tasks that serve.
+        pub look_wait_mixed: Span,
         /// Pause before an executor that did not answer is looked at again.
         pub look_retry: Span,
         /// Pause before an order without an answer is repeated.
@@ -45,6 +47,8 @@
             longest_lease: Span::from_ms(10_000),
             // The longest that executors offer: each look is paid for.
             look_wait: Span::from_ms(2_000),
+            // A fifth of the time that serving tasks may be held over their objective.
+            look_wait_mixed: Span::from_ms(800),
             look_retry: Span::from_ms(250),
             order_retry: Span::from_ms(200),
             predecessor: Span::from_ms(8_000),
