jobs: the tail of a serving task is that of a queue, its load is its job's

Cause: with logarithms of tails the expected tail of one image mixed jobs in the trough and at the crest of their load (a swing of 14 s): placements at the crest went over. Reports of nine tasks of one image side by side showed lows of 13 and highs of 49 ms. Change: busy share = load of the job + weights times shares, tail = rest / (1 - busy); the load is followed by job over all executors; serving tasks of one image together where they can be.

--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -140,6 +140,7 @@
         };
         entry.state = state;
         entry.ended = Some(now);
+        self.learned.model.forget(id);
         self.scheduled.remove(&id);
         let mut steps = Vec::new();
         let mut dropped = Vec::new();
--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -8,7 +8,7 @@
 use super::message::Note;
 use super::{Command, Shard};
 use crate::executor::{Born, Listed, Standing, Steady};
-use crate::id::{ExecutorId, Image, TaskId};
+use crate::id::{ExecutorId, Image, JobId, TaskId};
 use crate::spec::{Room, Step};
 
 /// Slowest rate of an executor's clock against ours.
@@ -58,8 +58,8 @@
     /// Since when it does not answer.
     pub(super) silent: Option<Time>,
     pub(super) health: super::health::Health,
-    /// Latest tails of the serving images there.
-    pub(super) tails: BTreeMap<Image, super::pace::Tail>,
+    /// Latest tails of the serving jobs there.
+    pub(super) tails: BTreeMap<JobId, super::pace::Tail>,
 }
 
 impl Executor {
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -1,49 +1,70 @@
 //! How much tasks that fill press on tasks that serve, learned by pairs of images.
 //!
-//! For each serving image the logarithm of tail over objective is taken as a sum: what
-//! it is alone, and for each filling image the share of the executor's processors that
-//! it uses times a weight. The weights follow from least squares over recent reports,
-//! in which older ones count for less.
+//! The tail of a serving task behaves as that of a queue: it is its tail at rest over
+//! what is left when its busy share is taken from 1. The busy share is taken as a sum:
+//! the load of its own users, which all tasks of a job have in common and which moves
+//! within seconds, and for each filling image the share of the executor's processors
+//! that it uses, times a weight. The weights follow from least squares over recent
+//! reports, in which older ones count for less.
 
 use std::collections::BTreeMap;
 
 use sycamorerill_core::clock::{Span, Time};
 
-use crate::id::Image;
+use crate::id::{Image, JobId};
 
 /// Most filling images told apart; further ones share the last place.
 const IMAGES: usize = 24;
-/// Inputs besides those of filling images: a constant and the other tasks.
-const FIXED: usize = 2;
-/// Logarithm of tail over objective of an image alone, before anything is known.
-const PRIOR_ALONE: f64 = -0.9;
+/// Inputs besides those of filling images: tasks that neither fill nor serve.
+const FIXED: usize = 1;
 /// Weight of a filling image before anything is known.
-const PRIOR_WEIGHT: f64 = 2.0;
-/// How much the prior counts, in the unit of squared shares: ten reports of a tenth.
-const PRIOR_STRENGTH: f64 = 0.06;
-/// How much the prior of the constant counts, in reports.
-const PRIOR_REPORTS: f64 = 4.0;
+const PRIOR_WEIGHT: f64 = 1.0;
+/// How much the prior counts, in squared shares: five reports of a tenth.
+const PRIOR_STRENGTH: f64 = 0.05;
 /// Part of the older reports that each new one leaves.
 const KEEP: f64 = 0.999;
 /// Time between two solutions.
 const SOLVE_EVERY: Span = Span::from_ms(150);
 /// Largest weight that is believed.
-const MOST_WEIGHT: f64 = 20.0;
+const MOST_WEIGHT: f64 = 12.0;
+/// Load of a job's users before anything is known.
+const PRIOR_LOAD: f64 = 0.45;
+/// Part of a report in what is thought of the load of a job.
+const FOLLOW: f64 = 0.35;
+/// Pressure at which a report says half as much of the load.
+const MUDDLED: f64 = 0.08;
+/// Tail at rest over objective before any tail was seen.
+const PRIOR_REST: f64 = 0.2;
+/// Part of the lowest tail seen that the tail at rest is at most.
+const REST_BELOW: f64 = 0.9;
+/// Busiest share that a tail is read as; beyond, tails say only that they are long.
+const MOST_BUSY: f64 = 0.96;
 
 /// Shares of an executor's processors in use, by filling image.
 pub(super) type Shares = BTreeMap<Image, f64>;
 
+/// A tail as reported: of which job and image, over its objective.
+#[derive(Clone, Debug)]
+pub(super) struct Sample {
+    pub(super) job: JobId,
+    pub(super) image: Image,
+    pub(super) ratio: f64,
+}
+
 /// What is learned of all images.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Model {
     /// Places of filling images among the inputs.
     places: BTreeMap<Image, usize>,
     serving: BTreeMap<Image, Fit>,
+    loads: BTreeMap<JobId, f64>,
 }
 
 /// What is learned of one serving image.
 #[derive(Clone, Debug)]
 struct Fit {
+    /// Tail at rest over objective.
+    rest: f64,
     /// Sums of products of inputs, by rows.
     products: Vec<f64>,
     /// Sums of inputs times outcome.
@@ -53,27 +74,27 @@
 }
 
 impl Model {
-    /// Takes one report: `ratio` is tail over objective of a serving image.
-    pub(super) fn learn(
-        &mut self,
-        now: Time,
-        serving: &Image,
-        ratio: f64,
-        shares: &Shares,
-        others: f64,
-    ) {
+    /// Takes one report.
+    pub(super) fn learn(&mut self, now: Time, sample: &Sample, shares: &Shares, others: f64) {
         let mut inputs = vec![0.0; FIXED + IMAGES];
-        inputs[0] = 1.0;
-        inputs[1] = others;
+        inputs[0] = others;
         for (image, share) in shares {
             inputs[self.place(image)] += share;
         }
-        let fit = self.serving.entry(serving.clone()).or_insert_with(Fit::new);
-        fit.add(&inputs, ratio.max(0.01).ln());
-        if now.since(fit.solved) >= SOLVE_EVERY {
-            fit.solve();
-            fit.solved = now;
+        let fit = self.serving.entry(sample.image.clone()).or_insert_with(Fit::new);
+        fit.rest = fit.rest.min(sample.ratio * REST_BELOW);
+        let busy = fit.busy(sample.ratio);
+        let pressed = fit.pressed(&inputs);
+        let load = self.loads.entry(sample.job).or_insert(PRIOR_LOAD);
+        if shares.values().sum::<f64>() > 0.0 {
+            fit.add(&inputs, busy - *load);
+            if now.since(fit.solved) >= SOLVE_EVERY {
+                fit.solve();
+                fit.solved = now;
+            }
         }
+        let clear = 1.0 / (1.0 + (pressed / MUDDLED).powi(2));
+        *load += (busy - pressed - *load) * FOLLOW * clear;
     }
 
     fn place(&mut self, image: &Image) -> usize {
@@ -81,8 +102,7 @@
         *self.places.entry(image.clone()).or_insert(next)
     }
 
-    /// Returns by how much a share of 1 of a filling image raises the logarithm of a
-    /// serving image's tail.
+    /// Returns by how much a share of 1 of a filling image makes a serving one busier.
     pub(super) fn weight(&self, serving: &Image, filling: &Image) -> f64 {
         let place = self.places.get(filling);
         match (self.serving.get(serving), place) {
@@ -91,23 +111,50 @@
         }
     }
 
-    /// Returns the logarithm of tail over objective of a serving image alone.
-    pub(super) fn alone(&self, serving: &Image) -> f64 {
-        self.serving.get(serving).map_or(PRIOR_ALONE, |fit| fit.weights[0])
+    /// Returns how busy a serving task is whose tail over objective is `ratio`.
+    pub(super) fn busy(&self, serving: &Image, ratio: f64) -> f64 {
+        let rest = self.serving.get(serving).map_or(PRIOR_REST, |fit| fit.rest);
+        busy(rest, ratio)
+    }
+
+    /// Returns the load of a job's own users.
+    pub(super) fn load(&self, job: JobId) -> f64 {
+        self.loads.get(&job).copied().unwrap_or(PRIOR_LOAD)
+    }
+
+    /// Forgets a job.
+    pub(super) fn forget(&mut self, job: JobId) {
+        self.loads.remove(&job);
     }
 }
 
+/// Returns how busy a task is from its tails at rest and now, both over its objective.
+fn busy(rest: f64, ratio: f64) -> f64 {
+    (1.0 - rest / ratio.max(rest)).min(MOST_BUSY)
+}
+
 impl Fit {
     fn new() -> Self {
         let size = FIXED + IMAGES;
-        let mut fit = Self {
+        let mut weights = vec![PRIOR_WEIGHT; size];
+        weights[..FIXED].fill(0.0);
+        Self {
+            rest: PRIOR_REST,
             products: vec![0.0; size * size],
             outcomes: vec![0.0; size],
-            weights: vec![PRIOR_WEIGHT; size],
+            weights,
             solved: Time::ZERO,
-        };
-        fit.weights[0] = PRIOR_ALONE;
-        fit
+        }
+    }
+
+    fn busy(&self, ratio: f64) -> f64 {
+        busy(self.rest, ratio)
+    }
+
+    /// Returns what the inputs add to the busy share.
+    fn pressed(&self, inputs: &[f64]) -> f64 {
+        let pairs = inputs.iter().zip(&self.weights);
+        pairs.map(|(input, weight)| input * weight.clamp(0.0, MOST_WEIGHT)).sum()
     }
 
     fn add(&mut self, inputs: &[f64], outcome: f64) {
@@ -127,13 +174,9 @@
         let mut rows = self.products.clone();
         let mut values = self.outcomes.clone();
         for place in 0..size {
-            let (strength, prior) = match place {
-                0 => (PRIOR_REPORTS, PRIOR_ALONE),
-                1 => (PRIOR_STRENGTH, 0.0),
-                _ => (PRIOR_STRENGTH, PRIOR_WEIGHT),
-            };
-            rows[place * size + place] += strength;
-            values[place] += strength * prior;
+            let prior = if place < FIXED { 0.0 } else { PRIOR_WEIGHT };
+            rows[place * size + place] += PRIOR_STRENGTH;
+            values[place] += PRIOR_STRENGTH * prior;
         }
         // The prior makes the matrix positive definite, so no pivot is zero.
         for pivot in 0..size {
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -7,17 +7,17 @@
 use super::Shard;
 use super::fleet::Executor;
 use super::message::{Command, Note, Order};
-use super::model::{Model, Shares};
+use super::model::{Model, Sample, Shares};
 use crate::executor::{Answer, Running};
-use crate::id::{ExecutorId, Image, Run, TaskId};
+use crate::id::{ExecutorId, Image, JobId, Run, TaskId};
 use crate::spec::Step;
 
-/// Tail over objective that pacing aims at, as a logarithm.
-const AIM: f64 = -0.29;
-/// Tail over objective up to which filling tasks are placed, as a logarithm.
-const PLACED_UP_TO: f64 = -0.36;
+/// Room below the busy share at the objective that pacing leaves.
+const AIM_BELOW: f64 = 0.07;
+/// Room below the busy share at the objective up to which filling tasks are placed.
+const PLACED_BELOW: f64 = 0.10;
 /// Weight below which a filling image is taken to do no harm.
-const HARMLESS: f64 = 0.4;
+const HARMLESS: f64 = 0.15;
 /// Time between two paces at an executor: the tail is over the last half second.
 const PACE_EVERY: Span = Span::from_ms(500);
 /// Smallest change of pace worth an order, in percent.
@@ -31,12 +31,14 @@
 const HALT: f64 = 0.55;
 /// Pace of all filling tasks after the alarm, in percent.
 const ALARM_PERCENT: u32 = 30;
-/// What a rise of the logarithm of a tail costs a placement.
-const PRESSURE_COST: f64 = 0.4;
+/// What making a serving task busier costs a placement.
+const PRESSURE_COST: f64 = 2.0;
 
-/// The latest tail of the tasks of a serving image at an executor.
-#[derive(Clone, Copy, Debug)]
+/// The latest tail of the tasks of a serving job at an executor.
+#[derive(Clone, Debug)]
 pub(super) struct Tail {
+    /// Image of the tasks.
+    pub(super) image: Image,
     /// Tail over objective.
     pub(super) ratio: f64,
     /// Since when it is over its objective.
@@ -46,7 +48,7 @@
 /// What is learned of images, and when executors were last paced.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Learned {
-    model: Model,
+    pub(super) model: Model,
     paced: BTreeMap<ExecutorId, Time>,
 }
 
@@ -69,26 +71,30 @@
         let capacity = executor.listed.capacity.cpu.max(1) as f64;
         let mut shares = Shares::new();
         let mut others = 0.0;
-        let mut tails: BTreeMap<Image, f64> = BTreeMap::new();
+        let mut samples: BTreeMap<JobId, Sample> = BTreeMap::new();
         for row in running {
             let (Some(step), Some(load)) = (self.spec(&row.task), row.load) else {
                 continue;
             };
             let load = load as f64;
             match (step.objective_ms, step.filling) {
-                (Some(objective), _) => {
-                    let tail = tails.entry(image(step)).or_default();
-                    *tail = tail.max(load / objective.max(1) as f64);
+                (Some(objective), _) if load > 0.0 => {
+                    let ratio = load / objective.max(1) as f64;
+                    let job = row.task.step.job;
+                    let sample = Sample { job, image: image(step), ratio };
+                    let kept = samples.entry(job).or_insert(sample);
+                    kept.ratio = kept.ratio.max(ratio);
                 }
+                (Some(_), _) => {}
                 (None, true) => *shares.entry(image(step)).or_default() += load / capacity,
                 (None, false) => others += load / capacity,
             }
         }
-        for (serving, ratio) in tails.iter().filter(|(_, ratio)| **ratio > 0.0) {
-            self.learned.model.learn(now, serving, *ratio, &shares, others);
+        for sample in samples.values() {
+            self.learned.model.learn(now, sample, &shares, others);
         }
         if let Some(executor) = self.executors.get_mut(id) {
-            executor.note_tails(now, tails);
+            executor.note_tails(now, samples);
         }
         self.pace(now, id);
     }
@@ -155,8 +161,8 @@
     /// objective.
     fn paces(&self, now: Time, executor: &Executor, fillings: &[Filling]) -> Vec<u32> {
         let mut paces = vec![100; fillings.len()];
-        for (serving, tail) in &executor.tails {
-            let mine = self.paces_for(now, serving, tail, fillings);
+        for (job, tail) in &executor.tails {
+            let mine = self.paces_for(now, *job, tail, fillings);
             for (pace, mine) in paces.iter_mut().zip(mine) {
                 *pace = (*pace).min(mine);
             }
@@ -164,25 +170,31 @@
         paces
     }
 
-    fn paces_for(&self, now: Time, serving: &Image, tail: &Tail, fillings: &[Filling]) -> Vec<u32> {
+    fn paces_for(&self, now: Time, job: JobId, tail: &Tail, fillings: &[Filling]) -> Vec<u32> {
         let harm = self.settings.harm;
+        let model = &self.learned.model;
         let over = tail.over.map_or(Span::ZERO, |since| now.since(since));
         if over >= harm.scale(HALT) {
             return vec![0; fillings.len()];
         }
         let most = if over >= harm.scale(ALARM) { ALARM_PERCENT } else { 100 };
-        let weights: Vec<f64> = fillings
-            .iter()
-            .map(|filling| self.learned.model.weight(serving, &filling.image))
-            .collect();
+        let weights: Vec<f64> =
+            fillings.iter().map(|filling| model.weight(&tail.image, &filling.image)).collect();
         let pressure = |(filling, weight): (&Filling, &f64)| filling.share * weight;
         let now_pressing: f64 = fillings
             .iter()
             .zip(&weights)
             .map(|pair| pressure(pair) * f64::from(pair.0.percent) / 100.0)
             .sum();
-        // What the filling tasks may press in all for the tail to be as aimed at.
-        let mut budget = (now_pressing + AIM - tail.ratio.max(0.01).ln()).max(0.0);
+        // What the filling tasks may press in all, by what is learned and, where the
+        // tail is long all the same, by what is seen.
+        let aim = model.busy(&tail.image, 1.0) - AIM_BELOW;
+        let learned = aim - model.load(job);
+        let seen = match tail.over {
+            Some(_) => now_pressing + aim - model.busy(&tail.image, tail.ratio),
+            None => f64::MAX,
+        };
+        let mut budget = learned.min(seen).max(0.0);
         let mut order: Vec<usize> = (0..fillings.len()).collect();
         order.sort_by(|a, b| weights[*a].total_cmp(&weights[*b]));
         let mut paces = vec![most; fillings.len()];
@@ -233,21 +245,23 @@
         let capacity = executor.listed.capacity.cpu.max(1) as f64;
         let filling = image(step);
         let mut cost = 0.0;
-        for serving in executor.servings.keys() {
-            let model = &self.learned.model;
+        let model = &self.learned.model;
+        for (job, tail) in &executor.tails {
+            let weight = model.weight(&tail.image, &filling);
+            if weight < HARMLESS {
+                continue;
+            }
             let there: f64 = executor
                 .fills
                 .iter()
-                .map(|(image, cpu)| model.weight(serving, image) * *cpu as f64 / capacity)
+                .map(|(image, cpu)| model.weight(&tail.image, image) * *cpu as f64 / capacity)
                 .sum();
-            let added = model.weight(serving, &filling) * step.room.cpu as f64 / capacity;
-            let seen = executor.tails.get(serving).map_or(0.0, |tail| tail.ratio);
-            let expected = model.alone(serving) + there + added;
-            let harmless = model.weight(serving, &filling) < HARMLESS;
-            if !harmless && (expected > PLACED_UP_TO || seen > 1.0) {
+            let added = weight * step.room.cpu as f64 / capacity;
+            let most = model.busy(&tail.image, 1.0) - PLACED_BELOW;
+            if model.load(*job) + there + added > most || tail.over.is_some() {
                 return None;
             }
-            cost += PRESSURE_COST * added;
+            cost = f64::max(cost, PRESSURE_COST * added);
         }
         Some(cost)
     }
@@ -259,15 +273,15 @@
 }
 
 impl Executor {
-    /// Takes the tails of the serving images there.
-    fn note_tails(&mut self, now: Time, tails: BTreeMap<Image, f64>) {
+    /// Takes the tails of the serving jobs there.
+    fn note_tails(&mut self, now: Time, samples: BTreeMap<JobId, Sample>) {
         let before = std::mem::take(&mut self.tails);
-        self.tails = tails
+        self.tails = samples
             .into_iter()
-            .map(|(image, ratio)| {
-                let since = before.get(&image).and_then(|tail| tail.over);
+            .map(|(job, Sample { image, ratio, .. })| {
+                let since = before.get(&job).and_then(|tail| tail.over);
                 let over = (ratio > 1.0).then(|| since.unwrap_or(now));
-                (image, Tail { ratio, over })
+                (job, Tail { image, ratio, over })
             })
             .collect();
     }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -19,7 +19,7 @@
 /// What an executor on which the task failed must be better by.
 const AVOIDED: f64 = 2.0;
 /// What serving tasks of the same image beside it are worth to a serving task.
-const ALIKE: f64 = 1.0;
+const ALIKE: f64 = 3.0;
 /// What an executor that is still slow after its start must be better by.
 const COLD: f64 = 0.5;
 
