jobs, node: runs are closed by what executors say of their lives and leases

Now the first look bounds what predecessors can have given. 2. Now looks at silent executors extend nothing. 3. 421 was repeated for ever; it says that another life has the address, which ends what was ordered there. 4. When the news of a claim came before its answer, the claim was never acted on, and the shard stood still for 1.5 s until the next one. 5. A stop answered for a run that is not there waited for the end of a 2 s look.

--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -55,6 +55,8 @@
     pub(super) looking: Option<Time>,
     /// Not looked at before.
     pub(super) look_after: Time,
+    /// Whether a look is to tell at once that a stopped run is not there.
+    pub(super) verify: bool,
     /// Since when it does not answer.
     pub(super) silent: Option<Time>,
     pub(super) health: super::health::Health,
@@ -86,6 +88,7 @@
             looks: 0,
             looking: None,
             look_after: Time::ZERO,
+            verify: false,
             silent: None,
             health: super::health::Health::default(),
             tails: BTreeMap::new(),
@@ -292,6 +295,19 @@
         pending
     }
 
+    /// Takes that another executor answers at an executor's address: what was ordered
+    /// there is over, and orders that come late are refused by the other.
+    pub(super) fn note_replaced(&mut self, now: Time, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.present = false;
+        let open: Vec<TaskId> = executor.open.iter().copied().collect();
+        for task in open {
+            self.close_at(now, id, &task, super::message::Closing::Gone);
+        }
+    }
+
     /// Closes the runs on executors whose leases have lapsed, and forgets executors
     /// that are gone.
     pub(super) fn close_lapsed(&mut self, now: Time) {
--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -7,7 +7,7 @@
 use super::Shard;
 use super::entry::{Stage, Stop};
 use super::message::{Closing, Command, Glance, Note, Order};
-use crate::executor::{Answer, Refusal, Report, Running};
+use crate::executor::{Answer, Refusal, Report, Running, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
 /// Most ends in one report; a report with so many may hold back others.
@@ -46,8 +46,10 @@
         }
         executor.looks += 1;
         executor.looking = Some(now);
+        let verify = std::mem::take(&mut executor.verify);
+        let known = executor.fenced && executor.greeted && !verify;
         let wait = match executor.silent {
-            None if !executor.open.is_empty() && executor.fenced && executor.greeted => {
+            None if !executor.open.is_empty() && known => {
                 match executor.fills.is_empty() || executor.servings.is_empty() {
                     true => settings.look_wait,
                     false => settings.look_wait_mixed,
@@ -55,7 +57,12 @@
             }
             _ => NO_WAIT,
         };
-        let deadline = executor.extend(now, settings.lease);
+        // A look that is not answered may extend leases all the same, so that the silent
+        // ones would never lapse.
+        let deadline = match executor.silent {
+            None => Some(executor.extend(now, settings.lease)),
+            Some(_) => None,
+        };
         let glance = Glance { executor: id.clone(), number: executor.looks };
         let seen = executor.recorded;
         let (address, born) = (executor.listed.address, executor.listed.born);
@@ -109,8 +116,13 @@
         if complete {
             self.close_unlisted(now, glance, &listed);
         }
-        if let Some(executor) = self.executors.get_mut(id) {
+        if let Some(executor) = self.executors.get_mut(id)
+            && !executor.fenced
+        {
             executor.fenced = true;
+            // Leases that predecessors gave go on; none of them can be longer.
+            let longest = Steady(report.clock.0 + self.settings.lease.as_ms());
+            executor.deadline = executor.deadline.max(longest);
         }
         self.observe(now, id, &report.running);
         self.idle.insert(id.clone());
@@ -196,7 +208,11 @@
             if let Some(clock) = clock {
                 executor.heard(now, clock);
             }
-            if refusal == Refusal::Incarnation || refusal == Refusal::Unhealthy {
+            if refusal == Refusal::Incarnation {
+                self.note_replaced(now, id);
+                return;
+            }
+            if refusal == Refusal::Unhealthy {
                 return;
             }
         }
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -121,8 +121,8 @@
             born: Born,
             /// Ends up to this number are recorded.
             seen: u64,
-            /// Leases are extended until then.
-            deadline: Steady,
+            /// Leases are extended until then; none leaves them.
+            deadline: Option<Steady>,
             /// Longest wait for an end.
             wait: Span,
         },
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -76,6 +76,10 @@
             let pause = executor.health.refused(now);
             self.out.push(Command::Log(Note::Quarantined(order.executor.clone(), pause)));
         }
+        if refusal == Refusal::Incarnation {
+            self.note_replaced(now, &order.executor);
+            return;
+        }
         let Some(open) = self.open_mut(order) else {
             return;
         };
@@ -96,10 +100,6 @@
                 }
                 self.look_soon(&order.executor);
             }
-            Refusal::Incarnation => {
-                self.look_soon(&order.executor);
-                self.close(now, &order.task, order.run, Closing::Refused(refusal), None);
-            }
             _ => self.close(now, &order.task, order.run, Closing::Refused(refusal), None),
         }
     }
@@ -114,9 +114,13 @@
         match answer {
             Answer::Done(_) | Answer::Refused(Refusal::Old, _) => {
                 open.stop = Stop::Answered { since_look };
+                let known = matches!(open.stage, Stage::Running { .. });
+                if let Some(executor) = self.executors.get_mut(&order.executor) {
+                    executor.verify |= !known;
+                }
                 self.look_soon(&order.executor);
             }
-            Answer::Refused(Refusal::Incarnation, _) => self.look_soon(&order.executor),
+            Answer::Refused(Refusal::Incarnation, _) => self.note_replaced(now, &order.executor),
             Answer::Refused(..) | Answer::NotSent | Answer::Unknown => {}
         }
     }
--- a/crates/node/src/keeper/execute.rs
+++ b/crates/node/src/keeper/execute.rs
@@ -64,7 +64,7 @@
         }
         Command::Look { glance, address, born, seen, deadline, wait } => {
             let to = to(address, glance.executor.clone());
-            let look = Look { seen, deadline: Some(deadline), wait, born };
+            let look = Look { seen, deadline, wait, born };
             Some(match platform.look(to, look).await {
                 Ok(report) => Event::Looked(glance, report),
                 Err(answer) => Event::NotLooked(glance, answer),
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -68,6 +68,15 @@
     releasing: bool,
 }
 
+impl<P: Platform> Place<P> {
+    /// Reports whether a claim that was written is still the latest known and not yet
+    /// acted on. The news of it may come before the answer.
+    fn may_start(&self, claim: &Claim) -> bool {
+        let latest = self.tenure.claim().is_none_or(|seen| seen.epoch <= claim.epoch);
+        latest && self.owner.is_none()
+    }
+}
+
 /// The actor that keeps shards.
 pub(crate) struct Keeper<P: Platform> {
     outside: Outside<P>,
@@ -195,7 +204,7 @@
             return;
         };
         match outcome {
-            Ok((claim, version)) if !place.tenure.is_mine() => {
+            Ok((claim, version)) if place.may_start(&claim) => {
                 let epoch = claim.epoch;
                 Line::new(Code::Gained).text("shard", shard).number("epoch", epoch).write();
                 place.tenure.renewed(sent, claim);
