jobs: no step begins after the cancelling; a restarted instance takes up its shards at once

Steps of jobs that are over no longer begin; the test was red before. Second: after all processes were killed nobody claimed the shard for 1.5 s, the patience for a holder that is silent. An instance whose own earlier process holds the claim knows that it is gone and claims at once (tests of claims added).

--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -83,7 +83,7 @@
 
     /// Lets the steps of an occurrence wait whose turn has come.
     pub(super) fn begin_steps(&mut self, now: Time, wall_ms: u64, id: JobId, number: u32) {
-        let Some(entry) = self.jobs.get(&id) else {
+        let Some(entry) = self.jobs.get(&id).filter(|entry| entry.is_active()) else {
             return;
         };
         let Some(occurrence) = entry.occurrences.get(&number) else {
--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -175,10 +175,14 @@
             let due = now.since(self.renewed) >= self.settings.renew_every;
             return if due { Step::Renew } else { Step::Wait };
         }
-        let held = self.seen.as_ref().is_some_and(|claim| claim.holder.is_some());
-        let patience = if held { self.settings.patience } else { Span::ZERO };
-        let spread = self.settings.spread.scale(self.rank);
-        if now.since(changed) < patience + spread || self.attempt.is_some_and(|at| at > now) {
+        let holder = self.seen.as_ref().and_then(|claim| claim.holder.as_ref());
+        let wait = match holder {
+            // An earlier process of this instance, which is gone.
+            Some(holder) if *holder == self.me => Span::ZERO,
+            Some(_) => self.settings.patience + self.settings.spread.scale(self.rank),
+            None => self.settings.spread.scale(self.rank),
+        };
+        if now.since(changed) < wait || self.attempt.is_some_and(|at| at > now) {
             return Step::Wait;
         }
         self.attempt = Some(now + self.settings.spread + Span::from_ms(400));
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -210,3 +210,20 @@
     assert_eq!(world.states.get(&job(1)), Some(&State::Failed));
     assert_eq!(world.running(), 0);
 }
+
+#[test]
+fn a_step_that_ends_after_the_cancelling_begins_no_other() {
+    let mut world = World::new(2);
+    world.submit(job(1), vec![step(2), Step { after: vec![0], ..step(2) }]);
+    world.pass(Span::from_ms(500));
+    world.machine("x0").late = true;
+    world.machine("x1").late = true;
+    world.cancel(job(1));
+    world.pass(Span::from_ms(700));
+    world.machine("x0").late = false;
+    world.machine("x1").late = false;
+    world.pass(Span::from_ms(1_500));
+    assert_eq!(world.running(), 0);
+    assert_eq!(world.states.get(&job(1)), Some(&State::Cancelled));
+    whole(&world);
+}
--- /dev/null
+++ b/crates/jobs/tests/tenure.rs
@@ -0,0 +1,88 @@
+//! Claims on shards: who claims when.
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_jobs::id::InstanceName;
+use sycamorerill_jobs::tenure::{Claim, Settings, Step, Tenure};
+
+const START: Time = Time::from_ms(1_000_000);
+
+fn tenure(name: &str, started_ms: u64) -> Tenure {
+    Tenure::new(Settings::default(), InstanceName::from(name), started_ms, 0.5)
+}
+
+fn held(epoch: u64, holder: &str, started_ms: u64) -> Claim {
+    Claim { epoch, holder: Some(InstanceName::from(holder)), started_ms, renewal: 0 }
+}
+
+#[test]
+fn nothing_is_claimed_before_the_store_was_heard() {
+    assert_eq!(tenure("a", 1).step(START), Step::Wait);
+}
+
+#[test]
+fn a_shard_without_a_claim_is_claimed_within_the_spread() {
+    let mut tenure = tenure("a", 1);
+    tenure.observe(START, None);
+    assert_eq!(tenure.step(START), Step::Wait);
+    assert_eq!(tenure.step(START + Settings::default().spread), Step::Claim);
+    assert_eq!(tenure.next_claim().epoch, 1);
+}
+
+#[test]
+fn a_holder_that_renews_keeps_its_shard() {
+    let mut tenure = tenure("a", 1);
+    let mut now = START;
+    for renewal in 0..20 {
+        tenure.observe(now, Some(Claim { renewal, ..held(3, "b", 7) }));
+        assert_eq!(tenure.step(now), Step::Wait);
+        now = now + Settings::default().patience.scale(0.9);
+    }
+}
+
+#[test]
+fn a_silent_holder_loses_its_shard_to_a_higher_epoch() {
+    let mut tenure = tenure("a", 1);
+    tenure.observe(START, Some(held(3, "b", 7)));
+    let later = START + Settings::default().patience + Settings::default().spread;
+    assert_eq!(tenure.step(later), Step::Claim);
+    assert_eq!(tenure.next_claim().epoch, 4);
+}
+
+#[test]
+fn silence_while_the_store_was_away_says_nothing() {
+    let mut tenure = tenure("a", 1);
+    tenure.observe(START, Some(held(3, "b", 7)));
+    let later = START + Span::from_secs(10);
+    tenure.store_was_away(later);
+    assert_eq!(tenure.step(later + Span::from_ms(500)), Step::Wait);
+}
+
+#[test]
+fn a_claim_of_an_earlier_process_of_the_same_instance_is_taken_up_at_once() {
+    let mut tenure = tenure("a", 9);
+    tenure.observe(START, Some(held(3, "a", 7)));
+    assert!(!tenure.is_mine());
+    assert_eq!(tenure.step(START), Step::Claim);
+    assert_eq!(tenure.next_claim().epoch, 4);
+}
+
+#[test]
+fn a_released_shard_is_claimed_without_patience() {
+    let mut tenure = tenure("a", 1);
+    let released = Claim { holder: None, ..held(3, "b", 0) };
+    tenure.observe(START, Some(released));
+    assert_eq!(tenure.step(START + Settings::default().spread), Step::Claim);
+}
+
+#[test]
+fn a_holder_renews_under_its_epoch() {
+    let mut tenure = tenure("a", 1);
+    tenure.observe(START, None);
+    let claim = tenure.next_claim();
+    tenure.renewed(START, claim.clone());
+    assert!(tenure.is_mine());
+    assert_eq!(tenure.step(START + Span::from_ms(100)), Step::Wait);
+    assert_eq!(tenure.step(START + Settings::default().renew_every), Step::Renew);
+    assert_eq!(tenure.next_claim().epoch, claim.epoch);
+    assert_ne!(tenure.next_claim().renewal, claim.renewal);
+}
