node: news of tables gather, and a state that is not final is read when asked for

Change: claims, states and executors are followed with pauses of 200, 1,000 and 150 ms; a GET of a job that is not known to have ended reads its row.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -29,15 +29,20 @@
     Away,
 }
 
-/// Follows `table` for ever and passes on what is heard.
-pub(crate) async fn follow<P: Platform>(
-    platform: Rc<P>,
-    table: Table,
-    parts: Vec<String>,
-    from: Option<Version>,
-    tell: impl Fn(News),
-) {
-    let mut after = from;
+/// What is followed.
+#[derive(Clone, Debug)]
+pub(crate) struct Subject {
+    pub(crate) table: Table,
+    pub(crate) parts: Vec<String>,
+    /// Version from which to follow; without one all is read first.
+    pub(crate) after: Option<Version>,
+    /// Pause after each change, in which further ones gather: each call is paid for.
+    pub(crate) gather: Duration,
+}
+
+/// Follows a table for ever and passes on what is heard.
+pub(crate) async fn follow<P: Platform>(platform: Rc<P>, subject: Subject, tell: impl Fn(News)) {
+    let Subject { table, parts, mut after, gather } = subject;
     let mut failures = 0;
     loop {
         let heard = match after {
@@ -49,6 +54,9 @@
                 failures = 0;
                 after = Some(version);
                 tell(news);
+                if gather > Duration::ZERO {
+                    Timer::after(gather).await;
+                }
             }
             Err(Error::HistoryGone) => after = None,
             Err(_) => {
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Answers callers: takes jobs in, cancels them and tells their state.
 
 mod cache;
+mod state;
 mod submit;
 
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use futures::channel::oneshot;
 use serde::{Deserialize, Serialize};
 use stakker::CX;
-use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::clock::Span;
 use sycamorerill_core::data;
 use sycamorerill_jobs::config::{Config, Limits, Queue};
 use sycamorerill_jobs::id::{JobId, QueueName};
@@ -17,8 +18,8 @@
 use sycamorerill_jobs::spec::Job;
 
 use self::cache::Cache;
-use crate::clock;
 use crate::follow::News;
+use crate::layout::Layout;
 use crate::log::{Code, Line};
 use crate::port::{Platform, Row};
 use crate::run::Outside;
@@ -84,6 +85,7 @@
     Configured(Arc<Config>),
     States(News),
     Stored(JobId, QueueName),
+    Agreed(Layout),
 }
 
 /// What is kept in the row that says that a job was accepted.
@@ -106,14 +108,13 @@
 pub(crate) struct Front<P: Platform> {
     outside: Outside<P>,
     config: Option<Arc<Config>>,
+    layout: Option<Layout>,
     cache: Cache,
-    /// When the table of states was last heard.
-    heard: Time,
 }
 
 impl<P: Platform> Front<P> {
     pub(crate) fn start(_cx: CX![], outside: Outside<P>) -> Option<Self> {
-        Some(Self { outside, config: None, cache: Cache::default(), heard: Time::ZERO })
+        Some(Self { outside, config: None, layout: None, cache: Cache::default() })
     }
 
     /// Takes a message.
@@ -122,6 +123,7 @@
             Message::Ask(request, reply) => self.ask(request, reply),
             Message::Configured(config) => self.config = Some(config),
             Message::States(news) => self.states(news),
+            Message::Agreed(layout) => self.layout = Some(layout),
             Message::Stored(job, queue) => self.cache.queued(job, queue),
         }
     }
@@ -129,7 +131,6 @@
     fn states(&mut self, news: News) {
         match news {
             News::Whole(rows) | News::Changed(rows) => {
-                self.heard = clock::now();
                 for row in rows {
                     self.cache.take(&row);
                 }
@@ -189,17 +190,15 @@
     }
 
     fn tell_state(&self, id: JobId, patience: Option<Span>, reply: oneshot::Sender<Reply>) {
-        if let Some(state) = self.cache.state(id) {
+        let cached = self.cache.state(id);
+        if let Some(state) = cached.filter(|state| state.is_terminal()) {
             tell(reply, Reply::State(state));
             return;
         }
         let outside = self.outside.clone();
+        let shard = self.layout.map(|layout| layout.of_job(id));
         self.outside.spawner.spawn(async move {
-            let told = match submit::known(&outside, id, patience).await {
-                Ok(Some(_)) => Reply::State(State::Queued),
-                Ok(None) => Reply::NoJob,
-                Err(_) => Reply::NotDone(submit::RETRY_AFTER),
-            };
+            let told = state::look_up(&outside, id, shard, cached, patience).await;
             tell(reply, told);
         });
     }
--- a/crates/node/src/keeper/gather.rs
+++ b/crates/node/src/keeper/gather.rs
@@ -65,7 +65,7 @@
         match AcceptedRow::parse(&row.name) {
             Some(AcceptedRow::Job(id)) => {
                 let job: Option<Accepted> = decode(row);
-                let job = job.filter(|job| layout.of_job(id, &job.job) == shard);
+                let job = job.filter(|_| layout.of_job(id) == shard);
                 restored.jobs.extend(job.map(|job| (id, job)));
             }
             Some(AcceptedRow::Cancel(id)) => restored.cancelled.push(id),
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use stakker::CX;
 use sycamorerill_core::clock::{Span, Time};
@@ -21,7 +22,7 @@
 use self::commit::Committed;
 use self::gather::Gathered;
 use self::owner::Owner;
-use crate::follow::{News, follow};
+use crate::follow::{News, Subject, follow};
 use crate::front::decode;
 use crate::layout::{self, Layout};
 use crate::log::{Code, Line};
@@ -42,6 +43,11 @@
     }
 }
 
+/// Pause in which news of claims gather: half of the time between renewals.
+const CLAIMS_GATHER: Duration = Duration::from_millis(200);
+/// Pause in which news of states gather: a count of waiting jobs may be 2 s old, and a
+/// state that is not final is read anew when it is asked for.
+const STATES_GATHER: Duration = Duration::from_millis(1_000);
 /// Times that the owner of a shard may go on without a confirmation of its claim.
 const ORDER_UNCONFIRMED: Span = Span::from_ms(3_000);
 
@@ -266,6 +272,8 @@
             return;
         }
         self.layout = Some(layout);
+        let agreed = crate::front::Message::Agreed(layout);
+        self.outside.tell(run::Message::Front(agreed));
         for shard in layout.shards() {
             let rank = fastrand::f64();
             let tenure =
@@ -279,7 +287,7 @@
             let tell = move |news| {
                 outside.tell(run::Message::Keeper(Message::Claims(news)));
             };
-            follow(platform, Table::Claims, layout.parts(Table::Claims), None, tell).await;
+            follow(platform, subject(layout, Table::Claims, CLAIMS_GATHER), tell).await;
         });
         let outside = self.outside.clone();
         self.outside.spawner.spawn(async move {
@@ -288,7 +296,7 @@
                 let news = crate::front::Message::States(news);
                 outside.tell(run::Message::Front(news));
             };
-            follow(platform, Table::States, layout.parts(Table::States), None, tell).await;
+            follow(platform, subject(layout, Table::States, STATES_GATHER), tell).await;
         });
     }
 
@@ -368,6 +376,10 @@
     }
 }
 
+fn subject(layout: Layout, table: Table, gather: Duration) -> Subject {
+    Subject { table, parts: layout.parts(table), after: None, gather }
+}
+
 fn is_claim(row: &Row, shard: ShardId) -> bool {
     row.name == layout::CLAIM && row.part == layout::shard_part(shard)
 }
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_executor::Task;
 use sycamorerill_core::clock::Time;
@@ -16,12 +17,14 @@
 use super::gather::{Gathered, gather};
 use super::{Message, execute, note};
 use crate::clock;
-use crate::follow::{News, follow};
+use crate::follow::{News, Subject, follow};
 use crate::front::{Shown, decode, encode};
 use crate::layout::{self, AcceptedRow, CLAIM, Layout, SEQUENCE};
 use crate::port::{Platform, Row, Table, Transaction, Version};
 use crate::run::{self, Outside};
 
+/// Pause in which news of executors gather: each reports about once a second.
+const EXECUTORS_GATHER: Duration = Duration::from_millis(150);
 /// Which shard is owned, and since which version.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Place {
@@ -103,11 +106,11 @@
         self.shard.restore(now, wall_ms, gathered.restored);
         self.restored = true;
         self.tasks.clear();
-        self.follow(Table::Accepted, gathered.accepted_after);
-        self.follow(Table::Executors, gathered.executors_after);
+        self.follow(Table::Accepted, gathered.accepted_after, Duration::ZERO);
+        self.follow(Table::Executors, gathered.executors_after, EXECUTORS_GATHER);
     }
 
-    fn follow(&mut self, table: Table, after: Version) {
+    fn follow(&mut self, table: Table, after: Version, gather: Duration) {
         let outside = self.outside.clone();
         let place = self.place;
         let following = self.outside.spawner.task(async move {
@@ -116,7 +119,8 @@
                 let rows = Message::Rows(place.shard, place.epoch, table, news);
                 outside.tell(run::Message::Keeper(rows));
             };
-            follow(platform, table, place.layout.parts(table), Some(after), tell).await;
+            let parts = place.layout.parts(table);
+            follow(platform, Subject { table, parts, after: Some(after), gather }, tell).await;
         });
         self.tasks.push(following);
     }
@@ -142,7 +146,7 @@
                 let Some(job) = decode::<Accepted>(row) else {
                     return;
                 };
-                if self.place.layout.of_job(id, &job.job) == self.place.shard {
+                if self.place.layout.of_job(id) == self.place.shard {
                     self.event(now, Event::Accepted(id, Box::new(job)));
                 }
             }
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -3,7 +3,6 @@
 use serde::{Deserialize, Serialize};
 use sycamorerill_core::data;
 use sycamorerill_jobs::id::{JobId, Label, ShardId};
-use sycamorerill_jobs::spec::Job;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::port::{Key, Table};
@@ -47,12 +46,9 @@
         ShardId((hash % u64::from(self.shards)) as u32)
     }
 
-    /// Returns the shard of a job: that of its data, or one by its identifier.
-    pub(crate) fn of_job(self, id: JobId, job: &Job) -> ShardId {
-        match job.steps.iter().find_map(|step| step.data_rack.as_ref()) {
-            Some(rack) => self.of_rack(Some(rack)),
-            None => ShardId((id.0 % u64::from(self.shards)) as u32),
-        }
+    /// Returns the shard of a job.
+    pub(crate) fn of_job(self, id: JobId) -> ShardId {
+        ShardId((id.0 % u64::from(self.shards)) as u32)
     }
 
     /// Returns the parts of a table.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,7 +16,7 @@
 use sycamorerill_jobs::id::InstanceName;
 
 use crate::clock;
-use crate::follow::{News, follow};
+use crate::follow::{News, Subject, follow};
 use crate::front::{self, Front, Reply, Request};
 use crate::keeper::{self, Keeper};
 use crate::log::{Code, Line};
@@ -198,7 +198,13 @@
             }
         }
     };
-    follow(platform, Table::Declared, vec![String::new()], None, tell).await;
+    let subject = Subject {
+        table: Table::Declared,
+        parts: vec![String::new()],
+        after: None,
+        gather: Duration::ZERO,
+    };
+    follow(platform, subject, tell).await;
 }
 
 async fn ticks<P: Platform>(outside: Outside<P>, signs: Rc<Signs>) {
