jobs: filling tasks go by where serving ones are and will be at ease

Cause: 10 to 20 of 100 light placements were paced: they went to executors whose tasks were at the crest of their load. Change: the load of a job has a slope and is expected a second ahead; a placement costs by how busy it leaves the busiest serving task, and only images that press hard are refused a place; serving tasks of one step go together.

--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -31,6 +31,14 @@
 const PRIOR_LOAD: f64 = 0.45;
 /// Part of a report in what is thought of the load of a job.
 const FOLLOW: f64 = 0.35;
+/// Part of a wrong expectation by which the slope of a load is turned, a second.
+const TURN: f64 = 0.25;
+/// Time in seconds within which a report turns the slope only in part.
+const TURN_WITHIN: f64 = 0.4;
+/// Steepest slope of a load that is believed, a second.
+const MOST_SLOPE: f64 = 0.12;
+/// Longest time for which a slope is trusted without a report.
+const LOOK_AHEAD: Span = Span::from_ms(1_500);
 /// Pressure at which a report says half as much of the load.
 const MUDDLED: f64 = 0.08;
 /// Tail at rest over objective before any tail was seen.
@@ -57,7 +65,16 @@
     /// Places of filling images among the inputs.
     places: BTreeMap<Image, usize>,
     serving: BTreeMap<Image, Fit>,
-    loads: BTreeMap<JobId, f64>,
+    loads: BTreeMap<JobId, Load>,
+}
+
+/// The load of a job's own users, and how it moves.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    level: f64,
+    /// Change in a second.
+    slope: f64,
+    at: Time,
 }
 
 /// What is learned of one serving image.
@@ -85,16 +102,16 @@
         fit.rest = fit.rest.min(sample.ratio * REST_BELOW);
         let busy = fit.busy(sample.ratio);
         let pressed = fit.pressed(&inputs);
-        let load = self.loads.entry(sample.job).or_insert(PRIOR_LOAD);
+        let load = self.loads.entry(sample.job).or_insert(Load::new(now));
         if shares.values().sum::<f64>() > 0.0 {
-            fit.add(&inputs, busy - *load);
+            fit.add(&inputs, busy - load.after(now, Span::ZERO));
             if now.since(fit.solved) >= SOLVE_EVERY {
                 fit.solve();
                 fit.solved = now;
             }
         }
         let clear = 1.0 / (1.0 + (pressed / MUDDLED).powi(2));
-        *load += (busy - pressed - *load) * FOLLOW * clear;
+        load.follow(now, busy - pressed, clear);
     }
 
     fn place(&mut self, image: &Image) -> usize {
@@ -117,9 +134,9 @@
         busy(rest, ratio)
     }
 
-    /// Returns the load of a job's own users.
-    pub(super) fn load(&self, job: JobId) -> f64 {
-        self.loads.get(&job).copied().unwrap_or(PRIOR_LOAD)
+    /// Returns the load of a job's own users that is expected `ahead` of now.
+    pub(super) fn load(&self, now: Time, job: JobId, ahead: Span) -> f64 {
+        self.loads.get(&job).map_or(PRIOR_LOAD, |load| load.after(now, ahead))
     }
 
     /// Forgets a job.
@@ -133,6 +150,28 @@
     (1.0 - rest / ratio.max(rest)).min(MOST_BUSY)
 }
 
+impl Load {
+    const fn new(now: Time) -> Self {
+        Self { level: PRIOR_LOAD, slope: 0.0, at: now }
+    }
+
+    /// Returns the load that is expected `ahead` of now.
+    fn after(&self, now: Time, ahead: Span) -> f64 {
+        let passed = (now.since(self.at).min(LOOK_AHEAD) + ahead).as_ms_f64() / 1_000.0;
+        (self.level + self.slope * passed).clamp(0.0, MOST_BUSY)
+    }
+
+    /// Takes a load as seen; `clear` tells how much it says, from 0 to 1.
+    fn follow(&mut self, now: Time, seen: f64, clear: f64) {
+        let passed = now.since(self.at).min(LOOK_AHEAD).as_ms_f64() / 1_000.0;
+        let wrong = seen - self.after(now, Span::ZERO);
+        self.level = self.after(now, Span::ZERO) + FOLLOW * clear * wrong;
+        self.slope += TURN * clear * wrong * passed.min(TURN_WITHIN) / TURN_WITHIN;
+        self.slope = self.slope.clamp(-MOST_SLOPE, MOST_SLOPE);
+        self.at = now;
+    }
+}
+
 impl Fit {
     fn new() -> Self {
         let size = FIXED + IMAGES;
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -15,9 +15,9 @@
 /// Room below the busy share at the objective that pacing leaves.
 const AIM_BELOW: f64 = 0.07;
 /// Room below the busy share at the objective up to which filling tasks are placed.
-const PLACED_BELOW: f64 = 0.10;
+const PLACED_BELOW: f64 = 0.08;
 /// Weight below which a filling image is taken to do no harm.
-const HARMLESS: f64 = 0.15;
+const HARMLESS: f64 = 0.5;
 /// Time between two paces at an executor: the tail is over the last half second.
 const PACE_EVERY: Span = Span::from_ms(500);
 /// Smallest change of pace worth an order, in percent.
@@ -32,7 +32,13 @@
 /// Pace of all filling tasks after the alarm, in percent.
 const ALARM_PERCENT: u32 = 30;
 /// What making a serving task busier costs a placement.
-const PRESSURE_COST: f64 = 2.0;
+const PRESSURE_COST: f64 = 1.5;
+/// Busy share below which a serving task is at ease.
+const AT_EASE: f64 = 0.45;
+/// How far ahead a placement looks: most filling tasks run for a few seconds.
+const PLACE_AHEAD: Span = Span::from_ms(1_000);
+/// How far ahead a pace looks: until the next report.
+const PACE_AHEAD: Span = Span::from_ms(400);
 
 /// The latest tail of the tasks of a serving job at an executor.
 #[derive(Clone, Debug)]
@@ -189,7 +195,7 @@
         // What the filling tasks may press in all, by what is learned and, where the
         // tail is long all the same, by what is seen.
         let aim = model.busy(&tail.image, 1.0) - AIM_BELOW;
-        let learned = aim - model.load(job);
+        let learned = aim - model.load(now, job, PACE_AHEAD);
         let seen = match tail.over {
             Some(_) => now_pressing + aim - model.busy(&tail.image, tail.ratio),
             None => f64::MAX,
@@ -241,16 +247,13 @@
 
     /// Returns what a filling task of the step would press on serving tasks at an
     /// executor; none where it would push one over its objective.
-    pub(super) fn pressure(&self, step: &Step, executor: &Executor) -> Option<f64> {
+    pub(super) fn pressure(&self, now: Time, step: &Step, executor: &Executor) -> Option<f64> {
         let capacity = executor.listed.capacity.cpu.max(1) as f64;
         let filling = image(step);
         let mut cost = 0.0;
         let model = &self.learned.model;
         for (job, tail) in &executor.tails {
             let weight = model.weight(&tail.image, &filling);
-            if weight < HARMLESS {
-                continue;
-            }
             let there: f64 = executor
                 .fills
                 .iter()
@@ -258,10 +261,11 @@
                 .sum();
             let added = weight * step.room.cpu as f64 / capacity;
             let most = model.busy(&tail.image, 1.0) - PLACED_BELOW;
-            if model.load(*job) + there + added > most || tail.over.is_some() {
+            let expected = model.load(now, *job, PLACE_AHEAD) + there + added;
+            if weight > HARMLESS && (expected > most || tail.over.is_some()) {
                 return None;
             }
-            cost = f64::max(cost, PRESSURE_COST * added);
+            cost = f64::max(cost, PRESSURE_COST * (expected - AT_EASE).max(0.0));
         }
         Some(cost)
     }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -20,6 +20,8 @@
 const AVOIDED: f64 = 2.0;
 /// What serving tasks of the same image beside it are worth to a serving task.
 const ALIKE: f64 = 3.0;
+/// What tasks of the same step beside it are worth to a serving task.
+const PEERS: f64 = 1.0;
 /// What an executor that is still slow after its start must be better by.
 const COLD: f64 = 0.5;
 
@@ -283,7 +285,7 @@
             return None;
         }
         let mut score =
-            if step.filling { self.share(step, executor)? } else { closeness(step, executor) };
+            if step.filling { self.share(now, step, executor)? } else { closeness(need, executor) };
         score -= self.distance(need, executor);
         score -= if executor.health.is_doubted() { DOUBT } else { 0.0 };
         score -= if listed.cold.as_ms() > 0 { COLD } else { 0.0 };
@@ -300,7 +302,7 @@
 
     /// Returns the share of its processor time that a filling task would get, less the
     /// harm it would do.
-    fn share(&self, step: &Step, executor: &Executor) -> Option<f64> {
+    fn share(&self, now: Time, step: &Step, executor: &Executor) -> Option<f64> {
         let serving = executor.serving as f64 * self.settings.serving_use;
         let others = executor.used.cpu.saturating_sub(executor.serving) as f64;
         let left = (executor.listed.capacity.cpu as f64 - others - serving).max(0.0);
@@ -309,12 +311,13 @@
         if share < LEAST_SHARE {
             return None;
         }
-        Some(share.min(1.0) - self.pressure(step, executor)?)
+        Some(share.min(1.0) - self.pressure(now, step, executor)?)
     }
 }
 
 /// Returns how closely a task fits, so that large gaps are kept for large tasks.
-fn closeness(step: &Step, executor: &Executor) -> f64 {
+fn closeness(need: &Need<'_>, executor: &Executor) -> f64 {
+    let step = need.step;
     let capacity = executor.listed.capacity;
     let left = capacity.less(&executor.used).less(&step.taken());
     let close = 1.0 - left.cpu as f64 / capacity.cpu.max(1) as f64;
@@ -324,7 +327,9 @@
     }
     // Serving tasks of one image mind the same filling ones, so they go together.
     let alike = executor.servings.get(&super::pace::image(step)).copied().unwrap_or(0);
-    close + ALIKE * (alike as f64 / all as f64 - 0.5)
+    // Tasks of one job are busy at the same times, so that others can be at ease then.
+    let peers = here(need.id, executor).min(1) as f64;
+    close + ALIKE * (alike as f64 / all as f64 - 0.5) + PEERS * peers
 }
 
 /// Returns the number of tasks of the step at an executor.
