--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -195,6 +195,7 @@
     /// Takes that a look was refused or not answered.
     pub(super) fn not_looked(&mut self, now: Time, glance: &Glance, answer: Answer) {
         let id = &glance.executor;
+        self.heard_answer(now, id, answer);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -204,10 +205,7 @@
         executor.looking = None;
         executor.look_after = now + self.settings.look_retry;
         self.idle.insert(id.clone());
-        if let Answer::Refused(refusal, clock) = answer {
-            if let Some(clock) = clock {
-                executor.heard(now, clock);
-            }
+        if let Answer::Refused(refusal, _) = answer {
             if refusal == Refusal::Incarnation {
                 self.note_replaced(now, id);
                 return;
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -62,6 +62,8 @@
     taken_anew: bool,
     /// Time of day at the latest event, in milliseconds since 1970.
     wall_ms: u64,
+    /// Whether an executor has seen a higher epoch.
+    superseded: bool,
     next_tick: Time,
     learned: pace::Learned,
     out: Vec<Command>,
@@ -84,6 +86,7 @@
             placed: Vec::new(),
             taken_anew: false,
             wall_ms: 0,
+            superseded: false,
             next_tick: Time::ZERO,
             learned: pace::Learned::default(),
             out: Vec::new(),
@@ -113,6 +116,9 @@
     /// Decides what is to be done at `now`, after a series of events.
     pub fn turn(&mut self, now: Time, wall_ms: u64) -> Vec<Command> {
         self.wall_ms = wall_ms;
+        if self.superseded {
+            return Vec::new();
+        }
         if now >= self.next_tick {
             self.next_tick = now + self.settings.tick;
             self.tick(now, wall_ms);
@@ -123,6 +129,12 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Reports whether an executor has seen a higher epoch; the shard is then another's
+    /// and decides nothing any more.
+    pub const fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
     /// Returns how long after a turn the next is due without an event.
     pub const fn tick_every(&self) -> sycamorerill_core::clock::Span {
         self.settings.tick
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -220,6 +220,7 @@
         if let Answer::Done(clock) | Answer::Refused(_, Some(clock)) = answer {
             executor.heard(now, clock);
         }
+        self.superseded |= matches!(answer, Answer::Refused(Refusal::Fence, _));
     }
 
     /// Returns the number of the next look at an executor.
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -13,7 +13,7 @@
 value! {
     /// Rank of a waiting step; lower ones are placed first.
     pub(crate) struct Rank {
-        /// Tasks that last, then by urgency.
+        /// By urgency; tasks that last behind others.
         group: u32,
         /// When the job is due, in milliseconds since 1970.
         due_ms: u64,
@@ -28,11 +28,13 @@
         let span = entry.job.chain().scale(stretch).as_ms() + objective;
         let due_ms = begin_ms + span;
         let group = if entry.lasting {
-            0
+            // Behind others as urgent: those earn several times as much by core and second,
+            // and leave again.
+            2 * priority + 1
         } else if wall_ms > begin_ms + LATE_FACTOR * span {
             HOPELESS
         } else {
-            1 + priority
+            2 * priority
         };
         Self { group, due_ms }
     }
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -50,7 +50,7 @@
             // A fifth of the time that serving tasks may be held over their objective.
             look_wait_mixed: Span::from_ms(800),
             look_retry: Span::from_ms(250),
-            order_retry: Span::from_ms(200),
+            order_retry: Span::from_ms(300),
             predecessor: Span::from_ms(8_000),
             stop_grace: Span::from_ms(900),
             remote_penalty: 1.5,
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -227,3 +227,29 @@
     assert_eq!(world.states.get(&job(1)), Some(&State::Cancelled));
     whole(&world);
 }
+
+#[test]
+fn an_owner_whose_epoch_was_exceeded_decides_nothing_more() {
+    let mut world = World::new(1);
+    world.submit(job(1), vec![lasting(1)]);
+    world.pass(Span::from_ms(500));
+    world.machine("x0").fence = 9;
+    world.pass(Span::from_ms(3_000));
+    assert!(world.shard.is_superseded());
+    world.submit(job(2), vec![step(1)]);
+    world.pass(Span::from_ms(500));
+    assert!(!world.progress.contains_key(&job(2)));
+}
+
+#[test]
+fn short_work_goes_before_work_that_lasts_where_room_is_short() {
+    let mut world = World::new(1);
+    world.submit(job(1), vec![step(8)]);
+    world.pass(Span::from_ms(200));
+    world.submit(job(2), vec![lasting(8)]);
+    world.submit(job(3), vec![step(8)]);
+    world.pass(Span::from_ms(1_200));
+    assert_eq!(world.places(&task(3, 0, 0)).len(), 1);
+    world.pass(Span::from_ms(2_000));
+    assert_eq!(world.places(&task(2, 0, 0)).len(), 1);
+}
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -181,6 +181,11 @@
             && let Some(owner) = &mut place.owner
         {
             owner.turn(now, &place.tenure);
+            if owner.is_superseded() {
+                let epoch = owner.epoch();
+                place.owner = None;
+                Line::new(Code::Lost).text("shard", shard).number("epoch", epoch).write();
+            }
         }
     }
 
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -91,6 +91,11 @@
         self.place.epoch
     }
 
+    /// Reports whether the shard has turned out to be another's.
+    pub(super) const fn is_superseded(&self) -> bool {
+        self.shard.is_superseded()
+    }
+
     /// Reports whether nothing is being recorded.
     pub(super) const fn is_settled(&self) -> bool {
         self.committing.is_none()
