--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -52,6 +52,7 @@
             None if !executor.open.is_empty() && known => {
                 match executor.fills.is_empty() || executor.servings.is_empty() {
                     true => settings.look_wait,
+                    false if Self::is_over(executor) => settings.look_wait_over,
                     false => settings.look_wait_mixed,
                 }
             }
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -18,6 +18,10 @@
 const PLACED_BELOW: f64 = 0.08;
 /// Weight below which a filling image is taken to do no harm.
 const HARMLESS: f64 = 0.5;
+/// Tail over objective from which a task counts as over it: the figure is rough.
+const OVER: f64 = 0.95;
+/// Tail over objective down to which it goes on to count so.
+const OVER_UNTIL: f64 = 0.85;
 /// Time between two paces at an executor: the tail is over the last half second.
 const PACE_EVERY: Span = Span::from_ms(500);
 /// Smallest change of pace worth an order, in percent.
@@ -26,9 +30,9 @@
 const STEP_UP: u32 = 35;
 /// Part of the longest harm after which all filling tasks are slowed, whatever is
 /// learned.
-const ALARM: f64 = 0.3;
+const ALARM: f64 = 0.2;
 /// Part of the longest harm after which all filling tasks stand still.
-const HALT: f64 = 0.55;
+const HALT: f64 = 0.35;
 /// Pace of all filling tasks after the alarm, in percent.
 const ALARM_PERCENT: u32 = 30;
 /// What making a serving task busier costs a placement.
@@ -245,6 +249,11 @@
         }
     }
 
+    /// Reports whether a serving task at an executor is over its objective.
+    pub(super) fn is_over(executor: &Executor) -> bool {
+        executor.tails.values().any(|tail| tail.over.is_some())
+    }
+
     /// Returns what a filling task of the step would press on serving tasks at an
     /// executor; none where it would push one over its objective.
     pub(super) fn pressure(&self, now: Time, step: &Step, executor: &Executor) -> Option<f64> {
@@ -262,7 +271,7 @@
             let added = weight * step.room.cpu as f64 / capacity;
             let most = model.busy(&tail.image, 1.0) - PLACED_BELOW;
             let expected = model.load(now, *job, PLACE_AHEAD) + there + added;
-            if weight > HARMLESS && (expected > most || tail.over.is_some()) {
+            if tail.over.is_some() || (weight > HARMLESS && expected > most) {
                 return None;
             }
             cost = f64::max(cost, PRESSURE_COST * (expected - AT_EASE).max(0.0));
@@ -284,7 +293,11 @@
             .into_iter()
             .map(|(job, Sample { image, ratio, .. })| {
                 let since = before.get(&job).and_then(|tail| tail.over);
-                let over = (ratio > 1.0).then(|| since.unwrap_or(now));
+                let over = match ratio {
+                    ratio if ratio > OVER => Some(since.unwrap_or(now)),
+                    ratio if ratio > OVER_UNTIL => since,
+                    _ => None,
+                };
                 (job, Tail { image, ratio, over })
             })
             .collect();
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -17,6 +17,8 @@
         pub look_wait: Span,
         /// Longest wait of a look where tasks that fill run beside tasks that serve.
         pub look_wait_mixed: Span,
+        /// Longest wait of a look where, besides, a task is over its objective.
+        pub look_wait_over: Span,
         /// Pause before an executor that did not answer is looked at again.
         pub look_retry: Span,
         /// Pause before an order without an answer is repeated.
@@ -49,6 +51,7 @@
             look_wait: Span::from_ms(2_000),
             // A fifth of the time that serving tasks may be held over their objective.
             look_wait_mixed: Span::from_ms(800),
+            look_wait_over: Span::from_ms(400),
             look_retry: Span::from_ms(250),
             order_retry: Span::from_ms(300),
             predecessor: Span::from_ms(8_000),
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -27,6 +27,11 @@
 pub struct Live {
     pub run: Run,
     pub ends_at: Option<Time>,
+    /// Share at which it is let work, in percent.
+    pub percent: u32,
+    /// Processor time at full pace, where it fills.
+    pub fills: Option<u64>,
+    pub serves: bool,
 }
 
 /// An executor of the world.
@@ -50,6 +55,8 @@
     /// Whether another executor has its address now.
     pub replaced: bool,
     pub run_time: Span,
+    /// Tail that its serving tasks report.
+    pub tail_ms: u64,
     /// How old its entry in the list is.
     pub list_age: Span,
 }
@@ -154,6 +161,7 @@
             late: false,
             replaced: false,
             run_time: Span::from_ms(1_000),
+            tail_ms: 20,
             list_age: Span::ZERO,
         };
         self.machines.insert(id.clone(), machine);
@@ -311,6 +319,10 @@
                 self.tell(Event::Stopped(order, answer));
             }
             Command::Pace { order, percent, .. } => {
+                let machine = self.machines.get_mut(&order.executor).expect("known executor");
+                if let Some(live) = machine.running.get_mut(&order.task) {
+                    live.percent = percent;
+                }
                 self.tell(Event::Paced(order, percent, Answer::Done(Steady(0))));
             }
             Command::Look { glance, seen, deadline, wait, .. } => {
@@ -394,7 +406,15 @@
         let lasting =
             self.accepted[&order.task.step.job].job.steps[order.task.step.step as usize].lasting;
         let ends_at = (!lasting).then(|| now + machine.run_time);
-        machine.running.insert(order.task, Live { run: order.run, ends_at });
+        let step = &self.accepted[&order.task.step.job].job.steps[order.task.step.step as usize];
+        let live = Live {
+            run: order.run,
+            ends_at,
+            percent: 100,
+            fills: step.filling.then_some(step.room.cpu),
+            serves: step.objective_ms.is_some(),
+        };
+        machine.running.insert(order.task, live);
         Answer::Done(clock)
     }
 
@@ -443,6 +463,19 @@
         }
     }
 
+    /// Returns the share of its processors that filling tasks use at an executor.
+    pub fn filling_share(&self, id: &str) -> f64 {
+        let machine = &self.machines[&ExecutorId::from(id)];
+        let used = machine.running.values().filter_map(|live| {
+            live.fills.map(|cpu| cpu as f64 * f64::from(live.percent) / 100.0)
+        });
+        used.sum::<f64>() / machine.room.cpu as f64
+    }
+
+    pub fn state(&self, id: u64) -> Option<State> {
+        self.states.get(&job(id)).copied()
+    }
+
     /// Returns where a task runs.
     pub fn places(&self, task: &TaskId) -> Vec<String> {
         let there = self.machines.values().filter(|m| m.running.contains_key(task));
@@ -491,7 +524,11 @@
             run: live.run,
             saved: String::new(),
             percent: 0,
-            load: None,
+            load: match (live.serves, live.fills) {
+                (true, _) => Some(self.tail_ms),
+                (_, Some(cpu)) => Some(cpu * u64::from(live.percent) / 100),
+                _ => None,
+            },
         });
         Report {
             born: Some(Born(self.born)),
