--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -87,6 +87,8 @@
     pub(super) stop: Stop,
     /// Share at which it is let work, in percent.
     pub(super) percent: u32,
+    /// Since when it is held back.
+    pub(super) held: Option<Time>,
     /// When it was first ordered.
     pub(super) ordered: Time,
     /// When it was last ordered.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod place;
 mod rank;
+mod relocate;
 mod restore;
 mod settings;
 mod write;
@@ -156,6 +157,7 @@
         self.close_lapsed(now);
         self.leave_draining(now);
         self.relieve(now);
+        self.relocate(now);
         self.fresh = true;
     }
 
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -14,10 +14,15 @@
 
 /// Room below the busy share at the objective that pacing leaves.
 const AIM_BELOW: f64 = 0.07;
+/// How far beyond what pacing leaves images that press lightly may go: slowing them
+/// costs more than they do.
+const LIGHT_ABOVE: f64 = 0.16;
 /// Room below the busy share at the objective up to which filling tasks are placed.
 const PLACED_BELOW: f64 = 0.08;
-/// Weight below which a filling image is taken to do no harm.
+/// Weight below which a filling image is placed wherever there is room.
 const HARMLESS: f64 = 0.5;
+/// Weight below which a filling image is not paced.
+const UNFELT: f64 = 0.05;
 /// Tail over objective from which a task counts as over it: the figure is rough.
 const OVER: f64 = 0.95;
 /// Tail over objective down to which it goes on to count so.
@@ -30,9 +35,9 @@
 const STEP_UP: u32 = 35;
 /// Part of the longest harm after which all filling tasks are slowed, whatever is
 /// learned.
-const ALARM: f64 = 0.2;
+const ALARM: f64 = 0.25;
 /// Part of the longest harm after which all filling tasks stand still.
-const HALT: f64 = 0.35;
+const HALT: f64 = 0.42;
 /// Pace of all filling tasks after the alarm, in percent.
 const ALARM_PERCENT: u32 = 30;
 /// What making a serving task busier costs a placement.
@@ -139,7 +144,7 @@
             self.learned.paced.insert(id.clone(), now);
         }
         for (task, run, percent) in orders {
-            self.order_pace(id, task, run, percent);
+            self.order_pace(now, id, task, run, percent);
         }
     }
 
@@ -200,28 +205,30 @@
         // tail is long all the same, by what is seen.
         let aim = model.busy(&tail.image, 1.0) - AIM_BELOW;
         let learned = aim - model.load(now, job, PACE_AHEAD);
-        let seen = match tail.over {
-            Some(_) => now_pressing + aim - model.busy(&tail.image, tail.ratio),
-            None => f64::MAX,
+        let seen = if tail.ratio > 1.0 {
+            now_pressing + aim - model.busy(&tail.image, tail.ratio)
+        } else {
+            f64::MAX
         };
-        let mut budget = learned.min(seen).max(0.0);
+        let mut budget = learned.min(seen);
         let mut order: Vec<usize> = (0..fillings.len()).collect();
         order.sort_by(|a, b| weights[*a].total_cmp(&weights[*b]));
         let mut paces = vec![most; fillings.len()];
         for index in order {
             let weight = weights[index];
-            if weight < HARMLESS {
+            if weight < UNFELT {
                 continue;
             }
             let full = fillings[index].share * weight;
-            let part = (budget / full.max(f64::MIN_POSITIVE)).min(1.0);
+            let spare = if weight < HARMLESS { budget + LIGHT_ABOVE } else { budget };
+            let part = (spare.max(0.0) / full.max(f64::MIN_POSITIVE)).min(1.0);
             paces[index] = most.min((part * 100.0) as u32);
             budget -= part * full;
         }
         paces
     }
 
-    fn order_pace(&mut self, id: &ExecutorId, task: TaskId, run: Run, percent: u32) {
+    fn order_pace(&mut self, now: Time, id: &ExecutorId, task: TaskId, run: Run, percent: u32) {
         let order = Order { executor: id.clone(), task, run };
         let Some(address) = self.executors.get(id).map(|executor| executor.listed.address) else {
             return;
@@ -229,7 +236,7 @@
         let Some(open) = self.open_mut(&order) else {
             return;
         };
-        open.percent = percent;
+        open.set_pace(now, percent);
         self.out.push(Command::Log(Note::Paced { order: order.clone(), percent }));
         self.out.push(Command::Pace { order, address, percent });
     }
@@ -271,7 +278,9 @@
             let added = weight * step.room.cpu as f64 / capacity;
             let most = model.busy(&tail.image, 1.0) - PLACED_BELOW;
             let expected = model.load(now, *job, PLACE_AHEAD) + there + added;
-            if tail.over.is_some() || (weight > HARMLESS && expected > most) {
+            let over = tail.over.map_or(Span::ZERO, |since| now.since(since));
+            let alarm = over >= self.settings.harm.scale(ALARM);
+            if alarm || (weight > HARMLESS && (expected > most || tail.ratio > 1.0)) {
                 return None;
             }
             cost = f64::max(cost, PRESSURE_COST * (expected - AT_EASE).max(0.0));
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -26,12 +26,12 @@
 const COLD: f64 = 0.5;
 
 /// A step and what its placement needs to know.
-struct Need<'a> {
-    id: StepId,
-    step: &'a Step,
-    service: &'a ServiceName,
+pub(super) struct Need<'a> {
+    pub(super) id: StepId,
+    pub(super) step: &'a Step,
+    pub(super) service: &'a ServiceName,
     /// Rack of tasks of the step that run already, where one rack is preferred.
-    rack: Option<crate::id::Label>,
+    pub(super) rack: Option<crate::id::Label>,
 }
 
 impl Shard {
@@ -237,6 +237,7 @@
             stage: Stage::Writing,
             stop: Stop::No,
             percent: 100,
+            held: None,
             ordered: now,
             sent: now,
             progress: (0, now),
@@ -266,7 +267,7 @@
     }
 
     /// Returns how well a task of the step would do at an executor, if it may run there.
-    fn score(&self, now: Time, need: &Need<'_>, executor: &Executor) -> Option<f64> {
+    pub(super) fn score(&self, now: Time, need: &Need<'_>, executor: &Executor) -> Option<f64> {
         let step = need.step;
         let listed = &executor.listed;
         if !executor.takes_work() || listed.service != *need.service {
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -100,6 +100,7 @@
                 stage: Stage::Inherited,
                 stop,
                 percent: 100,
+                held: None,
                 ordered: now,
                 sent: now,
                 progress: (0, now),
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -466,9 +466,10 @@
     /// Returns the share of its processors that filling tasks use at an executor.
     pub fn filling_share(&self, id: &str) -> f64 {
         let machine = &self.machines[&ExecutorId::from(id)];
-        let used = machine.running.values().filter_map(|live| {
-            live.fills.map(|cpu| cpu as f64 * f64::from(live.percent) / 100.0)
-        });
+        let used = machine
+            .running
+            .values()
+            .filter_map(|live| live.fills.map(|cpu| cpu as f64 * f64::from(live.percent) / 100.0));
         used.sum::<f64>() / machine.room.cpu as f64
     }
 
