jobs: what is learned of images outlives the owner; late jobs go behind those in time

Cause: after each takeover the weights of pairs were learned anew for some 5 s, and in an overload the earliest due first made all jobs late in turn. Change: the weights are recorded every 2 s beside other records and are a successor's prior; a step whose job can't meet its objective any more ranks behind those that can. Tests for both.

--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -90,15 +90,16 @@
             return;
         };
         let queue = self.config.queues.get(&entry.queue);
-        let rank = Rank::of(entry, queue, occurrence.begin_ms, wall_ms);
-        let ready: Vec<u32> = (0..occurrence.steps.len() as u32)
+        let begin_ms = occurrence.begin_ms;
+        let ready: Vec<(u32, Rank)> = (0..occurrence.steps.len() as u32)
             .filter(|step| {
                 let after = &entry.job.steps[*step as usize].after;
                 !occurrence.steps[*step as usize].begun
                     && after.iter().all(|a| occurrence.steps[*a as usize].left == 0)
             })
+            .map(|step| (step, Rank::of(entry, queue, step, begin_ms, wall_ms)))
             .collect();
-        for step in ready {
+        for (step, rank) in ready {
             self.begin_step(now, StepId { job: id, occurrence: number, step }, rank);
         }
     }
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -70,6 +70,8 @@
         pub progress: Vec<(JobId, Progress)>,
         /// States that callers are to see.
         pub states: Vec<(JobId, State)>,
+        /// What is learned of images, where that is to be recorded.
+        pub learned: Option<super::Lesson>,
         /// Jobs whose records are to be forgotten.
         pub forgotten: Vec<JobId>,
     }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -35,6 +35,7 @@
 use crate::progress::State;
 
 pub use self::message::{Batch, Closing, Command, Event, Glance, Note, Order};
+pub use self::model::{Lesson, Pressed};
 pub use self::restore::Restored;
 pub use self::settings::Settings;
 
@@ -125,7 +126,7 @@
             self.tick(now, wall_ms);
         }
         self.place_waiting(now, wall_ms);
-        self.write();
+        self.write(now);
         self.look_around(now);
         std::mem::take(&mut self.out)
     }
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use sycamorerill_core::clock::{Span, Time};
 
 use crate::id::{Image, JobId};
@@ -87,10 +88,54 @@
     /// Sums of inputs times outcome.
     outcomes: Vec<f64>,
     weights: Vec<f64>,
+    /// Weights before anything is seen.
+    prior: Vec<f64>,
     solved: Time,
 }
 
+/// What is learned, as recorded for a successor.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lesson {
+    /// By serving image.
+    pub serving: BTreeMap<Image, Pressed>,
+}
+
+/// What is learned of one serving image, as recorded.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pressed {
+    /// Tail at rest over objective.
+    pub rest: f64,
+    /// Weights by filling image.
+    pub weights: BTreeMap<Image, f64>,
+}
+
 impl Model {
+    /// Returns what is learned.
+    pub(super) fn lesson(&self) -> Lesson {
+        let record = |fit: &Fit| Pressed {
+            rest: fit.rest,
+            weights: self.places.iter().map(|(i, p)| (i.clone(), round(fit.weights[*p]))).collect(),
+        };
+        Lesson { serving: self.serving.iter().map(|(i, fit)| (i.clone(), record(fit))).collect() }
+    }
+
+    /// Starts from what a predecessor learned.
+    pub(super) fn start_from(&mut self, lesson: Lesson) {
+        for (image, pressed) in lesson.serving {
+            let places: Vec<(usize, f64)> = pressed
+                .weights
+                .iter()
+                .map(|(image, weight)| (self.place(image), *weight))
+                .collect();
+            let fit = self.serving.entry(image).or_insert_with(Fit::new);
+            fit.rest = pressed.rest;
+            for (place, weight) in places {
+                fit.prior[place] = weight;
+                fit.weights[place] = weight;
+            }
+        }
+    }
+
     /// Takes one report.
     pub(super) fn learn(&mut self, now: Time, sample: &Sample, shares: &Shares, others: f64) {
         let mut inputs = vec![0.0; FIXED + IMAGES];
@@ -145,6 +190,11 @@
     }
 }
 
+/// Rounds a weight to what is worth recording.
+fn round(weight: f64) -> f64 {
+    (weight * 1_000.0).round() / 1_000.0
+}
+
 /// Returns how busy a task is from its tails at rest and now, both over its objective.
 fn busy(rest: f64, ratio: f64) -> f64 {
     (1.0 - rest / ratio.max(rest)).min(MOST_BUSY)
@@ -181,6 +231,7 @@
             rest: PRIOR_REST,
             products: vec![0.0; size * size],
             outcomes: vec![0.0; size],
+            prior: weights.clone(),
             weights,
             solved: Time::ZERO,
         }
@@ -213,7 +264,7 @@
         let mut rows = self.products.clone();
         let mut values = self.outcomes.clone();
         for place in 0..size {
-            let prior = if place < FIXED { 0.0 } else { PRIOR_WEIGHT };
+            let prior = self.prior[place];
             rows[place * size + place] += PRIOR_STRENGTH;
             values[place] += PRIOR_STRENGTH * prior;
         }
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -64,6 +64,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Learned {
     pub(super) model: Model,
+    /// When what is learned was last recorded.
+    pub(super) recorded: Time,
     paced: BTreeMap<ExecutorId, Time>,
 }
 
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Puts a step behind all others when its job can no longer earn.
+    /// Puts a step behind others when its job is late or can no longer earn.
     fn is_overdue(&mut self, rank: Rank, id: StepId, wall_ms: u64) -> bool {
         if rank.is_hopeless() {
             return false;
@@ -75,8 +75,8 @@
             return false;
         };
         let queue = self.config.queues.get(&entry.queue);
-        let anew = Rank::of(entry, queue, occurrence.begin_ms, wall_ms);
-        if !anew.is_hopeless() {
+        let anew = Rank::of(entry, queue, id.step, occurrence.begin_ms, wall_ms);
+        if anew == rank {
             return false;
         }
         self.waiting.remove(&(rank, id));
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -7,6 +7,8 @@
 
 /// Group of steps whose job can no longer earn.
 const HOPELESS: u32 = u32::MAX;
+/// Part of the estimated rest of a job that it surely needs.
+const SURE_REST: f64 = 0.8;
 /// Times the objective up to which a late job still earns.
 const LATE_FACTOR: u64 = 3;
 
@@ -21,18 +23,28 @@
 }
 
 impl Rank {
-    /// Returns the rank of the steps of `entry` in an occurrence due at `begin_ms`.
-    pub(super) fn of(entry: &Entry, queue: Option<&Queue>, begin_ms: u64, wall_ms: u64) -> Self {
+    /// Returns the rank of a step of `entry` in an occurrence due at `begin_ms`.
+    pub(super) fn of(
+        entry: &Entry,
+        queue: Option<&Queue>,
+        step: u32,
+        begin_ms: u64,
+        wall_ms: u64,
+    ) -> Self {
         let (priority, stretch, objective) = queue
             .map_or((0, 1.0, 0), |queue| (queue.priority, queue.stretch, queue.objective.as_ms()));
         let span = entry.job.chain().scale(stretch).as_ms() + objective;
         let due_ms = begin_ms + span;
+        let rest = entry.job.chain_from(step).scale(SURE_REST).as_ms();
         let group = if entry.lasting {
             // Behind others as urgent: those earn several times as much by core and second,
             // and leave again.
             2 * priority + 1
         } else if wall_ms > begin_ms + LATE_FACTOR * span {
             HOPELESS
+        } else if wall_ms + rest > due_ms {
+            // Late whatever is done, so it must not make others late.
+            2 * priority + 1
         } else {
             2 * priority
         };
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -25,6 +25,8 @@
         pub jobs: Vec<(JobId, Accepted)>,
         /// Jobs that were cancelled.
         pub cancelled: Vec<JobId>,
+        /// What predecessors learned of images.
+        pub learned: Option<super::Lesson>,
         /// Records of jobs.
         pub progress: Vec<(JobId, Progress)>,
     }
@@ -34,6 +36,9 @@
     /// Takes what predecessors recorded, after the executors were listed.
     pub fn restore(&mut self, now: Time, wall_ms: u64, restored: Restored) {
         self.wall_ms = wall_ms;
+        if let Some(lesson) = restored.learned {
+            self.learned.model.start_from(lesson);
+        }
         for (id, accepted) in restored.jobs {
             self.jobs.insert(id, new_entry(accepted));
         }
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
 use super::entry::{Entry, Stage};
@@ -14,6 +14,9 @@
 /// Most jobs in one batch: each takes up to two of the 100 entries of a transaction.
 const JOBS_PER_BATCH: usize = 45;
 
+/// Time between two records of what is learned.
+const LEARNED_EVERY: Span = Span::from_ms(2_000);
+
 /// A batch that is being recorded.
 #[derive(Debug, Default)]
 pub(super) struct Writing {
@@ -27,7 +30,7 @@
 
 impl Shard {
     /// Asks for a batch to be recorded, if something is to be and none is under way.
-    pub(super) fn write(&mut self) {
+    pub(super) fn write(&mut self, now: Time) {
         if self.writing.is_some() {
             return;
         }
@@ -50,6 +53,10 @@
             writing.ends = self.ends_taken();
             self.taken_anew = false;
         }
+        if now.since(self.learned.recorded) >= LEARNED_EVERY {
+            self.learned.recorded = now;
+            batch.learned = Some(self.learned.model.lesson());
+        }
         self.writing = Some(writing);
         self.out.push(Command::Record(batch));
     }
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -220,6 +220,20 @@
         Span::from_ms(ends.into_iter().max().unwrap_or(0))
     }
 
+    /// Returns the longest chain of estimated run times from step `first` on.
+    pub fn chain_from(&self, first: u32) -> Span {
+        let mut ends: Vec<Option<u64>> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let before = step.after.iter().filter_map(|s| ends.get(*s as usize).copied().flatten());
+            let end = match before.max() {
+                Some(end) => Some(end + step.estimate_ms),
+                None => (number == first as usize).then_some(step.estimate_ms),
+            };
+            ends.push(end);
+        }
+        Span::from_ms(ends.into_iter().flatten().max().unwrap_or(0))
+    }
+
     /// Reports whether the job runs until it is cancelled.
     pub fn is_lasting(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
--- a/crates/jobs/tests/pacing.rs
+++ b/crates/jobs/tests/pacing.rs
@@ -97,3 +97,43 @@
     assert!((0..4).all(|index| world.places(&task(index)).is_empty()));
     assert_eq!(world.state(2), Some(sycamorerill_jobs::progress::State::Completed));
 }
+
+#[test]
+fn a_successor_starts_from_what_was_learned() {
+    let mut world = World::new(1);
+    world.machine("x0").run_time = Span::from_secs(60);
+    world.submit(job(1), vec![serving(4, "s")]);
+    world.pass(Span::from_ms(300));
+    world.submit(job(2), vec![filling(2, "f")]);
+    for _ in 0..400 {
+        let share = world.filling_share("x0");
+        world.machine("x0").tail_ms = tail(0.4, 2.0, share, 1.0);
+        world.pass(Span::from_ms(10));
+    }
+    world.submit(job(3), vec![step(1)]);
+    world.pass(Span::from_ms(2_500));
+    let weight = |world: &World| {
+        let lesson = world.learned.clone().expect("what is learned is recorded");
+        lesson.serving[&Image::from("s")].weights[&Image::from("f")]
+    };
+    let before = weight(&world);
+    assert!(before > 1.2, "{before}");
+    world.take_over();
+    world.submit(job(4), vec![step(1)]);
+    world.pass(Span::from_ms(2_500));
+    assert!((weight(&world) - before).abs() < 0.5, "{} {before}", weight(&world));
+}
+
+#[test]
+fn late_jobs_do_not_make_others_late() {
+    let mut world = World::new(1);
+    world.submit(job(1), vec![step(8)]);
+    world.pass(Span::from_ms(100));
+    world.submit(job(2), vec![step(8)]);
+    world.submit(job(3), vec![step(8)]);
+    world.submit(job(4), vec![step(8)]);
+    world.pass(Span::from_ms(3_000));
+    world.submit(job(5), vec![step(8)]);
+    world.pass(Span::from_ms(2_200));
+    assert!(world.state(5).is_some_and(|state| state.is_terminal()), "{:?}", world.state(5));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -16,7 +16,7 @@
     DomainName, ExecutorId, JobId, Label, QueueName, Run, ServiceName, TaskId,
 };
 use sycamorerill_jobs::progress::{Progress, State};
-use sycamorerill_jobs::shard::{Command, Event, Glance, Order, Restored, Settings, Shard};
+use sycamorerill_jobs::shard::{Command, Event, Glance, Lesson, Order, Restored, Settings, Shard};
 use sycamorerill_jobs::spec::{Accepted, Job, Room, Step};
 
 /// Time of day at the start of the world, in milliseconds since 1970.
@@ -76,6 +76,7 @@
     pub kept: Vec<(u64, Command)>,
     /// Broken promises.
     pub broken: Vec<String>,
+    pub learned: Option<Lesson>,
     /// What the shard logged.
     pub notes: Vec<String>,
     done: BTreeSet<TaskId>,
@@ -131,6 +132,7 @@
             kept: Vec::new(),
             broken: Vec::new(),
             notes: Vec::new(),
+            learned: None,
             done: BTreeSet::new(),
             waiting_looks: Vec::new(),
             latency: Span::ZERO,
@@ -230,6 +232,7 @@
         let restored = Restored {
             jobs: self.accepted.iter().map(|(id, job)| (*id, job.clone())).collect(),
             cancelled: self.cancelled.iter().copied().collect(),
+            learned: self.learned.clone(),
             progress: self.progress.iter().map(|(id, record)| (*id, record.clone())).collect(),
         };
         let wall_ms = self.wall_ms();
@@ -304,6 +307,7 @@
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Record(batch) => {
+                self.learned = batch.learned.or(self.learned.take());
                 self.progress.extend(batch.progress);
                 self.states.extend(batch.states);
                 self.unrecorded = true;
--- a/crates/node/src/keeper/gather.rs
+++ b/crates/node/src/keeper/gather.rs
@@ -74,6 +74,8 @@
     }
     restored.progress = progress.0.iter().filter_map(read_progress).collect();
     let (accepted_after, executors_after) = (accepted.1, executors.1);
+    let lesson = progress.0.iter().find(|row| row.name == layout::LESSON);
+    restored.learned = lesson.and_then(decode);
     let executors = executors_of(platform, &executors.0, shard, layout);
     Ok(Gathered { restored, executors, accepted_after, executors_after })
 }
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::follow::{News, Subject, follow};
 use crate::front::{Shown, decode, encode};
-use crate::layout::{self, AcceptedRow, CLAIM, Layout, SEQUENCE};
+use crate::layout::{self, AcceptedRow, CLAIM, LESSON, Layout, SEQUENCE};
 use crate::port::{Platform, Row, Table, Transaction, Version};
 use crate::run::{self, Outside};
 
@@ -236,6 +236,9 @@
             let shown = Shown { state: *state };
             change.writes.push((at(Table::States, &job.to_string()), encode(&shown)));
         }
+        if let Some(lesson) = batch.as_ref().and_then(|batch| batch.learned.as_ref()) {
+            change.writes.push((at(Table::Progress, LESSON), encode(lesson)));
+        }
         let renews = std::mem::take(&mut self.renew_due);
         if renews {
             let claim = tenure.next_claim();
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -15,6 +15,8 @@
 pub(crate) const CLAIM: &str = "owner";
 /// Name of the row that each transaction of an owner rewrites.
 pub(crate) const SEQUENCE: &str = "sequence";
+/// Name of the row with what an owner learned.
+pub(crate) const LESSON: &str = "learned";
 /// Name of the row with the layout.
 const LAYOUT: &str = "layout";
 /// What follows a job's identifier in the name of the row that cancels it.
