jobs, node: a cancelling that comes before its job holds

Change: the cancelling is stored also for a job that is not known, and the owner keeps it until the job's row comes. The test was red before. Ruled out: the owner missing a row, since it follows from the version of its first read.

--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -26,6 +26,9 @@
             return;
         }
         self.jobs.insert(id, new_entry(accepted));
+        if self.cancelled_early.remove(&id) {
+            self.cancel(now, id);
+        }
         self.begin(now, wall_ms, id);
     }
 
@@ -125,6 +128,8 @@
     /// Cancels a job: nothing of it starts any more, and what runs is stopped.
     pub(super) fn cancel(&mut self, now: Time, id: JobId) {
         let Some(entry) = self.jobs.get_mut(&id) else {
+            // Its row may still come: a write without an answer may be done late.
+            self.cancelled_early.insert(id);
             return;
         };
         if !entry.is_active() {
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -54,6 +54,8 @@
     writing: Option<write::Writing>,
     /// Executors that may be due for a look.
     idle: BTreeSet<ExecutorId>,
+    /// Jobs that were cancelled before they were heard of.
+    cancelled_early: BTreeSet<JobId>,
     /// Scheduled jobs with occurrences to come.
     scheduled: BTreeSet<JobId>,
     /// Whether tasks wait that may find room now.
@@ -83,6 +85,7 @@
             dirty: BTreeSet::new(),
             writing: None,
             idle: BTreeSet::new(),
+            cancelled_early: BTreeSet::new(),
             scheduled: BTreeSet::new(),
             fresh: false,
             placed: Vec::new(),
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -253,3 +253,19 @@
     world.pass(Span::from_ms(2_000));
     assert_eq!(world.places(&task(2, 0, 0)).len(), 1);
 }
+
+#[test]
+fn a_job_whose_cancelling_came_first_never_starts() {
+    let mut world = World::new(1);
+    world.cancel(job(1));
+    world.submit(job(1), vec![step(2)]);
+    world.pass(Span::from_ms(500));
+    assert_eq!(world.running(), 0);
+    assert_eq!(world.states.get(&job(1)), Some(&State::Cancelled));
+    world.cancel(job(2));
+    world.take_over();
+    world.submit(job(2), vec![step(2)]);
+    world.pass(Span::from_ms(500));
+    assert_eq!(world.running(), 0);
+    whole(&world);
+}
--- a/crates/node/src/front/submit.rs
+++ b/crates/node/src/front/submit.rs
@@ -98,19 +98,17 @@
     stored: bool,
     patience: Option<Span>,
 ) -> Reply {
-    if !stored {
-        match known(outside, id, patience).await {
-            Ok(Some(_)) => {}
-            Ok(None) => return Reply::NoJob,
-            Err(_) => return Reply::NotDone(RETRY_AFTER),
-        }
-    }
+    // Also where no such job is known: its row may still come, and must not run then.
     let change = Transaction {
         writes: vec![(layout::cancelled(id), encode(&true))],
         ..Transaction::default()
     };
     match persist(outside, &change, patience).await {
-        Ok(_) | Err(Error::Conflict(_)) => Reply::Cancelled,
+        Ok(_) | Err(Error::Conflict(_)) if stored => Reply::Cancelled,
+        Ok(_) | Err(Error::Conflict(_)) => match known(outside, id, patience).await {
+            Ok(None) => Reply::NoJob,
+            Ok(Some(_)) | Err(_) => Reply::Cancelled,
+        },
         Err(Error::Unknown | Error::Malformed(_)) => Reply::Unknown,
         Err(_) => Reply::NotDone(RETRY_AFTER),
     }
