--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -2,6 +2,7 @@
 //! record that outlives owners. Messages are delivered at once unless held back.
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
+#![allow(clippy::expect_used, reason = "a name that the world does not have is a fault of the test")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -24,83 +25,83 @@
 
 /// A run at an executor.
 #[derive(Clone, Debug)]
-pub struct Live {
-    pub run: Run,
-    pub ends_at: Option<Time>,
+pub(crate) struct Live {
+    pub(crate) run: Run,
+    pub(crate) ends_at: Option<Time>,
     /// Share at which it is let work, in percent.
-    pub percent: u32,
+    pub(crate) percent: u32,
     /// Processor time at full pace, where it fills.
-    pub fills: Option<u64>,
-    pub serves: bool,
+    pub(crate) fills: Option<u64>,
+    pub(crate) serves: bool,
 }
 
 /// An executor of the world.
 #[derive(Clone, Debug)]
-pub struct Machine {
-    pub id: ExecutorId,
-    pub address: SocketAddr,
-    pub born: u64,
-    pub started: Time,
-    pub fence: u64,
-    pub deadline: u64,
-    pub running: BTreeMap<TaskId, Live>,
-    pub ended: Vec<Ended>,
-    pub counted: u64,
-    pub highest: BTreeMap<TaskId, Run>,
-    pub room: Room,
+pub(crate) struct Machine {
+    pub(crate) id: ExecutorId,
+    pub(crate) address: SocketAddr,
+    pub(crate) born: u64,
+    pub(crate) started: Time,
+    pub(crate) fence: u64,
+    pub(crate) deadline: u64,
+    pub(crate) running: BTreeMap<TaskId, Live>,
+    pub(crate) ended: Vec<Ended>,
+    pub(crate) counted: u64,
+    pub(crate) highest: BTreeMap<TaskId, Run>,
+    pub(crate) room: Room,
     /// Whether it takes orders and answers.
-    pub reachable: bool,
+    pub(crate) reachable: bool,
     /// Whether orders get no answer and are kept for later.
-    pub late: bool,
+    pub(crate) late: bool,
     /// Whether another executor has its address now.
-    pub replaced: bool,
-    pub run_time: Span,
+    pub(crate) replaced: bool,
+    pub(crate) run_time: Span,
     /// Tail that its serving tasks report.
-    pub tail_ms: u64,
+    pub(crate) tail_ms: u64,
     /// How old its entry in the list is.
-    pub list_age: Span,
+    pub(crate) list_age: Span,
 }
 
 /// The world.
-pub struct World {
-    pub now: Time,
-    pub epoch: u64,
-    pub shard: Shard,
-    pub config: Arc<Config>,
-    pub machines: BTreeMap<ExecutorId, Machine>,
-    pub accepted: BTreeMap<JobId, Accepted>,
-    pub cancelled: BTreeSet<JobId>,
-    pub progress: BTreeMap<JobId, Progress>,
-    pub states: BTreeMap<JobId, State>,
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) epoch: u64,
+    pub(crate) shard: Shard,
+    pub(crate) config: Arc<Config>,
+    pub(crate) machines: BTreeMap<ExecutorId, Machine>,
+    pub(crate) accepted: BTreeMap<JobId, Accepted>,
+    pub(crate) cancelled: BTreeSet<JobId>,
+    pub(crate) progress: BTreeMap<JobId, Progress>,
+    pub(crate) states: BTreeMap<JobId, State>,
     /// Orders that are carried out later: by which epoch, and what.
-    pub kept: Vec<(u64, Command)>,
+    pub(crate) kept: Vec<(u64, Command)>,
     /// Broken promises.
-    pub broken: Vec<String>,
-    pub learned: Option<Lesson>,
+    pub(crate) broken: Vec<String>,
+    pub(crate) learned: Option<Lesson>,
     /// What the shard logged.
-    pub notes: Vec<String>,
+    pub(crate) notes: Vec<String>,
     done: BTreeSet<TaskId>,
     waiting_looks: Vec<(Glance, Time)>,
     /// Time that a look takes beyond its wait.
-    pub latency: Span,
+    pub(crate) latency: Span,
     /// Whether the store takes records.
-    pub store: bool,
+    pub(crate) store: bool,
     unrecorded: bool,
 }
 
-pub fn job(id: u64) -> JobId {
+pub(crate) fn job(id: u64) -> JobId {
     JobId(id)
 }
 
 /// Returns a step of `count` tasks of one core that run about a second.
-pub fn step(count: u32) -> Step {
+pub(crate) fn step(count: u32) -> Step {
     let room = Room { cpu: 1_000, memory: 1_000, accelerators: 0 };
     Step { count, room, estimate_ms: 1_000, ..Step::default() }
 }
 
 impl World {
     /// Returns a world with `count` executors of eight cores.
-    pub fn new(count: u32) -> Self {
+    pub(crate) fn new(count: u32) -> Self {
         let queue = Queue {
             name: QueueName::from("q"),
             host: "h".to_owned(),
@@ -170,16 +171,16 @@
         self.list(&id);
     }
 
-    pub fn wall_ms(&self) -> u64 {
+    pub(crate) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now.as_ms()
     }
 
-    pub fn machine(&mut self, id: &str) -> &mut Machine {
+    pub(crate) fn machine(&mut self, id: &str) -> &mut Machine {
         self.machines.get_mut(&ExecutorId::from(id)).expect("executor of the world")
     }
 
     /// Lists an executor as the platform's store would.
-    pub fn list(&mut self, id: &ExecutorId) {
+    pub(crate) fn list(&mut self, id: &ExecutorId) {
         let listed = self.listed(id);
         self.tell(Event::Listed(Box::new(listed)));
     }
@@ -201,26 +202,26 @@
         }
     }
 
-    pub fn tell(&mut self, event: Event) {
+    pub(crate) fn tell(&mut self, event: Event) {
         let wall_ms = self.wall_ms();
         self.shard.handle(self.now, wall_ms, event);
     }
 
     /// Accepts a job of these steps.
-    pub fn submit(&mut self, id: JobId, steps: Vec<Step>) {
+    pub(crate) fn submit(&mut self, id: JobId, steps: Vec<Step>) {
         let job = Job { text: "text".to_owned(), steps, schedule: None };
         let accepted = Accepted { queue: QueueName::from("q"), at_ms: self.wall_ms(), job };
         self.accepted.insert(id, accepted.clone());
         self.tell(Event::Accepted(id, Box::new(accepted)));
     }
 
-    pub fn cancel(&mut self, id: JobId) {
+    pub(crate) fn cancel(&mut self, id: JobId) {
         self.cancelled.insert(id);
         self.tell(Event::Cancelled(id));
     }
 
     /// Lets the owner die and another take over from the record.
-    pub fn take_over(&mut self) {
+    pub(crate) fn take_over(&mut self) {
         self.epoch += 1;
         self.waiting_looks.clear();
         self.unrecorded = false;
@@ -240,7 +241,7 @@
     }
 
     /// Lets another take over whose list of executors is `old`.
-    pub fn take_over_with_clocks_as_of(&mut self, old: Span) {
+    pub(crate) fn take_over_with_clocks_as_of(&mut self, old: Span) {
         for machine in self.machines.values_mut() {
             machine.list_age = old;
         }
@@ -251,7 +252,7 @@
     }
 
     /// Lets time pass.
-    pub fn pass(&mut self, span: Span) {
+    pub(crate) fn pass(&mut self, span: Span) {
         let until = self.now + span;
         while self.now < until {
             self.now += Span::from_ms(10);
@@ -355,7 +356,7 @@
     }
 
     /// Carries out the orders that were kept.
-    pub fn carry_out_late(&mut self) {
+    pub(crate) fn carry_out_late(&mut self) {
         for (epoch, command) in std::mem::take(&mut self.kept) {
             self.execute(epoch, &command);
         }
@@ -468,7 +469,7 @@
     }
 
     /// Returns the share of its processors that filling tasks use at an executor.
-    pub fn filling_share(&self, id: &str) -> f64 {
+    pub(crate) fn filling_share(&self, id: &str) -> f64 {
         let machine = &self.machines[&ExecutorId::from(id)];
         let used = machine
             .running
@@ -477,28 +478,28 @@
         used.sum::<f64>() / machine.room.cpu as f64
     }
 
-    pub fn state(&self, id: u64) -> Option<State> {
+    pub(crate) fn state(&self, id: u64) -> Option<State> {
         self.states.get(&job(id)).copied()
     }
 
     /// Returns where a task runs.
-    pub fn places(&self, task: &TaskId) -> Vec<String> {
+    pub(crate) fn places(&self, task: &TaskId) -> Vec<String> {
         let there = self.machines.values().filter(|m| m.running.contains_key(task));
         there.map(|machine| machine.id.to_string()).collect()
     }
 
     /// Returns the number of runs at all executors.
-    pub fn running(&self) -> usize {
+    pub(crate) fn running(&self) -> usize {
         self.machines.values().map(|machine| machine.running.len()).sum()
     }
 }
 
 impl Machine {
-    pub fn clock(&self, now: Time) -> Steady {
+    pub(crate) fn clock(&self, now: Time) -> Steady {
         Steady(now.since(self.started).as_ms())
     }
 
-    pub fn end(&mut self, task: &TaskId, how: How) {
+    pub(crate) fn end(&mut self, task: &TaskId, how: How) {
         if let Some(live) = self.running.remove(task) {
             self.counted += 1;
             self.ended.push(Ended {
@@ -512,7 +513,7 @@
     }
 
     /// Lets it crash and come back under the same name.
-    pub fn reborn(&mut self, now: Time, born: u64) {
+    pub(crate) fn reborn(&mut self, now: Time, born: u64) {
         self.born = born;
         self.started = now;
         self.fence = 0;
@@ -545,7 +546,7 @@
 }
 
 /// Returns the order that a command is about, for assertions.
-pub fn order(command: &Command) -> Option<&Order> {
+pub(crate) fn order(command: &Command) -> Option<&Order> {
     match command {
         Command::Start { order, .. } | Command::Stop { order, .. } => Some(order),
         _ => None,
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -35,7 +35,7 @@
     for renewal in 0..20 {
         tenure.observe(now, Some(Claim { renewal, ..held(3, "b", 7) }));
         assert_eq!(tenure.step(now), Step::Wait);
-        now = now + Settings::default().patience.scale(0.9);
+        now += Settings::default().patience.scale(0.9);
     }
 }
 
--- a/crates/node/src/keeper/gather.rs
+++ b/crates/node/src/keeper/gather.rs
@@ -68,8 +68,10 @@
                 let job = job.filter(|_| layout.of_job(id) == shard);
                 restored.jobs.extend(job.map(|job| (id, job)));
             }
-            Some(AcceptedRow::Cancel(id)) => restored.cancelled.push(id),
-            None => {}
+            Some(AcceptedRow::Cancel(id)) if layout.of_job(id) == shard => {
+                restored.cancelled.push(id);
+            }
+            _ => {}
         }
     }
     restored.progress = progress.0.iter().filter_map(read_progress).collect();
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -155,10 +155,13 @@
                     self.event(now, Event::Accepted(id, Box::new(job)));
                 }
             }
-            Some(AcceptedRow::Cancel(id)) if row.value.is_some() => {
-                self.event(now, Event::Cancelled(id));
+            Some(AcceptedRow::Cancel(id)) => {
+                let mine = self.place.layout.of_job(id) == self.place.shard;
+                if mine && row.value.is_some() {
+                    self.event(now, Event::Cancelled(id));
+                }
             }
-            _ => {}
+            None => {}
         }
     }
 
