node: tests of the whole path on a platform in memory

Nine tests run real instances (actors, followers, commits) on one thread against a store with conditions, lost answers and refusals, and executors with fences: a job through any instance, its repeat, lost answers on accept and on an owner's commits, a true refusal, an owner that is cut off, a graceful hand-over, a cancelling, routing.

--- /dev/null
+++ b/crates/node/tests/whole.rs
@@ -0,0 +1,240 @@
+//! The whole path of a job through real instances, on a platform in memory.
+
+mod support;
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Timer, block_on};
+use support::World;
+use sycamorerill_core::clock::Span;
+use sycamorerill_jobs::progress::State;
+use sycamorerill_jobs::spec::{Job, Room, Step};
+use sycamorerill_node::front::{Ask, Reply, Request};
+use sycamorerill_node::{Instance, Spawner};
+
+/// Longest time that a test waits for what it expects.
+const PATIENCE: Duration = Duration::from_secs(20);
+const ID: &str = "00000000000000a1";
+
+fn job(count: u32) -> Job {
+    let room = Room { cpu: 1_000, memory: 100, accelerators: 0 };
+    let step = Step { count, room, estimate_ms: 60, ..Step::default() };
+    let second = Step { after: vec![0], ..step.clone() };
+    Job { text: "text".to_owned(), steps: vec![step, second], schedule: None }
+}
+
+fn request(name: &str, ask: Ask) -> Request {
+    Request {
+        host: "h".to_owned(),
+        path: format!("/q/{name}"),
+        ask,
+        patience: Some(Span::from_secs(5)),
+    }
+}
+
+/// Runs a test on one thread, and fails it when it takes too long.
+fn play<F: Future<Output = ()>>(test: impl FnOnce(Spawner, Rc<World>) -> F, executors: u32) {
+    let spawner = Spawner::default();
+    let world = World::new(executors);
+    let tested = test(spawner.clone(), world);
+    block_on(spawner.run(async move {
+        let over = Timer::after(PATIENCE);
+        futures::pin_mut!(tested);
+        let first = futures::future::select(tested, over).await;
+        assert!(matches!(first, futures::future::Either::Left(_)), "the test took too long");
+    }));
+}
+
+async fn ready(instance: &Instance) {
+    while !instance.is_ready() {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+/// Submits until it is accepted, as a caller does after a 503 or a 504.
+async fn submit(instance: &Instance, name: &str, job: &Job) {
+    loop {
+        let reply = instance.ask(request(name, Ask::Submit(Ok(job.clone())))).await;
+        match reply {
+            Reply::Accepted => return,
+            Reply::NotDone(_) | Reply::Unknown => {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            other => panic!("unexpected reply {other:?}"),
+        }
+    }
+}
+
+async fn reaches(instance: &Instance, name: &str, state: State) {
+    loop {
+        let reply = instance.ask(request(name, Ask::State)).await;
+        if reply == Reply::State(state) {
+            return;
+        }
+        Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn a_job_goes_through_any_instance() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            let (b, _) = world.join(&spawner, "b");
+            ready(&a).await;
+            ready(&b).await;
+            assert_eq!(b.ask(request(ID, Ask::State)).await, Reply::NoJob);
+            submit(&a, ID, &job(3)).await;
+            reaches(&b, ID, State::Completed).await;
+            reaches(&a, ID, State::Completed).await;
+            assert_eq!(world.starts.borrow().len(), 6);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_repeat_at_another_instance_is_the_same_job() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            let (b, _) = world.join(&spawner, "b");
+            ready(&a).await;
+            ready(&b).await;
+            submit(&a, ID, &job(2)).await;
+            submit(&b, ID, &job(2)).await;
+            let other = b.ask(request(ID, Ask::Submit(Ok(job(5))))).await;
+            assert_eq!(other, Reply::Taken);
+            reaches(&a, ID, State::Completed).await;
+            assert_eq!(world.starts.borrow().len(), 4);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_lost_answer_of_the_store_is_not_a_refusal() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            world.lose_answers.set(1);
+            let reply = a.ask(request(ID, Ask::Submit(Ok(job(2))))).await;
+            assert_eq!(reply, Reply::Accepted);
+            reaches(&a, ID, State::Completed).await;
+        },
+        2,
+    );
+}
+
+#[test]
+fn an_owner_reads_back_what_it_has_no_answer_for() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            for number in 0..8_u32 {
+                let name = format!("00000000000000b{number}");
+                submit(&a, &name, &job(2)).await;
+                world.lose_answers.set(2);
+                reaches(&a, &name, State::Completed).await;
+            }
+            assert_eq!(world.starts.borrow().len(), 8 * 4);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_refusal_is_told_only_where_nothing_was_done() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            Timer::after(Duration::from_millis(300)).await;
+            world.refuse.set(1_000);
+            let reply = a.ask(request(ID, Ask::Submit(Ok(job(2))))).await;
+            assert!(matches!(reply, Reply::NotDone(_)), "{reply:?}");
+            world.refuse.set(0);
+            assert_eq!(a.ask(request(ID, Ask::State)).await, Reply::NoJob);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_successor_goes_on_when_the_owner_is_cut_off() {
+    play(
+        |spawner, world| async move {
+            let (a, of_a) = world.join(&spawner, "a");
+            ready(&a).await;
+            submit(&a, ID, &job(2)).await;
+            reaches(&a, ID, State::Completed).await;
+            let (b, _) = world.join(&spawner, "b");
+            ready(&b).await;
+            of_a.connected.set(false);
+            submit(&b, "00000000000000c1", &job(3)).await;
+            reaches(&b, "00000000000000c1", State::Completed).await;
+            assert_eq!(world.starts.borrow().len(), 4 + 6);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_graceful_shutdown_hands_over_at_once() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            submit(&a, ID, &job(2)).await;
+            let (b, _) = world.join(&spawner, "b");
+            ready(&b).await;
+            a.drain();
+            assert!(!a.is_ready());
+            reaches(&b, ID, State::Completed).await;
+            assert!(a.has_handed_over());
+            assert_eq!(world.starts.borrow().len(), 4);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_cancelled_job_is_cancelled_at_every_instance() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            let (b, _) = world.join(&spawner, "b");
+            ready(&a).await;
+            ready(&b).await;
+            let mut long = job(2);
+            long.steps[0].lasting = true;
+            submit(&a, ID, &long).await;
+            reaches(&b, ID, State::Running).await;
+            assert_eq!(b.ask(request(ID, Ask::Cancel)).await, Reply::Cancelled);
+            reaches(&a, ID, State::Cancelled).await;
+            assert_eq!(world.starts_of(0), 1);
+        },
+        2,
+    );
+}
+
+#[test]
+fn a_request_is_routed_by_host_and_prefix() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            let elsewhere = Request { host: "other".to_owned(), ..request(ID, Ask::State) };
+            assert_eq!(a.ask(elsewhere).await, Reply::NoQueue);
+            assert_eq!(a.ask(request("nonsense", Ask::State)).await, Reply::NotAJob);
+            assert_eq!(a.ask(request("", Ask::State)).await, Reply::Waiting(0));
+            let broken = Ask::Submit(Err("no body".to_owned()));
+            assert_eq!(a.ask(request(ID, broken)).await, Reply::Malformed);
+        },
+        2,
+    );
+}
