--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -2,7 +2,10 @@
 //! record that outlives owners. Messages are delivered at once unless held back.
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
-#![allow(clippy::expect_used, reason = "a name that the world does not have is a fault of the test")]
+#![allow(
+    clippy::expect_used,
+    reason = "a name that the world does not have is a fault of the test"
+)]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -9,8 +9,9 @@
 
 use crate::port::{Error, Platform, Row, Table, Version};
 
-/// Longest wait for a change: a connection that went silent is noticed soon after.
-const WAIT: Span = Span::from_ms(3_000);
+/// Longest wait for a change: a connection that went silent is noticed soon after, well
+/// within the 2 s and 3 s in which a configuration and a cancelling must be in force.
+const WAIT: Span = Span::from_ms(1_000);
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Rows asked for at once.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -25,9 +25,12 @@
 };
 use sycamorerill_node::{Instance, KeeperSettings, Settings, Spawner, clock, start};
 
-/// Time that a task runs, in milliseconds.
+/// Time that a task runs, in milliseconds, where a test does not say.
 const RUN_MS: u64 = 60;
 
+/// Time after which an adapter gives a wait for changes up, beyond the wait itself.
+const FOLLOW_SLACK_MS: u64 = 500;
+
 type Place = (Table, String, String);
 
 /// The store and the executors, shared by all instances.
@@ -38,6 +41,10 @@
     version: Cell<u64>,
     /// Writes that are done and not answered.
     pub(crate) lose_answers: Cell<u32>,
+    /// Whether waits for changes that are sent now are never answered.
+    pub(crate) silent: Cell<bool>,
+    /// Time that a task runs, in milliseconds.
+    pub(crate) run_ms: Cell<u64>,
     /// Writes that are refused.
     pub(crate) refuse: Cell<u32>,
     executors: RefCell<BTreeMap<ExecutorId, Machine>>,
@@ -63,7 +70,7 @@
 
 impl World {
     pub(crate) fn new(executors: u32) -> Rc<Self> {
-        let world = Self::default();
+        let world = Self { run_ms: Cell::new(RUN_MS), ..Self::default() };
         for number in 0..executors {
             let id = ExecutorId::from(format!("x{number}").as_str());
             world.put(Table::Executors, "", id.as_str(), Bytes::from_static(b"x"));
@@ -86,10 +93,8 @@
     }
 
     fn transact(&self, change: &Transaction) -> Result<Version, Error> {
-        let conflict = change
-            .expected
-            .iter()
-            .any(|(key, version)| self.version_of(&place(key)) != version.0);
+        let conflict =
+            change.expected.iter().any(|(key, version)| self.version_of(&place(key)) != version.0);
         if conflict {
             let rows = self.rows.borrow();
             let found = change.expected.iter().filter_map(|(key, _)| {
@@ -120,6 +125,11 @@
         self.starts.borrow().iter().filter(|(task, _)| task.index == index).count()
     }
 
+    /// Returns the number of runs at all executors.
+    pub(crate) fn running(&self) -> usize {
+        self.executors.borrow().values().map(|machine| machine.running.len()).sum()
+    }
+
     fn live(&self, id: &ExecutorId) {
         let now = clock::now().as_ms();
         let mut machines = self.executors.borrow_mut();
@@ -206,6 +216,10 @@
 
     async fn follow(&self, table: Table, after: Version, wait: Span) -> Result<Changes, Error> {
         let until = clock::now() + wait;
+        if self.world.silent.get() {
+            pause(wait.as_ms() + FOLLOW_SLACK_MS).await;
+            return Err(Error::Unknown);
+        }
         loop {
             self.reach().await?;
             let history = self.world.history.borrow();
@@ -234,7 +248,7 @@
         if machine.running.contains_key(&start.task) {
             return Answer::Done(clock);
         }
-        machine.running.insert(start.task, (start.run, clock.0 + RUN_MS));
+        machine.running.insert(start.task, (start.run, clock.0 + self.world.run_ms.get()));
         self.world.starts.borrow_mut().push((start.task, start.run));
         Answer::Done(clock)
     }
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -16,6 +16,11 @@
 
 /// Longest time that a test waits for what it expects.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Time within which a cancelling must have been heard, well below the 3 s in which
+/// nothing of the job may start any more.
+const CANCEL: Duration = Duration::from_millis(2_300);
+/// Run time of tasks that outlast a test, in milliseconds.
+const LONG_MS: u64 = 60_000;
 const ID: &str = "00000000000000a1";
 
 fn job(count: u32) -> Job {
@@ -210,6 +215,7 @@
             let (b, _) = world.join(&spawner, "b");
             ready(&a).await;
             ready(&b).await;
+            world.run_ms.set(LONG_MS);
             let mut long = job(2);
             long.steps[0].lasting = true;
             submit(&a, ID, &long).await;
@@ -222,6 +228,30 @@
     );
 }
 
+#[test]
+fn a_cancelling_is_heard_soon_after_waits_went_silent() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            world.run_ms.set(LONG_MS);
+            let mut long = job(2);
+            long.steps[0].lasting = true;
+            submit(&a, ID, &long).await;
+            reaches(&a, ID, State::Running).await;
+            world.silent.set(true);
+            // Any change ends the waits that are open, and those that follow hang.
+            submit(&a, "00000000000000d1", &job(1)).await;
+            Timer::after(Duration::from_millis(100)).await;
+            world.silent.set(false);
+            assert_eq!(a.ask(request(ID, Ask::Cancel)).await, Reply::Cancelled);
+            Timer::after(CANCEL).await;
+            assert_eq!(a.ask(request(ID, Ask::State)).await, Reply::State(State::Cancelled));
+        },
+        2,
+    );
+}
+
 #[test]
 fn a_request_is_routed_by_host_and_prefix() {
     play(
