--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,11 +1,28 @@
 //! What the instance logs: one line for each decision or change of belief.
 
 use std::fmt::Display;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{self, Receiver, SyncSender};
+use std::sync::{Arc, OnceLock};
+use std::thread;
+use std::time::Duration;
 
 use serde_json::{Map, Value};
 
 use crate::clock;
 
+/// Most lines that wait to be written.
+const MOST_LINES: usize = 8_192;
+/// Most lines that wait before decisions are left out; the rest is for changes of state.
+const MOST_DECISIONS: usize = 6_144;
+/// Pause in which lines gather: each write is paid for.
+const GATHER: Duration = Duration::from_millis(20);
+/// Number of the first event that is a decision on a request.
+const FIRST_DECISION: u64 = 1_100;
+/// Number of the first event after those that is a change of state.
+const FIRST_STATE: u64 = 1_300;
+
 /// Numbered events of the instance for jobs; `docs/EVENTS.md` is the catalogue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Code {
@@ -137,12 +154,94 @@
         self
     }
 
-    /// Writes the line to standard output.
+    /// Hands the line to the writer; where that is behind, the line is left out.
     pub fn write(self) {
-        use std::io::Write;
+        let kept = self.is_kept();
         let mut text = Value::Object(self.0).to_string();
         text.push('\n');
-        // A log that can't be written must not stop the instance.
-        let _ = std::io::stdout().write_all(text.as_bytes());
+        writer().put(text, kept);
+    }
+
+    /// Reports whether the line tells a change of state, which goes before decisions.
+    fn is_kept(&self) -> bool {
+        let number = self.0.get("event").and_then(Value::as_u64);
+        number.is_some_and(|number| !(FIRST_DECISION..FIRST_STATE).contains(&number))
+    }
+}
+
+/// Lines that wait to be written, with a bound: the instance never waits for its log.
+#[derive(Debug)]
+pub struct Queue {
+    lines: SyncSender<String>,
+    waiting: Arc<AtomicUsize>,
+    left_out: AtomicU64,
+}
+
+impl Queue {
+    /// Returns a queue and the end from which its lines are taken.
+    pub fn new() -> (Self, Lines) {
+        let (sender, receiver) = mpsc::sync_channel(MOST_LINES);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let lines = Lines { receiver, waiting: Arc::clone(&waiting) };
+        (Self { lines: sender, waiting, left_out: AtomicU64::new(0) }, lines)
+    }
+
+    /// Puts a line in, or counts it as left out; `kept` ones have room of their own.
+    pub fn put(&self, line: String, kept: bool) {
+        let waiting = self.waiting.load(Ordering::Relaxed);
+        if !kept && waiting >= MOST_DECISIONS {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        match self.lines.try_send(line) {
+            Ok(()) => {
+                self.waiting.fetch_add(1, Ordering::Relaxed);
+            }
+            Err(_) => {
+                self.left_out.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Returns the number of lines that were left out.
+    pub fn left_out(&self) -> u64 {
+        self.left_out.load(Ordering::Relaxed)
+    }
+}
+
+/// The end of a queue from which lines are taken.
+#[derive(Debug)]
+pub struct Lines {
+    receiver: Receiver<String>,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl Lines {
+    /// Waits for lines and returns all that are there; none when the queue is gone.
+    pub fn take(&self) -> Option<String> {
+        let mut text = self.receiver.recv().ok()?;
+        let mut taken = 1;
+        while let Ok(line) = self.receiver.try_recv() {
+            text.push_str(&line);
+            taken += 1;
+        }
+        self.waiting.fetch_sub(taken, Ordering::Relaxed);
+        Some(text)
     }
 }
+
+/// Returns the writer of this process, which a thread of its own empties.
+fn writer() -> &'static Queue {
+    static WRITER: OnceLock<Queue> = OnceLock::new();
+    WRITER.get_or_init(|| {
+        let (queue, lines) = Queue::new();
+        thread::spawn(move || {
+            while let Some(text) = lines.take() {
+                // A log that can't be written must not stop the instance.
+                let _ = std::io::stdout().write_all(text.as_bytes());
+                thread::sleep(GATHER);
+            }
+        });
+        queue
+    })
+}
--- /dev/null
+++ b/crates/node/tests/log.rs
@@ -0,0 +1,43 @@
+//! The log's queue: a reader that stands still costs lines, not time.
+
+use sycamorerill_node::log::{Code, Queue};
+
+const MANY: usize = 20_000;
+
+#[test]
+fn a_stalled_reader_costs_lines_and_changes_of_state_come_last() {
+    let (queue, lines) = Queue::new();
+    for _ in 0..MANY {
+        queue.put("decision\n".to_owned(), false);
+    }
+    let left_out = queue.left_out();
+    assert!(left_out > 0);
+    for _ in 0..1_000 {
+        queue.put("state\n".to_owned(), true);
+    }
+    assert_eq!(queue.left_out(), left_out);
+    let text = lines.take().expect("lines are there");
+    assert_eq!(text.matches("state").count(), 1_000);
+    assert_eq!(text.matches("decision").count() as u64 + left_out, MANY as u64);
+}
+
+#[test]
+fn a_reader_that_keeps_up_loses_nothing() {
+    let (queue, lines) = Queue::new();
+    for _ in 0..10 {
+        for _ in 0..1_000 {
+            queue.put("decision\n".to_owned(), false);
+        }
+        assert_eq!(lines.take().map(|text| text.lines().count()), Some(1_000));
+    }
+    assert_eq!(queue.left_out(), 0);
+}
+
+#[test]
+fn events_are_catalogued() {
+    let catalogue = include_str!("../../../docs/EVENTS.md");
+    for code in Code::ALL {
+        let row = format!("| E{:04} | `{}` |", code.number(), code.name());
+        assert!(catalogue.contains(&row), "docs/EVENTS.md lacks `{row}`");
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -125,6 +125,12 @@
         self.starts.borrow().iter().filter(|(task, _)| task.index == index).count()
     }
 
+    fn changed(&self, table: Table, after: Version) -> Vec<Row> {
+        let history = self.history.borrow();
+        let later = history.iter().filter(|(p, _, version)| p.0 == table && *version > after.0);
+        later.map(|(place, value, version)| row(place, value.clone(), *version)).collect()
+    }
+
     /// Returns the number of runs at all executors.
     pub(crate) fn running(&self) -> usize {
         self.executors.borrow().values().map(|machine| machine.running.len()).sum()
@@ -222,13 +228,7 @@
         }
         loop {
             self.reach().await?;
-            let history = self.world.history.borrow();
-            let changed: Vec<Row> = history
-                .iter()
-                .filter(|(place, _, version)| place.0 == table && *version > after.0)
-                .map(|(place, value, version)| row(place, value.clone(), *version))
-                .collect();
-            drop(history);
+            let changed = self.world.changed(table, after);
             if !changed.is_empty() || clock::now() >= until {
                 let version = Version(self.world.version.get());
                 return Ok(Changes { rows: changed, version });
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -64,11 +64,9 @@
         let reply = instance.ask(request(name, Ask::Submit(Ok(job.clone())))).await;
         match reply {
             Reply::Accepted => return,
-            Reply::NotDone(_) | Reply::Unknown => {
-                Timer::after(Duration::from_millis(20)).await;
-            }
-            other => panic!("unexpected reply {other:?}"),
+            other => assert!(matches!(other, Reply::NotDone(_) | Reply::Unknown), "{other:?}"),
         }
+        Timer::after(Duration::from_millis(20)).await;
     }
 }
 
