--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -145,7 +145,6 @@
             return;
         };
         entry.state = state;
-        entry.ended = Some(now);
         self.learned.model.forget(id);
         self.scheduled.remove(&id);
         let mut steps = Vec::new();
@@ -366,6 +365,5 @@
         occurrences: BTreeMap::new(),
         finished: BTreeSet::new(),
         next_occurrence: 0,
-        ended: None,
     }
 }
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -30,8 +30,6 @@
     pub(super) finished: BTreeSet<u32>,
     /// Lowest occurrence that has not begun.
     pub(super) next_occurrence: u32,
-    /// When it ended, where it did in this tenure.
-    pub(super) ended: Option<Time>,
 }
 
 /// One occurrence of a job.
--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -66,8 +66,8 @@
         };
         let glance = Glance { executor: id.clone(), number: executor.looks };
         let seen = executor.recorded;
-        let (address, born) = (executor.listed.address, executor.listed.born);
-        self.out.push(Command::Look { glance, address, born, seen, deadline, wait });
+        let address = executor.listed.address;
+        self.out.push(Command::Look { glance, address, seen, deadline, wait });
         true
     }
 
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -7,7 +7,7 @@
 use sycamorerill_core::data;
 
 use crate::config::Config;
-use crate::executor::{Answer, Born, Listed, Report, Steady};
+use crate::executor::{Answer, Born, How, Listed, Refusal, Report, Steady};
 use crate::id::{ExecutorId, JobId, Run, TaskId};
 use crate::progress::{Progress, State};
 use crate::spec::Accepted;
@@ -72,8 +72,6 @@
         pub states: Vec<(JobId, State)>,
         /// What is learned of images, where that is to be recorded.
         pub learned: Option<super::Lesson>,
-        /// Jobs whose records are to be forgotten.
-        pub forgotten: Vec<JobId>,
     }
 }
 
@@ -119,8 +117,6 @@
             glance: Glance,
             /// Address of the executor.
             address: SocketAddr,
-            /// Life of the executor, where known.
-            born: Born,
             /// Ends up to this number are recorded.
             seen: u64,
             /// Leases are extended until then; none leaves them.
@@ -180,9 +176,9 @@
     #[derive(Copy)]
     pub enum Closing {
         /// Its end was listed.
-        Ended(crate::executor::How),
+        Ended(How),
         /// The executor refused the order.
-        Refused(crate::executor::Refusal),
+        Refused(Refusal),
         /// The order was never sent.
         NotSent,
         /// A look under our epoch, or after a stop, does not list it.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -140,16 +140,6 @@
         self.superseded
     }
 
-    /// Returns how long after a turn the next is due without an event.
-    pub const fn tick_every(&self) -> sycamorerill_core::clock::Span {
-        self.settings.tick
-    }
-
-    /// Returns the number of jobs that have not ended.
-    pub fn unfinished(&self) -> usize {
-        self.jobs.values().filter(|entry| !entry.state.is_terminal()).count()
-    }
-
     /// Returns the recorded or decided state of a job.
     pub fn state(&self, job: JobId) -> Option<State> {
         self.jobs.get(&job).map(|entry| entry.state)
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -62,9 +62,6 @@
         };
         entry.state = progress.state;
         entry.shown = progress.state;
-        if progress.state.is_terminal() {
-            entry.ended = Some(now);
-        }
         for done in &progress.done {
             restore_done(entry, now, done.occurrence, done.step, &done.indices);
         }
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -11,8 +11,6 @@
         pub tick: Span,
         /// Lease that each look and order gives.
         pub lease: Span,
-        /// Longest lease that an executor gives, from the platform's bounds.
-        pub longest_lease: Span,
         /// Longest wait of a look for an end.
         pub look_wait: Span,
         /// Longest wait of a look where tasks that fill run beside tasks that serve.
@@ -25,14 +23,10 @@
         pub order_retry: Span,
         /// How long a predecessor may go on extending leases unseen.
         pub predecessor: Span,
-        /// Longest time that a stop takes at an executor.
-        pub stop_grace: Span,
         /// Factor on run time away from the data or from other tasks of the step.
         pub remote_penalty: f64,
         /// Longest time over its objective that a task may be held by others.
         pub harm: Span,
-        /// How long a finished job is remembered.
-        pub remember: Span,
         /// Most runs placed in one turn.
         pub placed_per_turn: usize,
         /// Share of a serving task's processor time that it is thought to use.
@@ -46,7 +40,6 @@
             tick: Span::from_ms(50),
             // Outlives a takeover of the shard, about 2 s, twice.
             lease: Span::from_ms(5_000),
-            longest_lease: Span::from_ms(10_000),
             // The longest that executors offer: each look is paid for.
             look_wait: Span::from_ms(2_000),
             // A fifth of the time that serving tasks may be held over their objective.
@@ -55,10 +48,8 @@
             look_retry: Span::from_ms(250),
             order_retry: Span::from_ms(300),
             predecessor: Span::from_ms(8_000),
-            stop_grace: Span::from_ms(900),
             remote_penalty: 1.5,
             harm: Span::from_ms(4_000),
-            remember: Span::from_secs(150),
             placed_per_turn: 128,
             serving_use: 0.5,
         }
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -24,8 +24,6 @@
     starts: Vec<(TaskId, Run)>,
     /// Ends that are recorded with it.
     ends: Vec<(ExecutorId, Born, u64)>,
-    /// Jobs that are forgotten with it.
-    forgotten: Vec<JobId>,
 }
 
 impl Shard {
@@ -121,9 +119,6 @@
                 self.order_start(now, &task, run);
             }
         }
-        for job in writing.forgotten {
-            self.jobs.remove(&job);
-        }
     }
 }
 
--- a/crates/node/src/keeper/execute.rs
+++ b/crates/node/src/keeper/execute.rs
@@ -62,9 +62,9 @@
             note::answer("pace", &order, answer);
             Some(Event::Paced(order, percent, answer))
         }
-        Command::Look { glance, address, born, seen, deadline, wait } => {
+        Command::Look { glance, address, seen, deadline, wait } => {
             let to = to(address, glance.executor.clone());
-            let look = Look { seen, deadline, wait, born };
+            let look = Look { seen, deadline, wait };
             Some(match platform.look(to, look).await {
                 Ok(report) => Event::Looked(glance, report),
                 Err(answer) => Event::NotLooked(glance, answer),
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -61,7 +61,7 @@
             Table::Accepted => jobs.collect(),
             Table::States => jobs.chain(shards).collect(),
             Table::Progress | Table::Claims => shards.collect(),
-            Table::Declared | Table::Executors | Table::Status => vec![String::new()],
+            Table::Declared | Table::Executors => vec![String::new()],
         }
     }
 }
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -7,7 +7,7 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::{data, value};
 use sycamorerill_jobs::config::Config;
-use sycamorerill_jobs::executor::{Answer, Born, Listed, Report, Steady};
+use sycamorerill_jobs::executor::{Answer, Listed, Report, Steady};
 use sycamorerill_jobs::id::{ExecutorId, Run, TaskId};
 
 value! {
@@ -25,8 +25,6 @@
         Declared,
         /// Executors; written by them only.
         Executors,
-        /// What operators are told.
-        Status,
     }
 }
 
@@ -159,8 +157,6 @@
         pub deadline: Option<Steady>,
         /// Longest wait for an end.
         pub wait: Span,
-        /// Life that is meant.
-        pub born: Born,
     }
 }
 
