jobs, node: an unlisted executor is gone for a successor; lost answers do not cost a claim

Change: what a predecessor ordered at an executor that stays unlisted and silent for 3 s is over; attempts at a write take 150 ms first and half as much longer each time, where 500 ms three times outlasted the patience for a claim. Both tests were red before.

--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -14,12 +14,17 @@
 /// Slowest rate of an executor's clock against ours.
 const SLOWEST_CLOCK: f64 = 0.98;
 
+/// Time after a takeover in which entries that an outage took from the list are back:
+/// two seconds by the platform's page, and one for the list to be read.
+const UNLISTED: Span = Span::from_ms(3_000);
+
 /// An executor.
 #[derive(Debug)]
 pub(super) struct Executor {
     pub(super) listed: Listed,
     /// Whether its entry is in the list.
     pub(super) present: bool,
+    /// When its entry was last found to be there or to be gone.
     pub(super) since: Time,
     /// When it may leave, where it drains.
     pub(super) leaves: Option<Time>,
@@ -120,7 +125,9 @@
     /// Reports whether all leases there have lapsed by its own clock.
     pub(super) fn has_lapsed(&self, now: Time) -> bool {
         if !self.fenced {
-            return now >= self.inherited_until;
+            // Not listed all the while, and no answer: gone, as the platform has it.
+            let gone = !self.present && now.since(self.since) >= UNLISTED;
+            return gone || now >= self.inherited_until;
         }
         self.clock(now) > self.deadline
     }
@@ -226,6 +233,7 @@
             return;
         };
         executor.present = false;
+        executor.since = now;
         if executor.open.is_empty() && executor.told >= executor.taken {
             self.executors.remove(id);
         } else if executor.looking.is_none() {
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -269,3 +269,19 @@
     assert_eq!(world.running(), 0);
     whole(&world);
 }
+
+#[test]
+fn a_successor_takes_an_executor_that_stays_unlisted_for_gone() {
+    let mut world = World::new(2);
+    world.submit(job(1), vec![lasting(2)]);
+    world.pass(Span::from_ms(500));
+    let at = world.places(&task(1, 0, 0))[0].clone();
+    let now = world.now;
+    world.machine(&at).reborn(now, 0);
+    world.machine(&at).reachable = false;
+    world.machine(&at).gone = true;
+    world.take_over();
+    world.pass(Span::from_ms(5_500));
+    assert_eq!(world.running(), 2);
+    whole(&world);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -56,6 +56,8 @@
     pub(crate) reachable: bool,
     /// Whether orders get no answer and are kept for later.
     pub(crate) late: bool,
+    /// Whether its entry is gone from the list.
+    pub(crate) gone: bool,
     /// Whether another executor has its address now.
     pub(crate) replaced: bool,
     pub(crate) run_time: Span,
@@ -165,6 +167,7 @@
             room: Room { cpu: 8_000, memory: 32_000, accelerators: 0 },
             reachable: true,
             late: false,
+            gone: false,
             replaced: false,
             run_time: Span::from_ms(1_000),
             tail_ms: 20,
@@ -229,7 +232,8 @@
         self.waiting_looks.clear();
         self.unrecorded = false;
         self.shard = Shard::new(Settings::default(), Arc::clone(&self.config));
-        let ids: Vec<ExecutorId> = self.machines.keys().cloned().collect();
+        let listed = self.machines.values().filter(|machine| !machine.gone);
+        let ids: Vec<ExecutorId> = listed.map(|machine| machine.id.clone()).collect();
         for id in ids {
             self.list(&id);
         }
--- a/crates/node/src/keeper/commit.rs
+++ b/crates/node/src/keeper/commit.rs
@@ -15,12 +15,17 @@
 use crate::port::{Error, Platform, Row, Table, Transaction, Version};
 use crate::run::Outside;
 
-/// Time that the store has for one attempt.
-const ATTEMPT: Span = Span::from_ms(500);
+/// Time that the store has for the first attempt: ten of its usual answers, and short
+/// enough for two lost ones between the renewals of a claim.
+const FIRST_ATTEMPT: Span = Span::from_ms(150);
+/// Factor on the time of each further attempt.
+const LONGER: f64 = 1.5;
+/// Time that the store has for a later attempt at the most: it may be slow for long.
+const LONGEST_ATTEMPT: Span = Span::from_ms(1_200);
 /// Pause after the store refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
 /// Attempts at a claim.
-const CLAIM_ATTEMPTS: u32 = 4;
+const CLAIM_ATTEMPTS: u32 = 5;
 
 data! {
     /// The row that each transaction of an owner rewrites: it tells whether a
@@ -69,8 +74,9 @@
         writes: vec![(place, encode(&claim)), (sequence, encode(&first))],
         removes: Vec::new(),
     };
+    let mut limit = FIRST_ATTEMPT;
     for _ in 0..CLAIM_ATTEMPTS {
-        match outside.platform.transact(&change, ATTEMPT).await {
+        match outside.platform.transact(&change, limit).await {
             Ok(version) => return Ok((claim, version)),
             Err(Error::Conflict(rows)) => {
                 let row = rows.into_iter().find(|row| row.name == CLAIM);
@@ -80,7 +86,7 @@
                     row => Err(row),
                 };
             }
-            Err(Error::Unknown) => {}
+            Err(Error::Unknown) => limit = longer(limit),
             Err(_) => {
                 Timer::after(REFUSED_PAUSE).await;
             }
@@ -97,14 +103,15 @@
     renews: bool,
 ) -> Committed {
     let sent = clock::now();
+    let mut limit = FIRST_ATTEMPT;
     loop {
-        match outside.platform.transact(&change, ATTEMPT).await {
+        match outside.platform.transact(&change, limit).await {
             Ok(version) => {
                 let claim = renews.then_some(version);
                 return Committed::Done { sent, sequence: version, claim };
             }
             Err(Error::Conflict(rows)) => return judge(sent, &rows, mine, renews),
-            Err(Error::Unknown) => {}
+            Err(Error::Unknown) => limit = longer(limit),
             Err(_) => {
                 Timer::after(REFUSED_PAUSE).await;
             }
@@ -112,6 +119,11 @@
     }
 }
 
+/// Returns the time for an attempt after one of `limit` without an answer.
+fn longer(limit: Span) -> Span {
+    limit.scale(LONGER).min(LONGEST_ATTEMPT)
+}
+
 /// Tells from the rows whether an earlier attempt took effect.
 fn judge(sent: Time, rows: &[Row], mine: Sequence, renews: bool) -> Committed {
     let sequence = rows.iter().find(|row| row.name == SEQUENCE);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -131,6 +131,13 @@
         later.map(|(place, value, version)| row(place, value.clone(), *version)).collect()
     }
 
+    /// Returns the rows of a table whose name is `name`.
+    pub(crate) fn values(&self, table: Table, name: &str) -> Vec<Bytes> {
+        let rows = self.rows.borrow();
+        let found = rows.iter().filter(|(place, _)| place.0 == table && place.2 == name);
+        found.map(|(_, (value, _))| value.clone()).collect()
+    }
+
     /// Returns the number of runs at all executors.
     pub(crate) fn running(&self) -> usize {
         self.executors.borrow().values().map(|machine| machine.running.len()).sum()
@@ -191,7 +198,7 @@
 }
 
 impl Platform for View {
-    async fn transact(&self, change: &Transaction, _limit: Span) -> Result<Version, Error> {
+    async fn transact(&self, change: &Transaction, limit: Span) -> Result<Version, Error> {
         self.reach().await?;
         if self.world.refuse.get() > 0 {
             self.world.refuse.set(self.world.refuse.get() - 1);
@@ -200,6 +207,7 @@
         let done = self.world.transact(change);
         if done.is_ok() && self.world.lose_answers.get() > 0 {
             self.world.lose_answers.set(self.world.lose_answers.get() - 1);
+            pause(limit.as_ms()).await;
             return Err(Error::Unknown);
         }
         done
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use async_io::{Timer, block_on};
+use bytes::Bytes;
 use support::World;
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::progress::State;
 use sycamorerill_jobs::spec::{Job, Room, Step};
+use sycamorerill_jobs::tenure::Claim;
 use sycamorerill_node::front::{Ask, Reply, Request};
+use sycamorerill_node::port::Table;
 use sycamorerill_node::{Instance, Spawner};
 
 /// Longest time that a test waits for what it expects.
@@ -52,6 +55,13 @@
     }));
 }
 
+/// Returns the epochs of all claims.
+fn epochs(world: &World) -> Vec<u64> {
+    let claims = world.values(Table::Claims, "owner");
+    let read = |value: &Bytes| serde_json::from_slice::<Claim>(value).map_or(0, |c| c.epoch);
+    claims.iter().map(read).collect()
+}
+
 async fn ready(instance: &Instance) {
     while !instance.is_ready() {
         Timer::after(Duration::from_millis(5)).await;
@@ -150,6 +160,27 @@
     );
 }
 
+#[test]
+fn an_owner_keeps_its_shard_while_answers_are_lost() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            submit(&a, ID, &job(2)).await;
+            reaches(&a, ID, State::Completed).await;
+            let (b, _) = world.join(&spawner, "b");
+            ready(&b).await;
+            let before = epochs(&world);
+            for _ in 0..3 {
+                world.lose_answers.set(3);
+                Timer::after(Duration::from_millis(2_000)).await;
+            }
+            assert_eq!(epochs(&world), before);
+        },
+        2,
+    );
+}
+
 #[test]
 fn a_refusal_is_told_only_where_nothing_was_done() {
     play(
