--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -21,7 +21,7 @@
 
 impl Shard {
     /// Takes an accepted job.
-    pub(super) fn accept(&mut self, now: Time, wall_ms: u64, id: JobId, accepted: Accepted) {
+    pub(super) fn accept(&mut self, now: Time, id: JobId, accepted: Accepted) {
         if self.jobs.contains_key(&id) {
             return;
         }
@@ -29,11 +29,11 @@
         if self.cancelled_early.remove(&id) {
             self.cancel(now, id);
         }
-        self.begin(now, wall_ms, id);
+        self.begin(now, id);
     }
 
     /// Begins what is due of a job that is new to this shard.
-    pub(super) fn begin(&mut self, now: Time, wall_ms: u64, id: JobId) {
+    pub(super) fn begin(&mut self, now: Time, id: JobId) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -42,7 +42,7 @@
         }
         if entry.job.schedule.is_some() {
             self.scheduled.insert(id);
-            self.begin_due(wall_ms);
+            self.begin_due(now);
             return;
         }
         if !entry.occurrences.contains_key(&0) && !entry.finished.contains(&0) {
@@ -50,22 +50,22 @@
             entry.occurrences.insert(0, occurrence);
             entry.next_occurrence = 1;
         }
-        self.begin_steps(now, wall_ms, id, 0);
+        self.begin_steps(now, id, 0);
     }
 
     /// Begins the occurrences of scheduled jobs that are due.
-    pub(super) fn begin_due(&mut self, wall_ms: u64) {
+    pub(super) fn begin_due(&mut self, now: Time) {
         let jobs: Vec<JobId> = self.scheduled.iter().copied().collect();
-        let now = self.next_tick;
         for id in jobs {
-            while let Some(number) = self.begin_next(now, wall_ms, id) {
-                self.begin_steps(now, wall_ms, id, number);
+            while let Some(number) = self.begin_next(now, id) {
+                self.begin_steps(now, id, number);
             }
         }
     }
 
     /// Begins the next occurrence of a job if it is due.
-    fn begin_next(&mut self, now: Time, wall_ms: u64, id: JobId) -> Option<u32> {
+    fn begin_next(&mut self, now: Time, id: JobId) -> Option<u32> {
+        let wall_ms = self.wall_ms;
         let entry = self.jobs.get_mut(&id)?;
         let number = entry.next_occurrence;
         if !entry.is_active() || number >= entry.job.occurrences() {
@@ -85,7 +85,7 @@
     }
 
     /// Lets the steps of an occurrence wait whose turn has come.
-    pub(super) fn begin_steps(&mut self, now: Time, wall_ms: u64, id: JobId, number: u32) {
+    pub(super) fn begin_steps(&mut self, now: Time, id: JobId, number: u32) {
         let Some(entry) = self.jobs.get(&id).filter(|entry| entry.is_active()) else {
             return;
         };
@@ -100,7 +100,7 @@
                 !occurrence.steps[*step as usize].begun
                     && after.iter().all(|a| occurrence.steps[*a as usize].left == 0)
             })
-            .map(|step| (step, Rank::of(entry, queue, step, begin_ms, wall_ms)))
+            .map(|step| (step, Rank::of(entry, queue, step, begin_ms, self.wall_ms)))
             .collect();
         for (step, rank) in ready {
             self.begin_step(now, StepId { job: id, occurrence: number, step }, rank);
@@ -171,7 +171,7 @@
             self.waiting.remove(waiting);
         }
         for (task, run) in dropped {
-            self.close(now, &task, run, Closing::NotRecorded, None);
+            self.close(now, &task, run, Closing::NotRecorded);
         }
         self.dirty.insert(id);
         self.out.push(Command::Log(Note::Finished { job: id, state }));
@@ -179,7 +179,7 @@
     }
 
     /// Takes the end of a run as an executor lists it.
-    pub(super) fn end(&mut self, now: Time, wall_ms: u64, id: &ExecutorId, ended: &Ended) {
+    pub(super) fn end(&mut self, now: Time, id: &ExecutorId, ended: &Ended) {
         let Some(entry) = self.jobs.get_mut(&ended.task.step.job) else {
             return;
         };
@@ -193,18 +193,11 @@
         if !ended.saved.is_empty() {
             task.saved.clone_from(&ended.saved);
         }
-        self.close(now, &ended.task, ended.run, Closing::Ended(ended.how), Some(wall_ms));
+        self.close(now, &ended.task, ended.run, Closing::Ended(ended.how));
     }
 
     /// Closes a run by evidence, and decides what becomes of its task.
-    pub(super) fn close(
-        &mut self,
-        now: Time,
-        task: &TaskId,
-        run: Run,
-        by: Closing,
-        wall_ms: Option<u64>,
-    ) {
+    pub(super) fn close(&mut self, now: Time, task: &TaskId, run: Run, by: Closing) {
         let Some(executor) = self.drop_open(task, run) else {
             return;
         };
@@ -213,7 +206,7 @@
         self.dirty.insert(task.step.job);
         self.fresh = true;
         match by {
-            Closing::Ended(How::Done) => self.task_done(now, task, &executor, wall_ms),
+            Closing::Ended(How::Done) => self.task_done(now, task, &executor),
             Closing::Ended(How::Failed) => self.task_failed(now, task, &executor),
             _ => self.wait_again(task),
         }
@@ -222,13 +215,13 @@
     /// Takes a run off its task and its executor.
     pub(super) fn drop_open(&mut self, task: &TaskId, run: Run) -> Option<ExecutorId> {
         let entry = self.jobs.get_mut(&task.step.job)?;
-        let step = entry.job.steps.get(task.step.step as usize)?.clone();
         let found = entry.task_mut(task)?;
         let at = found.open.iter().position(|open| open.run == run)?;
         let open = found.open.swap_remove(at);
         let same = found.open.iter().any(|other| other.executor == open.executor);
+        let step = entry.job.steps.get(task.step.step as usize)?;
         if let Some(executor) = self.executors.get_mut(&open.executor) {
-            executor.give_room(&step);
+            executor.give_room(step);
             if !same {
                 executor.open.remove(task);
             }
@@ -237,7 +230,7 @@
         Some(open.executor)
     }
 
-    fn task_done(&mut self, now: Time, id: &TaskId, executor: &ExecutorId, wall_ms: Option<u64>) {
+    fn task_done(&mut self, now: Time, id: &TaskId, executor: &ExecutorId) {
         if let Some(executor) = self.executors.get_mut(executor) {
             executor.health.succeeded();
         }
@@ -267,18 +260,13 @@
                 self.want_stop(now, &task, run);
             }
         }
-        let left = self.step_left(id.step);
-        if left == Some(0) {
-            self.step_done(now, id.step, wall_ms.unwrap_or(0));
+        let steps = self.jobs.get(&id.step.job).and_then(|e| e.step(id.step));
+        if steps.is_some_and(|step| step.left == 0) {
+            self.step_done(now, id.step);
         }
     }
 
-    fn step_left(&mut self, id: StepId) -> Option<u32> {
-        let step = self.jobs.get_mut(&id.job)?.step_mut(id.occurrence, id.step)?;
-        Some(step.left)
-    }
-
-    fn step_done(&mut self, now: Time, id: StepId, wall_ms: u64) {
+    fn step_done(&mut self, now: Time, id: StepId) {
         let Some(entry) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -291,7 +279,7 @@
             return;
         };
         if occurrence.steps.iter().any(|step| step.left > 0) {
-            self.begin_steps(now, wall_ms, id.job, id.occurrence);
+            self.begin_steps(now, id.job, id.occurrence);
             return;
         }
         let copies = occurrence.steps.iter().flat_map(|s| &s.tasks).any(|t| !t.open.is_empty());
@@ -356,7 +344,7 @@
     Entry {
         text: Arc::from(accepted.job.text.as_str()),
         lasting: accepted.job.is_lasting(),
-        job: accepted.job,
+        job: Arc::new(accepted.job),
         queue: accepted.queue,
         accepted_ms: accepted.at_ms,
         cancelled: false,
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -7,14 +7,14 @@
 
 use super::rank::Rank;
 use crate::executor::Born;
-use crate::id::{ExecutorId, QueueName, Run, TaskId};
+use crate::id::{ExecutorId, QueueName, Run, StepId, TaskId};
 use crate::progress::State;
 use crate::spec::Job;
 
 /// A job.
 #[derive(Debug)]
 pub(super) struct Entry {
-    pub(super) job: Job,
+    pub(super) job: Arc<Job>,
     pub(super) text: Arc<str>,
     pub(super) queue: QueueName,
     /// When it was accepted, in milliseconds since 1970.
@@ -54,8 +54,6 @@
     pub(super) rank: Option<Rank>,
     /// When its tasks could start.
     pub(super) since: Time,
-    /// Tickets of the advice service by executor.
-    pub(super) tickets: BTreeMap<ExecutorId, (String, Time)>,
 }
 
 /// A task.
@@ -133,14 +131,18 @@
 impl Entry {
     /// Returns a task of the job.
     pub(super) fn task(&self, id: &TaskId) -> Option<&Task> {
-        let step = self.occurrences.get(&id.step.occurrence)?.steps.get(id.step.step as usize)?;
-        step.tasks.get(id.index as usize)
+        self.step(id.step)?.tasks.get(id.index as usize)
     }
 
     /// Returns a task of the job.
     pub(super) fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
-        let occurrence = self.occurrences.get_mut(&id.step.occurrence)?;
-        occurrence.steps.get_mut(id.step.step as usize)?.tasks.get_mut(id.index as usize)
+        let step = self.step_mut(id.step.occurrence, id.step.step)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
+    /// Returns a step of the job.
+    pub(super) fn step(&self, id: StepId) -> Option<&Step> {
+        self.occurrences.get(&id.occurrence)?.steps.get(id.step as usize)
     }
 
     /// Returns a step of an occurrence.
@@ -172,15 +174,7 @@
     fn new(count: u32, now: Time) -> Self {
         let mut tasks = Vec::new();
         tasks.resize_with(count as usize, Task::default);
-        Self {
-            begun: false,
-            left: count,
-            tasks,
-            waiting: BTreeSet::new(),
-            rank: None,
-            since: now,
-            tickets: BTreeMap::new(),
-        }
+        Self { begun: false, left: count, tasks, waiting: BTreeSet::new(), rank: None, since: now }
     }
 }
 
--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -12,7 +12,7 @@
 use crate::spec::{Room, Step};
 
 /// Slowest rate of an executor's clock against ours.
-const SLOWEST_CLOCK: f64 = 0.98;
+pub(super) const SLOWEST_CLOCK: f64 = 0.98;
 
 /// Time after a takeover in which entries that an outage took from the list are back:
 /// two seconds by the platform's page, and one for the list to be read.
@@ -46,8 +46,6 @@
     pub(super) fills: BTreeMap<Image, u64>,
     /// Processor time that serving runs there ask for, by image.
     pub(super) servings: BTreeMap<Image, u64>,
-    /// Processor time that serving runs there ask for, in thousandths of a core.
-    pub(super) serving: u64,
     /// Highest number of an end that was taken in.
     pub(super) taken: u64,
     /// Highest number of an end whose record lasts.
@@ -65,6 +63,8 @@
     /// Since when it does not answer.
     pub(super) silent: Option<Time>,
     pub(super) health: super::health::Health,
+    /// When filling runs there were last paced.
+    pub(super) paced: Option<Time>,
     /// Latest tails of the serving jobs there.
     pub(super) tails: BTreeMap<JobId, super::pace::Tail>,
 }
@@ -86,7 +86,6 @@
             used: Room::default(),
             fills: BTreeMap::new(),
             servings: BTreeMap::new(),
-            serving: 0,
             taken: 0,
             recorded: 0,
             told: 0,
@@ -96,6 +95,7 @@
             verify: false,
             silent: None,
             health: super::health::Health::default(),
+            paced: None,
             tails: BTreeMap::new(),
         };
         executor.note_leave(now);
@@ -155,7 +155,6 @@
             *self.fills.entry(super::pace::image(step)).or_default() += cpu;
         }
         if step.objective_ms.is_some() {
-            self.serving += cpu;
             *self.servings.entry(super::pace::image(step)).or_default() += cpu;
         }
         self.open.insert(task);
@@ -164,16 +163,19 @@
     /// Gives back the room of a run of a step.
     pub(super) fn give_room(&mut self, step: &Step) {
         self.used = self.used.less(&step.taken());
-        let cpu = step.room.cpu;
         if step.filling {
             give(&mut self.fills, step);
         }
         if step.objective_ms.is_some() {
-            self.serving = self.serving.saturating_sub(cpu);
             give(&mut self.servings, step);
         }
     }
 
+    /// Returns the processor time that serving runs there ask for.
+    pub(super) fn serving(&self) -> u64 {
+        self.servings.values().sum()
+    }
+
     fn note_leave(&mut self, now: Time) {
         self.leaves = match (self.listed.standing, self.listed.remaining) {
             (Standing::Draining, Some(remaining)) => Some(now + remaining),
@@ -298,7 +300,7 @@
             }
         }
         for run in over {
-            self.close(now, task, run, super::message::Closing::Gone, None);
+            self.close(now, task, run, super::message::Closing::Gone);
         }
         pending
     }
@@ -350,7 +352,7 @@
             .map(|open| open.run)
             .collect();
         for run in runs {
-            self.close(now, task, run, by, None);
+            self.close(now, task, run, by);
         }
     }
 }
--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -1,6 +1,6 @@
 //! Looks at executors: what runs, what has ended, and the leases they extend.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use sycamorerill_core::clock::{Span, Time};
 
@@ -96,7 +96,6 @@
             self.out.push(Command::Log(Note::Reachable(id.clone())));
         }
         executor.told = executor.told.max(executor.recorded);
-        let wall_ms = self.wall_ms;
         let complete = report.ended.len() < ENDS_PER_REPORT;
         let mut listed: BTreeSet<(TaskId, Run)> =
             report.ended.iter().map(|end| (end.task, end.run)).collect();
@@ -107,7 +106,7 @@
             if ended.number > executor.taken {
                 executor.taken = ended.number;
                 self.taken_anew = true;
-                self.end(now, wall_ms, id, ended);
+                self.end(now, id, ended);
             }
         }
         listed.extend(report.running.iter().map(|row| (row.task, row.run)));
@@ -166,7 +165,7 @@
         };
         let first_under_epoch = !executor.fenced;
         let open: Vec<TaskId> = executor.open.iter().copied().collect();
-        let mut unlisted = BTreeMap::new();
+        let mut unlisted = Vec::new();
         for task in open {
             let Some(found) = self.jobs.get(&task.step.job).and_then(|entry| entry.task(&task))
             else {
@@ -184,12 +183,12 @@
                 let stopped = matches!(open.stop, Stop::Answered { since_look }
                     if glance.number >= since_look);
                 if known || stopped {
-                    unlisted.insert((task, open.run), ());
+                    unlisted.push((task, open.run));
                 }
             }
         }
-        for (task, run) in unlisted.into_keys() {
-            self.close(now, &task, run, Closing::NotListed, None);
+        for (task, run) in unlisted {
+            self.close(now, &task, run, Closing::NotListed);
         }
     }
 
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -92,8 +92,6 @@
             deadline: Steady,
             /// Checkpoint to resume from.
             saved: Option<String>,
-            /// Ticket of the advice service.
-            ticket: Option<String>,
         },
         /// Order an executor to stop a run.
         Stop {
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -105,7 +105,7 @@
         self.wall_ms = wall_ms;
         match event {
             Event::Configured(config) => self.configure(config),
-            Event::Accepted(job, accepted) => self.accept(now, wall_ms, job, *accepted),
+            Event::Accepted(job, accepted) => self.accept(now, job, *accepted),
             Event::Cancelled(job) => self.cancel(now, job),
             Event::Listed(listed) => self.list(now, *listed),
             Event::Unlisted(executor) => self.unlist(now, &executor),
@@ -126,9 +126,9 @@
         }
         if now >= self.next_tick {
             self.next_tick = now + self.settings.tick;
-            self.tick(now, wall_ms);
+            self.tick(now);
         }
-        self.place_waiting(now, wall_ms);
+        self.place_waiting(now);
         self.write(now);
         self.look_around(now);
         std::mem::take(&mut self.out)
@@ -145,12 +145,11 @@
         self.jobs.get(&job).map(|entry| entry.state)
     }
 
-    fn tick(&mut self, now: Time, wall_ms: u64) {
-        self.begin_due(wall_ms);
+    fn tick(&mut self, now: Time) {
+        self.begin_due(now);
         self.retry_orders(now);
         self.close_lapsed(now);
         self.leave_draining(now);
-        self.relieve(now);
         self.relocate(now);
         self.fresh = true;
     }
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -16,10 +16,9 @@
             return;
         };
         let text = std::sync::Arc::clone(&entry.text);
-        let Some(step) = entry.step_mut(task.step.occurrence, task.step.step) else {
+        let Some(found) = entry.task_mut(task) else {
             return;
         };
-        let found = &mut step.tasks[task.index as usize];
         let saved = (!found.saved.is_empty()).then(|| found.saved.clone());
         let Some(open) = found.open_mut(run) else {
             return;
@@ -32,12 +31,11 @@
         }
         open.stage = Stage::Sent;
         open.sent = now;
-        let ticket = step.tickets.get(&open.executor).map(|(ticket, _)| ticket.clone());
         let order = Order { executor: open.executor.clone(), task: *task, run };
         let deadline = executor.extend(now, lease);
         let address = executor.listed.address;
         self.idle.insert(order.executor.clone());
-        self.out.push(Command::Start { order, address, text, deadline, saved, ticket });
+        self.out.push(Command::Start { order, address, text, deadline, saved });
     }
 
     /// Takes the outcome of an order to start.
@@ -58,7 +56,7 @@
             }
             Answer::NotSent if !repeated && open.stop == Stop::No => {
                 self.doubt(now, &order.executor);
-                self.close(now, &order.task, order.run, Closing::NotSent, None);
+                self.close(now, &order.task, order.run, Closing::NotSent);
             }
             Answer::Unknown | Answer::NotSent => {
                 if open.stage == Stage::Sent {
@@ -100,7 +98,7 @@
                 }
                 self.look_soon(&order.executor);
             }
-            _ => self.close(now, &order.task, order.run, Closing::Refused(refusal), None),
+            _ => self.close(now, &order.task, order.run, Closing::Refused(refusal)),
         }
     }
 
@@ -166,7 +164,7 @@
             return;
         };
         if open.stage == Stage::Writing {
-            self.close(now, task, run, Closing::NotRecorded, None);
+            self.close(now, task, run, Closing::NotRecorded);
         } else if open.stop == Stop::No {
             open.stop = Stop::Wanted;
             self.order_stop(now, task, run);
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -60,13 +60,12 @@
     pub(super) over: Option<Time>,
 }
 
-/// What is learned of images, and when executors were last paced.
+/// What is learned of images.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Learned {
     pub(super) model: Model,
     /// When what is learned was last recorded.
     pub(super) recorded: Time,
-    paced: BTreeMap<ExecutorId, Time>,
 }
 
 /// A filling run at an executor.
@@ -126,8 +125,8 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let since = self.learned.paced.get(id).map_or(Span::MAX, |at| now.since(*at));
-        if executor.fills.is_empty() || since < PACE_EVERY {
+        let lately = executor.paced.is_some_and(|at| now.since(at) < PACE_EVERY);
+        if executor.fills.is_empty() || lately {
             return;
         }
         let fillings = self.fillings(id, executor);
@@ -142,8 +141,10 @@
             })
             .map(|(filling, percent)| (filling.task, filling.run, percent))
             .collect();
-        if !orders.is_empty() {
-            self.learned.paced.insert(id.clone(), now);
+        if !orders.is_empty()
+            && let Some(executor) = self.executors.get_mut(id)
+        {
+            executor.paced = Some(now);
         }
         for (task, run, percent) in orders {
             self.order_pace(now, id, task, run, percent);
@@ -254,7 +255,9 @@
             && open.percent == percent
         {
             open.percent = if percent == 100 { 0 } else { 100 };
-            self.learned.paced.remove(&order.executor);
+            if let Some(executor) = self.executors.get_mut(&order.executor) {
+                executor.paced = None;
+            }
         }
     }
 
@@ -289,11 +292,6 @@
         }
         Some(cost)
     }
-
-    /// Forgets when executors were paced that have not been for long.
-    pub(super) fn relieve(&mut self, now: Time) {
-        self.learned.paced.retain(|_, at| now.since(*at) < PACE_EVERY);
-    }
 }
 
 impl Executor {
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -1,5 +1,7 @@
 //! Where waiting tasks run.
 
+use std::sync::Arc;
+
 use sycamorerill_core::clock::Time;
 
 use super::Shard;
@@ -36,7 +38,7 @@
 
 impl Shard {
     /// Places waiting tasks, the most urgent first.
-    pub(super) fn place_waiting(&mut self, now: Time, wall_ms: u64) {
+    pub(super) fn place_waiting(&mut self, now: Time) {
         if !std::mem::take(&mut self.fresh) {
             return;
         }
@@ -44,7 +46,7 @@
         let mut blocked = 0;
         let order: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
         for (rank, id) in order {
-            if self.is_overdue(rank, id, wall_ms) {
+            if self.is_overdue(rank, id) {
                 continue;
             }
             match self.place_step(now, id, &mut budget) {
@@ -64,7 +66,7 @@
     }
 
     /// Puts a step behind others when its job is late or can no longer earn.
-    fn is_overdue(&mut self, rank: Rank, id: StepId, wall_ms: u64) -> bool {
+    fn is_overdue(&mut self, rank: Rank, id: StepId) -> bool {
         if rank.is_hopeless() {
             return false;
         }
@@ -75,7 +77,7 @@
             return false;
         };
         let queue = self.config.queues.get(&entry.queue);
-        let anew = Rank::of(entry, queue, id.step, occurrence.begin_ms, wall_ms);
+        let anew = Rank::of(entry, queue, id.step, occurrence.begin_ms, self.wall_ms);
         if anew == rank {
             return false;
         }
@@ -97,17 +99,13 @@
         let Some(service) = self.config.queues.get(&entry.queue).map(|q| q.service.clone()) else {
             return false;
         };
-        let Some(spec) = entry.job.steps.get(id.step as usize).cloned() else {
-            return true;
-        };
-        let Some(step) =
-            entry.occurrences.get(&id.occurrence).and_then(|o| o.steps.get(id.step as usize))
-        else {
+        let job = Arc::clone(&entry.job);
+        let (Some(spec), Some(step)) = (job.steps.get(id.step as usize), entry.step(id)) else {
             return true;
         };
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         if spec.gang {
-            return self.place_gang(now, id, &spec, &service, &waiting, budget);
+            return self.place_gang(now, id, spec, &service, &waiting, budget);
         }
         let mut left = waiting.len();
         for index in waiting {
@@ -118,13 +116,13 @@
             if self.not_before(&task) > now {
                 continue;
             }
-            let rack = self.rack_of(id, &spec);
-            let need = Need { id, step: &spec, service: &service, rack };
+            let rack = self.rack_of(id, spec);
+            let need = Need { id, step: spec, service: &service, rack };
             let Some(executor) = self.choose(now, &need, &task) else {
                 return false;
             };
             let run = self.next_run(&task);
-            self.open(now, &task, run, executor, &spec);
+            self.open(now, &task, run, executor, spec);
             *budget -= 1;
             left -= 1;
         }
@@ -207,8 +205,7 @@
         if !spec.one_rack {
             return None;
         }
-        let entry = self.jobs.get(&id.job)?;
-        let step = entry.occurrences.get(&id.occurrence)?.steps.get(id.step as usize)?;
+        let step = self.jobs.get(&id.job)?.step(id)?;
         let open = step.tasks.iter().flat_map(|task| &task.open).next()?;
         self.executors.get(&open.executor)?.listed.rack().cloned()
     }
@@ -304,8 +301,9 @@
     /// Returns the share of its processor time that a filling task would get, less the
     /// harm it would do.
     fn share(&self, now: Time, step: &Step, executor: &Executor) -> Option<f64> {
-        let serving = executor.serving as f64 * self.settings.serving_use;
-        let others = executor.used.cpu.saturating_sub(executor.serving) as f64;
+        let served = executor.serving();
+        let serving = served as f64 * self.settings.serving_use;
+        let others = executor.used.cpu.saturating_sub(served) as f64;
         let left = (executor.listed.capacity.cpu as f64 - others - serving).max(0.0);
         let filling: u64 = executor.fills.values().sum();
         let share = left / (filling + step.room.cpu).max(1) as f64;
@@ -322,7 +320,7 @@
     let capacity = executor.listed.capacity;
     let left = capacity.less(&executor.used).less(&step.taken());
     let close = 1.0 - left.cpu as f64 / capacity.cpu.max(1) as f64;
-    let all: u64 = executor.servings.values().sum();
+    let all = executor.serving();
     if step.objective_ms.is_none() || all == 0 {
         return close;
     }
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -1,6 +1,7 @@
 //! How a successor goes on from what is recorded.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::data;
@@ -8,14 +9,14 @@
 use super::Shard;
 use super::end::new_entry;
 use super::entry::{Entry, Open, Stage, Stop};
-use super::fleet::Executor;
+use super::fleet::{Executor, SLOWEST_CLOCK};
 use crate::executor::{Born, Listed, Standing, Steady};
 use crate::id::{DomainName, ExecutorId, JobId, Run, ServiceName, StepId, TaskId};
 use crate::progress::{Progress, State, TaskRecord};
 use crate::spec::{Accepted, Room};
 
-/// Slowest rate of an executor's clock against ours.
-const SLOWEST_CLOCK: f64 = 0.98;
+/// Time by which a predecessor's last lease may outlast what is reckoned.
+const LEASE_SLACK: Span = Span::from_ms(200);
 
 data! {
     /// What is recorded of a shard.
@@ -50,7 +51,7 @@
         }
         let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in jobs {
-            self.begin(now, wall_ms, id);
+            self.begin(now, id);
             self.stop_wanted(now, id);
         }
         self.fresh = true;
@@ -116,19 +117,17 @@
     /// Takes that a predecessor's run may be at an executor.
     fn inherit(&mut self, now: Time, task: &TaskId, id: &ExecutorId, born: Born) {
         let settings = self.settings;
-        let step = self
-            .jobs
-            .get(&task.step.job)
-            .and_then(|entry| entry.job.steps.get(task.step.step as usize).cloned());
+        let job = self.jobs.get(&task.step.job).map(|entry| Arc::clone(&entry.job));
+        let step = job.as_ref().and_then(|job| job.steps.get(task.step.step as usize));
         let Some(step) = step else {
             return;
         };
         let executor =
             self.executors.entry(id.clone()).or_insert_with(|| Executor::unknown(now, id, born));
         executor.fenced = false;
-        let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + Span::from_ms(200);
+        let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + LEASE_SLACK;
         executor.inherited_until = now + settings.predecessor + lease;
-        executor.take_room(*task, &step);
+        executor.take_room(*task, step);
         self.idle.insert(id.clone());
     }
 }
--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -56,6 +56,9 @@
     }
 }
 
+/// Pause after an attempt at a claim, in which its outcome is heard.
+const AGAIN: Span = Span::from_ms(400);
+
 /// What is to be done about a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -185,7 +188,7 @@
         if now.since(changed) < wait || self.attempt.is_some_and(|at| at > now) {
             return Step::Wait;
         }
-        self.attempt = Some(now + self.settings.spread + Span::from_ms(400));
+        self.attempt = Some(now + self.settings.spread + AGAIN);
         Step::Claim
     }
 }
--- a/crates/node/src/keeper/commit.rs
+++ b/crates/node/src/keeper/commit.rs
@@ -76,9 +76,10 @@
     };
     let mut limit = FIRST_ATTEMPT;
     for _ in 0..CLAIM_ATTEMPTS {
-        match outside.platform.transact(&change, limit).await {
-            Ok(version) => return Ok((claim, version)),
-            Err(Error::Conflict(rows)) => {
+        match attempt(outside, &change, &mut limit).await {
+            None => {}
+            Some(Ok(version)) => return Ok((claim, version)),
+            Some(Err(rows)) => {
                 let row = rows.into_iter().find(|row| row.name == CLAIM);
                 let mine = row.as_ref().and_then(decode) == Some(claim.clone());
                 return match row {
@@ -86,15 +87,29 @@
                     row => Err(row),
                 };
             }
-            Err(Error::Unknown) => limit = longer(limit),
-            Err(_) => {
-                Timer::after(REFUSED_PAUSE).await;
-            }
         }
     }
     Err(None)
 }
 
+/// Makes one attempt at a change that takes effect once; returns the version or the rows
+/// that stand against it, and nothing where the outcome is not known.
+async fn attempt<P: Platform>(
+    outside: &Outside<P>,
+    change: &Transaction,
+    limit: &mut Span,
+) -> Option<Result<Version, Vec<Row>>> {
+    match outside.platform.transact(change, *limit).await {
+        Ok(version) => return Some(Ok(version)),
+        Err(Error::Conflict(rows)) => return Some(Err(rows)),
+        Err(Error::Unknown) => *limit = limit.scale(LONGER).min(LONGEST_ATTEMPT),
+        Err(_) => {
+            Timer::after(REFUSED_PAUSE).await;
+        }
+    }
+    None
+}
+
 /// Makes a change of an owner, again and again until its outcome is known.
 pub(super) async fn commit<P: Platform>(
     outside: &Outside<P>,
@@ -105,25 +120,17 @@
     let sent = clock::now();
     let mut limit = FIRST_ATTEMPT;
     loop {
-        match outside.platform.transact(&change, limit).await {
-            Ok(version) => {
+        match attempt(outside, &change, &mut limit).await {
+            None => {}
+            Some(Ok(version)) => {
                 let claim = renews.then_some(version);
                 return Committed::Done { sent, sequence: version, claim };
             }
-            Err(Error::Conflict(rows)) => return judge(sent, &rows, mine, renews),
-            Err(Error::Unknown) => limit = longer(limit),
-            Err(_) => {
-                Timer::after(REFUSED_PAUSE).await;
-            }
+            Some(Err(rows)) => return judge(sent, &rows, mine, renews),
         }
     }
 }
 
-/// Returns the time for an attempt after one of `limit` without an answer.
-fn longer(limit: Span) -> Span {
-    limit.scale(LONGER).min(LONGEST_ATTEMPT)
-}
-
 /// Tells from the rows whether an earlier attempt took effect.
 fn judge(sent: Time, rows: &[Row], mine: Sequence, renews: bool) -> Committed {
     let sequence = rows.iter().find(|row| row.name == SEQUENCE);
--- a/crates/node/src/keeper/execute.rs
+++ b/crates/node/src/keeper/execute.rs
@@ -39,12 +39,12 @@
     // A process that was suspended may have been replaced meanwhile.
     let stale = clock::now().since(confirmed) > ORDER_UNCONFIRMED;
     match command {
-        Command::Start { order, address, text, deadline, saved, ticket } => {
+        Command::Start { order, address, text, deadline, saved } => {
             let answer = if stale {
                 Answer::NotSent
             } else {
                 let (task, run) = (order.task, order.run);
-                let start = Start { task, run, text, deadline, saved, ticket };
+                let start = Start { task, run, text, deadline, saved };
                 platform.start(to(address, order.executor.clone()), start).await
             };
             note::answer("start", &order, answer);
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -22,7 +22,7 @@
 use self::commit::Committed;
 use self::gather::Gathered;
 use self::owner::Owner;
-use crate::follow::{News, Subject, follow};
+use crate::follow::{News, Subject};
 use crate::front::decode;
 use crate::layout::{self, Layout};
 use crate::log::{Code, Line};
@@ -286,23 +286,15 @@
             let place = Place { tenure, version: Version(0), owner: None, releasing: false };
             self.shards.insert(shard, place);
         }
-        let outside = self.outside.clone();
-        self.outside.spawner.spawn(async move {
-            let platform = Rc::clone(&outside.platform);
-            let tell = move |news| {
-                outside.tell(run::Message::Keeper(Message::Claims(news)));
-            };
-            follow(platform, subject(layout, Table::Claims, CLAIMS_GATHER), tell).await;
-        });
-        let outside = self.outside.clone();
-        self.outside.spawner.spawn(async move {
-            let platform = Rc::clone(&outside.platform);
-            let tell = move |news| {
-                let news = crate::front::Message::States(news);
-                outside.tell(run::Message::Front(news));
-            };
-            follow(platform, subject(layout, Table::States, STATES_GATHER), tell).await;
-        });
+        let claims = subject(layout, Table::Claims, CLAIMS_GATHER);
+        let claims =
+            self.outside.follow(claims, |news| run::Message::Keeper(Message::Claims(news)));
+        claims.detach();
+        let states = subject(layout, Table::States, STATES_GATHER);
+        let states = self
+            .outside
+            .follow(states, |news| run::Message::Front(crate::front::Message::States(news)));
+        states.detach();
     }
 
     fn heard_claims(&mut self, now: Time, news: News) {
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -1,7 +1,6 @@
 //! A shard that this instance owns, with what it reads and writes.
 
 use std::collections::BTreeSet;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +16,7 @@
 use super::gather::{Gathered, gather};
 use super::{Message, execute, note};
 use crate::clock;
-use crate::follow::{News, Subject, follow};
+use crate::follow::{News, Subject};
 use crate::front::{Shown, decode, encode};
 use crate::layout::{self, AcceptedRow, CLAIM, LESSON, Layout, SEQUENCE};
 use crate::port::{Platform, Row, Table, Transaction, Version};
@@ -116,18 +115,12 @@
     }
 
     fn follow(&mut self, table: Table, after: Version, gather: Duration) {
-        let outside = self.outside.clone();
         let place = self.place;
-        let following = self.outside.spawner.task(async move {
-            let platform = Rc::clone(&outside.platform);
-            let tell = move |news| {
-                let rows = Message::Rows(place.shard, place.epoch, table, news);
-                outside.tell(run::Message::Keeper(rows));
-            };
-            let parts = place.layout.parts(table);
-            follow(platform, Subject { table, parts, after: Some(after), gather }, tell).await;
-        });
-        self.tasks.push(following);
+        let parts = place.layout.parts(table);
+        let subject = Subject { table, parts, after: Some(after), gather };
+        self.tasks.push(self.outside.follow(subject, move |news| {
+            run::Message::Keeper(Message::Rows(place.shard, place.epoch, table, news))
+        }));
     }
 
     /// Takes rows that were read of a table.
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -142,8 +142,6 @@
         pub deadline: Steady,
         /// Checkpoint to resume from.
         pub saved: Option<String>,
-        /// Ticket of the advice service.
-        pub ticket: Option<String>,
     }
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -86,6 +86,20 @@
 }
 
 impl<P> Outside<P> {
+    /// Follows a table and sends what is heard, until the task is dropped.
+    pub(crate) fn follow(
+        &self,
+        subject: Subject,
+        message: impl Fn(News) -> Message + 'static,
+    ) -> Task<()>
+    where
+        P: Platform,
+    {
+        let outside = self.clone();
+        let platform = Rc::clone(&self.platform);
+        self.spawner.task(follow(platform, subject, move |news| outside.tell(message(news))))
+    }
+
     /// Sends a message to an actor.
     pub(crate) fn tell(&self, message: Message) {
         // The inbox is closed only when the instance ends.
