jobs: how strained serving tasks are is reckoned once for each executor

Cause: for each waiting task and executor the placement summed the weights of all filling images there anew, by names; a burst on a grown site took the owner's whole processor (quote-check waited 6 s in the middle, leases lapsed). Found by a profile of benches/turn.rs: 78 percent of the time in it.

--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -67,6 +67,8 @@
     pub(super) paced: Option<Time>,
     /// Latest tails of the serving jobs there.
     pub(super) tails: BTreeMap<JobId, super::pace::Tail>,
+    /// How busy the serving tasks there are, where that has been worked out.
+    pub(super) strains: Option<super::pace::Strains>,
 }
 
 impl Executor {
@@ -97,6 +99,7 @@
             health: super::health::Health::default(),
             paced: None,
             tails: BTreeMap::new(),
+            strains: None,
         };
         executor.note_leave(now);
         executor
@@ -150,6 +153,7 @@
     /// Takes room for a run of a step.
     pub(super) fn take_room(&mut self, task: TaskId, step: &Step) {
         self.used = self.used.plus(&step.taken());
+        self.strains = None;
         let cpu = step.room.cpu;
         if step.filling {
             *self.fills.entry(super::pace::image(step)).or_default() += cpu;
@@ -163,6 +167,7 @@
     /// Gives back the room of a run of a step.
     pub(super) fn give_room(&mut self, step: &Step) {
         self.used = self.used.less(&step.taken());
+        self.strains = None;
         if step.filling {
             give(&mut self.fills, step);
         }
--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -126,7 +126,6 @@
         }
         self.observe(now, id, &report.running);
         self.idle.insert(id.clone());
-        self.fresh = true;
     }
 
     /// Takes that an executor lists a run.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod look;
 mod message;
+mod misfit;
 mod model;
 mod order;
 mod pace;
@@ -60,6 +61,8 @@
     scheduled: BTreeSet<JobId>,
     /// Whether tasks wait that may find room now.
     fresh: bool,
+    /// Waiting tasks are not placed before.
+    place_after: Time,
     /// Runs that are ordered once they are recorded.
     placed: Vec<(TaskId, Run)>,
     /// Whether ends were taken in since the last batch.
@@ -88,6 +91,7 @@
             cancelled_early: BTreeSet::new(),
             scheduled: BTreeSet::new(),
             fresh: false,
+            place_after: Time::ZERO,
             placed: Vec::new(),
             taken_anew: false,
             wall_ms: 0,
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -65,7 +65,9 @@
 pub(super) struct Model {
     /// Places of filling images among the inputs.
     places: BTreeMap<Image, usize>,
-    serving: BTreeMap<Image, Fit>,
+    /// Places of serving images among the fits.
+    serving: BTreeMap<Image, usize>,
+    fits: Vec<Fit>,
     loads: BTreeMap<JobId, Load>,
 }
 
@@ -116,7 +118,8 @@
             rest: fit.rest,
             weights: self.places.iter().map(|(i, p)| (i.clone(), round(fit.weights[*p]))).collect(),
         };
-        Lesson { serving: self.serving.iter().map(|(i, fit)| (i.clone(), record(fit))).collect() }
+        let record = |(image, at): (&Image, &usize)| (image.clone(), record(&self.fits[*at]));
+        Lesson { serving: self.serving.iter().map(record).collect() }
     }
 
     /// Starts from what a predecessor learned.
@@ -127,7 +130,7 @@
                 .iter()
                 .map(|(image, weight)| (self.place(image), *weight))
                 .collect();
-            let fit = self.serving.entry(image).or_insert_with(Fit::new);
+            let fit = self.fit(&image);
             fit.rest = pressed.rest;
             for (place, weight) in places {
                 fit.prior[place] = weight;
@@ -143,7 +146,8 @@
         for (image, share) in shares {
             inputs[self.place(image)] += share;
         }
-        let fit = self.serving.entry(sample.image.clone()).or_insert_with(Fit::new);
+        let at = self.fit_number(&sample.image);
+        let fit = &mut self.fits[at];
         fit.rest = fit.rest.min(sample.ratio * REST_BELOW);
         let busy = fit.busy(sample.ratio);
         let pressed = fit.pressed(&inputs);
@@ -164,18 +168,46 @@
         *self.places.entry(image.clone()).or_insert(next)
     }
 
+    fn fit_number(&mut self, image: &Image) -> usize {
+        let next = self.fits.len();
+        let at = *self.serving.entry(image.clone()).or_insert(next);
+        if at == next {
+            self.fits.push(Fit::new());
+        }
+        at
+    }
+
+    fn fit(&mut self, image: &Image) -> &mut Fit {
+        let at = self.fit_number(image);
+        &mut self.fits[at]
+    }
+
+    /// Returns the place of a serving image, where it is known.
+    pub(super) fn serving_place(&self, image: &Image) -> Option<usize> {
+        self.serving.get(image).copied()
+    }
+
+    /// Returns the place of a filling image, where it is known.
+    pub(super) fn filling_place(&self, image: &Image) -> Option<usize> {
+        self.places.get(image).copied()
+    }
+
     /// Returns by how much a share of 1 of a filling image makes a serving one busier.
     pub(super) fn weight(&self, serving: &Image, filling: &Image) -> f64 {
-        let place = self.places.get(filling);
-        match (self.serving.get(serving), place) {
-            (Some(fit), Some(place)) => fit.weights[*place].clamp(0.0, MOST_WEIGHT),
+        self.weight_at(self.serving_place(serving), self.filling_place(filling))
+    }
+
+    /// Returns the same by the places of the images; none stands for one not known.
+    pub(super) fn weight_at(&self, serving: Option<usize>, filling: Option<usize>) -> f64 {
+        match (serving, filling) {
+            (Some(at), Some(place)) => self.fits[at].weights[place].clamp(0.0, MOST_WEIGHT),
             _ => PRIOR_WEIGHT,
         }
     }
 
     /// Returns how busy a serving task is whose tail over objective is `ratio`.
     pub(super) fn busy(&self, serving: &Image, ratio: f64) -> f64 {
-        let rest = self.serving.get(serving).map_or(PRIOR_REST, |fit| fit.rest);
+        let rest = self.serving_place(serving).map_or(PRIOR_REST, |at| self.fits[at].rest);
         busy(rest, ratio)
     }
 
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -46,6 +46,8 @@
 const AT_EASE: f64 = 0.45;
 /// How far ahead a placement looks: most filling tasks run for a few seconds.
 const PLACE_AHEAD: Span = Span::from_ms(1_000);
+/// Time for which it stands how busy serving tasks are expected to be.
+const STRAINS_LAST: Span = Span::from_ms(50);
 /// How far ahead a pace looks: until the next report.
 const PACE_AHEAD: Span = Span::from_ms(400);
 
@@ -266,26 +268,38 @@
         executor.tails.values().any(|tail| tail.over.is_some())
     }
 
+    /// Works out how busy the serving tasks at each executor are, where that has changed.
+    pub(super) fn reckon_strains(&mut self, now: Time) {
+        let model = &self.learned.model;
+        let alarm = self.settings.harm.scale(ALARM);
+        for executor in self.executors.values_mut() {
+            let fresh = executor
+                .strains
+                .as_ref()
+                .is_some_and(|strains| now.since(strains.at) < STRAINS_LAST);
+            if !fresh {
+                executor.strains = Some(strains(now, model, executor, alarm));
+            }
+        }
+    }
+
     /// Returns what a filling task of the step would press on serving tasks at an
     /// executor; none where it would push one over its objective.
-    pub(super) fn pressure(&self, now: Time, step: &Step, executor: &Executor) -> Option<f64> {
+    ///
+    /// `image` is the place of the step's image in what is learned.
+    pub(super) fn pressure(
+        &self,
+        step: &Step,
+        image: Option<usize>,
+        executor: &Executor,
+    ) -> Option<f64> {
         let capacity = executor.listed.capacity.cpu.max(1) as f64;
-        let filling = image(step);
+        let strains = executor.strains.as_ref().map_or(&[][..], |strains| &strains.each);
         let mut cost = 0.0;
-        let model = &self.learned.model;
-        for (job, tail) in &executor.tails {
-            let weight = model.weight(&tail.image, &filling);
-            let there: f64 = executor
-                .fills
-                .iter()
-                .map(|(image, cpu)| model.weight(&tail.image, image) * *cpu as f64 / capacity)
-                .sum();
-            let added = weight * step.room.cpu as f64 / capacity;
-            let most = model.busy(&tail.image, 1.0) - PLACED_BELOW;
-            let expected = model.load(now, *job, PLACE_AHEAD) + there + added;
-            let over = tail.over.map_or(Span::ZERO, |since| now.since(since));
-            let alarm = over >= self.settings.harm.scale(ALARM);
-            if alarm || (weight > HARMLESS && (expected > most || tail.ratio > 1.0)) {
+        for strain in strains {
+            let weight = self.learned.model.weight_at(strain.image, image);
+            let expected = strain.busy + weight * step.room.cpu as f64 / capacity;
+            if strain.alarm || (weight > HARMLESS && (expected > strain.most || strain.over)) {
                 return None;
             }
             cost = f64::max(cost, PRESSURE_COST * (expected - AT_EASE).max(0.0));
@@ -294,10 +308,55 @@
     }
 }
 
+/// How busy the serving tasks at an executor are expected to be.
+#[derive(Clone, Debug)]
+pub(super) struct Strains {
+    at: Time,
+    each: Vec<Strain>,
+}
+
+/// How busy the tasks of a serving job at an executor are expected to be.
+#[derive(Clone, Copy, Debug)]
+struct Strain {
+    /// Place of their image in what is learned.
+    image: Option<usize>,
+    /// Busy share with the filling tasks that are there.
+    busy: f64,
+    /// Busy share up to which filling tasks are placed.
+    most: f64,
+    /// Whether they are over their objective now.
+    over: bool,
+    /// Whether they have been so for too long.
+    alarm: bool,
+}
+
+fn strains(now: Time, model: &Model, executor: &Executor, alarm: Span) -> Strains {
+    let capacity = executor.listed.capacity.cpu.max(1) as f64;
+    let fills: Vec<(Option<usize>, f64)> = executor
+        .fills
+        .iter()
+        .map(|(image, cpu)| (model.filling_place(image), *cpu as f64 / capacity))
+        .collect();
+    let strain = |(job, tail): (&JobId, &Tail)| {
+        let image = model.serving_place(&tail.image);
+        let there: f64 =
+            fills.iter().map(|(place, share)| model.weight_at(image, *place) * share).sum();
+        Strain {
+            image,
+            busy: model.load(now, *job, PLACE_AHEAD) + there,
+            most: model.busy(&tail.image, 1.0) - PLACED_BELOW,
+            over: tail.ratio > 1.0,
+            alarm: tail.over.is_some_and(|since| now.since(since) >= alarm),
+        }
+    };
+    Strains { at: now, each: executor.tails.iter().map(strain).collect() }
+}
+
 impl Executor {
     /// Takes the tails of the serving jobs there.
     fn note_tails(&mut self, now: Time, samples: BTreeMap<JobId, Sample>) {
         let before = std::mem::take(&mut self.tails);
+        self.strains = None;
         self.tails = samples
             .into_iter()
             .map(|(job, Sample { image, ratio, .. })| {
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
 use super::entry::{Open, Stage, Stop};
 use super::fleet::Executor;
 use super::message::{Command, Note, Order};
+use super::misfit::Misfits;
 use super::rank::Rank;
 use crate::id::{ExecutorId, Run, ServiceName, StepId, TaskId};
 use crate::spec::Step;
@@ -27,6 +28,10 @@
 /// What an executor that is still slow after its start must be better by.
 const COLD: f64 = 0.5;
 
+/// Pause after a turn in which steps found no room: looking through all executors for
+/// each of them costs more than what ends meanwhile is worth.
+const PAUSE_BLOCKED: Span = Span::from_ms(20);
+
 /// A step and what its placement needs to know.
 pub(super) struct Need<'a> {
     pub(super) id: StepId,
@@ -34,27 +39,34 @@
     pub(super) service: &'a ServiceName,
     /// Rack of tasks of the step that run already, where one rack is preferred.
     pub(super) rack: Option<crate::id::Label>,
+    /// Place of the step's image in what is learned, for filling tasks.
+    pub(super) image: Option<usize>,
 }
 
 impl Shard {
     /// Places waiting tasks, the most urgent first.
     pub(super) fn place_waiting(&mut self, now: Time) {
-        if !std::mem::take(&mut self.fresh) {
+        if !self.fresh || now < self.place_after {
             return;
         }
+        self.fresh = false;
         let mut budget = self.settings.placed_per_turn;
         let mut blocked = 0;
+        let mut misfits = Misfits::default();
         let order: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
         for (rank, id) in order {
             if self.is_overdue(rank, id) {
                 continue;
             }
-            match self.place_step(now, id, &mut budget) {
+            match self.place_step(now, id, &mut budget, &mut misfits) {
                 true => {
                     self.waiting.remove(&(rank, id));
                 }
                 false => blocked += 1,
             }
+            if blocked > 0 {
+                self.place_after = now + PAUSE_BLOCKED;
+            }
             if budget == 0 {
                 self.fresh = true;
                 return;
@@ -92,7 +104,13 @@
     }
 
     /// Places waiting tasks of a step; returns whether none is left.
-    fn place_step(&mut self, now: Time, id: StepId, budget: &mut usize) -> bool {
+    fn place_step(
+        &mut self,
+        now: Time,
+        id: StepId,
+        budget: &mut usize,
+        misfits: &mut Misfits,
+    ) -> bool {
         let Some(entry) = self.jobs.get(&id.job) else {
             return true;
         };
@@ -103,6 +121,9 @@
         let (Some(spec), Some(step)) = (job.steps.get(id.step as usize), entry.step(id)) else {
             return true;
         };
+        if misfits.covers(&service, spec) {
+            return false;
+        }
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         if spec.gang {
             return self.place_gang(now, id, spec, &service, &waiting, budget);
@@ -116,9 +137,9 @@
             if self.not_before(&task) > now {
                 continue;
             }
-            let rack = self.rack_of(id, spec);
-            let need = Need { id, step: spec, service: &service, rack };
+            let need = self.need(now, id, spec, &service);
             let Some(executor) = self.choose(now, &need, &task) else {
+                misfits.add(&service, spec);
                 return false;
             };
             let run = self.next_run(&task);
@@ -149,8 +170,7 @@
         let mut placed = Vec::new();
         for index in waiting {
             let task = id.task(*index);
-            let rack = self.rack_of(id, spec);
-            let need = Need { id, step: spec, service, rack };
+            let need = self.need(now, id, spec, service);
             let Some(executor) = self.choose(now, &need, &task) else {
                 for task in placed {
                     self.unplace(&task, run);
@@ -200,6 +220,21 @@
         Run(found.map_or(0, |task| task.run) + 1)
     }
 
+    /// Returns what the placement of a step needs to know.
+    pub(super) fn need<'a>(
+        &mut self,
+        now: Time,
+        id: StepId,
+        step: &'a Step,
+        service: &'a ServiceName,
+    ) -> Need<'a> {
+        if step.filling {
+            self.reckon_strains(now);
+        }
+        let image = self.learned.model.filling_place(&super::pace::image(step));
+        Need { id, step, service, rack: self.rack_of(id, step), image }
+    }
+
     /// Returns the rack on which tasks of the step run, where one rack is preferred.
     fn rack_of(&self, id: StepId, spec: &Step) -> Option<crate::id::Label> {
         if !spec.one_rack {
@@ -283,7 +318,7 @@
             return None;
         }
         let mut score =
-            if step.filling { self.share(now, step, executor)? } else { closeness(need, executor) };
+            if step.filling { self.share(need, executor)? } else { closeness(need, executor) };
         score -= self.distance(need, executor);
         score -= if executor.health.is_doubted() { DOUBT } else { 0.0 };
         score -= if listed.cold.as_ms() > 0 { COLD } else { 0.0 };
@@ -300,7 +335,8 @@
 
     /// Returns the share of its processor time that a filling task would get, less the
     /// harm it would do.
-    fn share(&self, now: Time, step: &Step, executor: &Executor) -> Option<f64> {
+    fn share(&self, need: &Need<'_>, executor: &Executor) -> Option<f64> {
+        let step = need.step;
         let served = executor.serving();
         let serving = served as f64 * self.settings.serving_use;
         let others = executor.used.cpu.saturating_sub(served) as f64;
@@ -310,7 +346,7 @@
         if share < LEAST_SHARE {
             return None;
         }
-        Some(share.min(1.0) - self.pressure(now, step, executor)?)
+        Some(share.min(1.0) - self.pressure(step, need.image, executor)?)
     }
 }
 
--- a/crates/jobs/src/shard/relocate.rs
+++ b/crates/jobs/src/shard/relocate.rs
@@ -1,10 +1,11 @@
 //! Filling runs that are held back where they are, and go on elsewhere.
 
+use std::sync::Arc;
+
 use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
 use super::entry::{Open, Stage, Stop};
-use super::place::Need;
 use crate::id::{ExecutorId, Run, TaskId};
 
 /// Pace from which down a run counts as held back, in percent.
@@ -65,15 +66,16 @@
     }
 
     /// Reports whether a task would do well at another executor.
-    fn has_better(&self, now: Time, id: &ExecutorId, task: &TaskId) -> bool {
+    fn has_better(&mut self, now: Time, id: &ExecutorId, task: &TaskId) -> bool {
         let Some(entry) = self.jobs.get(&task.step.job) else {
             return false;
         };
-        let Some(queue) = self.config.queues.get(&entry.queue) else {
+        let Some(service) = self.config.queues.get(&entry.queue).map(|q| q.service.clone()) else {
             return false;
         };
-        let step = &entry.job.steps[task.step.step as usize];
-        let need = Need { id: task.step, step, service: &queue.service, rack: None };
+        let job = Arc::clone(&entry.job);
+        let step = &job.steps[task.step.step as usize];
+        let need = self.need(now, task.step, step, &service);
         self.executors
             .iter()
             .filter(|(other, _)| *other != id)
