--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -11,7 +11,7 @@
 pub(crate) const JOB_PARTS: u64 = 4;
 /// Executors that an instance can steer for each of its processors: on the bench an owner
 /// of 350 executors and 670 starts a second used 0.21 processors in the mean.
-const EXECUTORS_PER_CORE: f64 = 700.0;
+const EXECUTORS_PER_CORE: f64 = 1_000.0;
 /// Executors that an instance can steer for each Mbit/s of its link: the same owner moved
 /// about 4 Mbit/s, and bursts are 2.6 times as much.
 const EXECUTORS_PER_MBIT: f64 = 40.0;
