jobs: batches come in rounds, and ends are recorded with their round

Cause: ends were recorded only with a batch that left no changed job behind.

Change: a round takes the jobs that have changed and the ends that changed them; the last batch of the round records the ends. A full batch does not wait.

--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -51,6 +51,8 @@
     waiting: BTreeSet<(Rank, StepId)>,
     /// Jobs whose record is behind.
     dirty: BTreeSet<JobId>,
+    /// What the batches that come next record.
+    round: write::Round,
     /// The batch that is being recorded.
     writing: Option<write::Writing>,
     /// Executors that may be due for a look.
@@ -90,6 +92,7 @@
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            round: write::Round::default(),
             writing: None,
             idle: BTreeSet::new(),
             cancelled_early: BTreeSet::new(),
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -34,17 +34,30 @@
     ends: Vec<(ExecutorId, Born, u64)>,
 }
 
+/// Jobs that changed up to some time, and the ends that changed them: these are recorded
+/// when the last of the jobs is, however many have changed since.
+#[derive(Debug, Default)]
+pub(super) struct Round {
+    jobs: BTreeSet<JobId>,
+    ends: Vec<(ExecutorId, Born, u64)>,
+}
+
 impl Shard {
     /// Asks for a batch to be recorded, if something is to be and none is under way.
     pub(super) fn write(&mut self, now: Time) {
-        if self.writing.is_some() || now < self.write_after {
+        let full = self.round.jobs.len().max(self.dirty.len()) >= JOBS_PER_BATCH;
+        if self.writing.is_some() || (now < self.write_after && !full) {
             return;
         }
-        if self.dirty.is_empty() {
-            self.settle_known_ends();
-            return;
+        if self.round.jobs.is_empty() {
+            if self.dirty.is_empty() {
+                self.settle_known_ends();
+                return;
+            }
+            self.begin_round();
         }
-        let jobs: BTreeSet<JobId> = self.dirty.iter().copied().take(JOBS_PER_BATCH).collect();
+        let jobs: BTreeSet<JobId> = self.round.jobs.iter().copied().take(JOBS_PER_BATCH).collect();
+        self.round.jobs.retain(|job| !jobs.contains(job));
         self.dirty.retain(|job| !jobs.contains(job));
         if jobs.len() >= MANY_JOBS {
             self.write_after = now + GATHER;
@@ -58,9 +71,8 @@
         let (ready, later) = placed.into_iter().partition(|(t, _)| jobs.contains(&t.step.job));
         writing.starts = ready;
         self.placed = later;
-        if self.dirty.is_empty() {
-            writing.ends = self.ends_taken();
-            self.taken_anew = false;
+        if self.round.jobs.is_empty() {
+            writing.ends = std::mem::take(&mut self.round.ends);
         }
         if now.since(self.learned.recorded) >= LEARNED_EVERY {
             self.learned.recorded = now;
@@ -70,6 +82,12 @@
         self.out.push(Command::Record(batch));
     }
 
+    /// Begins a round of batches: it records all that has changed until now.
+    fn begin_round(&mut self) {
+        self.round = Round { jobs: self.dirty.clone(), ends: self.ends_taken() };
+        self.taken_anew = false;
+    }
+
     fn write_job(&mut self, id: JobId, batch: &mut Batch) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use support::{World, job, step};
+
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
 use sycamorerill_jobs::progress::State;
@@ -285,3 +287,33 @@
     assert_eq!(world.running(), 2);
     whole(&world);
 }
+
+#[test]
+fn an_end_is_recorded_while_more_jobs_change_than_batches_hold() {
+    let mut world = World::new(1);
+    world.slow_store = true;
+    world.submit(job(u64::MAX), vec![step(1)]);
+    world.pass(Span::from_ms(900));
+    // From shortly before the run ends, jobs come and are cancelled faster than they can
+    // be recorded: 45 in 10 ms.
+    let mut ended = None;
+    let mut noted = None;
+    for turn in 0..150 {
+        for number in 0..60 {
+            let id = job(1 + turn * 60 + number);
+            world.submit(id, vec![step(9)]);
+            world.cancel(id);
+        }
+        world.pass(Span::from_ms(10));
+        let machine = world.machine("x0");
+        let (counted, kept) = (machine.counted, machine.ended.len());
+        if counted > 0 {
+            ended.get_or_insert(world.now);
+        }
+        if counted > 0 && kept == 0 {
+            noted.get_or_insert(world.now);
+        }
+    }
+    let took = noted.expect("noted").since(ended.expect("ended"));
+    assert!(took < Span::from_ms(400), "the end was not taken note of for {took}");
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -51,6 +51,9 @@
     /// Whether the store takes records.
     pub(crate) store: bool,
     unrecorded: bool,
+    /// Whether the store takes one record every 10 ms only.
+    pub(crate) slow_store: bool,
+    recorded_at: Time,
 }
 
 pub(crate) fn job(id: u64) -> JobId {
@@ -103,6 +106,8 @@
             latency: Span::ZERO,
             store: true,
             unrecorded: false,
+            slow_store: false,
+            recorded_at: Time::ZERO,
         };
         for number in 0..count {
             world.add(number);
@@ -264,7 +269,9 @@
                 self.carry_out(command);
             }
         }
-        if self.unrecorded && self.store {
+        let held_up = self.slow_store && self.recorded_at == self.now;
+        if self.unrecorded && self.store && !held_up {
+            self.recorded_at = self.now;
             self.unrecorded = false;
             self.tell(Event::Recorded);
             self.settle();
