jobs, platform: queues whose policy says where their steps may run

Cause: starts on a queue with advice carried no ticket and were refused for ever.

Change: a step of such a queue asks the advice service about up to 30 executors that have room, best first, one question a step and eight at once; tickets are kept by executor and life until a fifth of their time is left, and shown with each start. A refused ticket is forgotten, a question without an answer asked again after 150 ms.

--- a/crates/jobs/src/executor.rs
+++ b/crates/jobs/src/executor.rs
@@ -3,6 +3,7 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::{data, value};
 
+pub use crate::id::Ticket;
 use crate::id::{DomainName, ExecutorId, Label, Run, ServiceName, TaskId};
 use crate::spec::Room;
 
@@ -119,6 +120,16 @@
     }
 }
 
+data! {
+    /// What the advice service says of some executors.
+    pub struct Permits {
+        /// Executors that may run the step, each with its ticket.
+        pub good: Vec<(ExecutorId, Ticket)>,
+        /// How long the tickets are valid.
+        pub valid: Span,
+    }
+}
+
 value! {
     /// Why an executor refused an order.
     pub enum Refusal {
--- a/crates/jobs/src/id.rs
+++ b/crates/jobs/src/id.rs
@@ -188,6 +188,10 @@
     /// What tasks run; tasks of the same image behave alike.
     Image
 }
+text_id! {
+    /// What the advice service gives for an executor that may run a step.
+    Ticket
+}
 text_id! {
     /// An entry instance.
     InstanceName
--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -141,6 +141,7 @@
 
     /// Ends a job, and stops what runs of it.
     pub(super) fn finish(&mut self, now: Time, id: JobId, state: State) {
+        self.forget_tickets(id);
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -267,6 +268,7 @@
     }
 
     fn step_done(&mut self, now: Time, id: StepId) {
+        self.forget_step(id);
         let Some(entry) = self.jobs.get_mut(&id.job) else {
             return;
         };
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -7,8 +7,8 @@
 use sycamorerill_core::data;
 
 use crate::config::Config;
-use crate::executor::{Answer, Born, How, Listed, Refusal, Report, Steady};
-use crate::id::{ExecutorId, JobId, Run, TaskId};
+use crate::executor::{Answer, Born, How, Listed, Permits, Refusal, Report, Steady, Ticket};
+use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::{Progress, State};
 use crate::spec::Accepted;
 
@@ -33,6 +33,8 @@
         Stopped(Order, Answer),
         /// An order to pace a run was answered, or wasn't.
         Paced(Order, u32, Answer),
+        /// A question for advice on executors was answered, or wasn't.
+        Advised(StepId, Vec<ExecutorId>, Option<Permits>),
         /// A look was answered.
         Looked(Glance, Report),
         /// A look was refused or not answered.
@@ -92,6 +94,8 @@
             deadline: Steady,
             /// Checkpoint to resume from.
             saved: Option<String>,
+            /// Ticket of the advice service, where the queue asks for one.
+            ticket: Option<Ticket>,
         },
         /// Order an executor to stop a run.
         Stop {
@@ -109,6 +113,13 @@
             /// Share in percent.
             percent: u32,
         },
+        /// Ask the advice service which executors may run a step.
+        Advise {
+            /// The step.
+            step: StepId,
+            /// Executors that are asked about.
+            executors: Vec<ExecutorId>,
+        },
         /// Ask an executor what it holds, and extend its leases.
         Look {
             /// Identity of the look.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -5,6 +5,7 @@
 //! under our own epoch or after an answered stop that does not list it, a lease
 //! that has lapsed by the executor's own clock, or the end of the executor's life.
 
+mod advice;
 mod drain;
 mod end;
 mod entry;
@@ -55,6 +56,8 @@
     round: write::Round,
     /// The batch that is being recorded.
     writing: Option<write::Writing>,
+    /// Where steps of queues with a policy may run.
+    advised: BTreeMap<StepId, advice::Advised>,
     /// Executors that may be due for a look.
     idle: BTreeSet<ExecutorId>,
     /// Jobs that were cancelled before they were heard of.
@@ -94,6 +97,7 @@
             dirty: BTreeSet::new(),
             round: write::Round::default(),
             writing: None,
+            advised: BTreeMap::new(),
             idle: BTreeSet::new(),
             cancelled_early: BTreeSet::new(),
             scheduled: BTreeSet::new(),
@@ -126,6 +130,7 @@
             Event::Started(order, answer) => self.started(now, &order, answer),
             Event::Stopped(order, answer) => self.stopped(now, &order, answer),
             Event::Paced(order, percent, answer) => self.was_paced(now, &order, percent, answer),
+            Event::Advised(step, asked, permits) => self.advise(now, step, &asked, permits),
             Event::Looked(glance, report) => self.looked(now, &glance, report),
             Event::NotLooked(glance, answer) => self.not_looked(now, &glance, answer),
         }
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -31,11 +31,13 @@
         }
         open.stage = Stage::Sent;
         open.sent = now;
+        let ticket = self.advised.get(&task.step).and_then(|advised| advised.ticket(now, executor));
+        let ticket = ticket.cloned();
         let order = Order { executor: open.executor.clone(), task: *task, run };
         let deadline = executor.extend(now, lease);
         let address = executor.listed.address;
         self.idle.insert(order.executor.clone());
-        self.out.push(Command::Start { order, address, text, deadline, saved });
+        self.out.push(Command::Start { order, address, text, deadline, saved, ticket });
     }
 
     /// Takes the outcome of an order to start.
@@ -74,6 +76,9 @@
             let pause = executor.health.refused(now);
             self.out.push(Command::Log(Note::Quarantined(order.executor.clone(), pause)));
         }
+        if refusal == Refusal::Ticket {
+            self.ticket_refused(order.task.step, &order.executor);
+        }
         if refusal == Refusal::Incarnation {
             self.note_replaced(now, &order.executor);
             return;
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -39,6 +39,8 @@
     pub(super) service: &'a ServiceName,
     /// Rack of tasks of the step that run already, where one rack is preferred.
     pub(super) rack: Option<crate::id::Label>,
+    /// Whether a task needs a ticket of the advice service.
+    pub(super) advised: bool,
     /// Place of the step's image in what is learned, for filling tasks.
     pub(super) image: Option<usize>,
 }
@@ -114,14 +116,16 @@
         let Some(entry) = self.jobs.get(&id.job) else {
             return true;
         };
-        let Some(service) = self.config.queues.get(&entry.queue).map(|q| q.service.clone()) else {
+        let Some(queue) = self.config.queues.get(&entry.queue) else {
             return false;
         };
+        let service = queue.service.clone();
+        let advised = queue.advice.is_some();
         let job = Arc::clone(&entry.job);
         let (Some(spec), Some(step)) = (job.steps.get(id.step as usize), entry.step(id)) else {
             return true;
         };
-        if misfits.covers(&service, spec) {
+        if !advised && misfits.covers(&service, spec) {
             return false;
         }
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
@@ -139,7 +143,11 @@
             }
             let need = self.need(now, id, spec, &service);
             let Some(executor) = self.choose(now, &need, &task) else {
-                misfits.add(&service, spec);
+                if advised {
+                    self.ask_advice(now, &need);
+                } else {
+                    misfits.add(&service, spec);
+                }
                 return false;
             };
             let run = self.next_run(&task);
@@ -175,6 +183,9 @@
                 for task in placed {
                     self.unplace(&task, run);
                 }
+                if need.advised {
+                    self.ask_advice(now, &need);
+                }
                 return false;
             };
             self.open(now, &task, run, executor, spec);
@@ -232,7 +243,10 @@
             self.reckon_strains(now);
         }
         let image = self.learned.model.filling_place(&super::pace::image(step));
-        Need { id, step, service, rack: self.rack_of(id, step), image }
+        let entry = self.jobs.get(&id.job);
+        let queue = entry.and_then(|entry| self.config.queues.get(&entry.queue));
+        let advised = queue.is_some_and(|queue| queue.advice.is_some());
+        Need { id, step, service, rack: self.rack_of(id, step), advised, image }
     }
 
     /// Returns the rack on which tasks of the step run, where one rack is preferred.
@@ -300,6 +314,14 @@
 
     /// Returns how well a task of the step would do at an executor, if it may run there.
     pub(super) fn score(&self, now: Time, need: &Need<'_>, executor: &Executor) -> Option<f64> {
+        if need.advised && self.ticket(now, need.id, executor).is_none() {
+            return None;
+        }
+        self.suits(now, need, executor)
+    }
+
+    /// Returns the same without regard to tickets.
+    pub(super) fn suits(&self, now: Time, need: &Need<'_>, executor: &Executor) -> Option<f64> {
         let step = need.step;
         let listed = &executor.listed;
         if !executor.takes_work() || listed.service != *need.service {
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -3,9 +3,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use support::{World, job, step};
-
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
 use sycamorerill_jobs::progress::State;
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 mod machine;
+mod policy;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -53,6 +54,14 @@
     unrecorded: bool,
     /// Whether the store takes one record every 10 ms only.
     pub(crate) slow_store: bool,
+    /// Executors on which the policy of the queue allows tasks to run, where it has one.
+    pub(crate) allowed: Option<BTreeSet<ExecutorId>>,
+    /// Questions for advice that are refused.
+    pub(crate) refused_advice: u32,
+    /// Questions for advice that were answered.
+    pub(crate) advised: u32,
+    /// Starts that were refused for want of a ticket.
+    pub(crate) refused_tickets: u32,
     recorded_at: Time,
 }
 
@@ -107,6 +116,10 @@
             store: true,
             unrecorded: false,
             slow_store: false,
+            allowed: None,
+            refused_advice: 0,
+            advised: 0,
+            refused_tickets: 0,
             recorded_at: Time::ZERO,
         };
         for number in 0..count {
@@ -303,6 +316,10 @@
                 }
                 self.tell(Event::Paced(order, percent, Answer::Done(Steady(0))));
             }
+            Command::Advise { step, executors } => {
+                let permits = self.answer(step, &executors);
+                self.tell(Event::Advised(step, executors, permits));
+            }
             Command::Look { glance, seen, deadline, wait, .. } => {
                 self.look(glance, seen, deadline, wait);
             }
@@ -342,6 +359,10 @@
             Command::Stop { order, .. } => (order, None),
             _ => return Answer::Unknown,
         };
+        let ticketed = match command {
+            Command::Start { order, ticket, .. } => self.has_ticket(order, ticket.as_ref()),
+            _ => true,
+        };
         let elsewhere = self
             .machines
             .values()
@@ -370,6 +391,10 @@
         if machine.highest.get(&order.task).is_some_and(|highest| *highest >= order.run) {
             return Answer::Refused(Refusal::Old, Some(clock));
         }
+        if !ticketed {
+            self.refused_tickets += 1;
+            return Answer::Refused(Refusal::Ticket, Some(clock));
+        }
         if elsewhere {
             self.broken.push(format!("{} runs twice at once", order.task));
         }
--- a/crates/node/src/keeper/execute.rs
+++ b/crates/node/src/keeper/execute.rs
@@ -39,12 +39,12 @@
     // A process that was suspended may have been replaced meanwhile.
     let stale = clock::now().since(confirmed) > ORDER_UNCONFIRMED;
     match command {
-        Command::Start { order, address, text, deadline, saved } => {
+        Command::Start { order, address, text, deadline, saved, ticket } => {
             let answer = if stale {
                 Answer::NotSent
             } else {
                 let (task, run) = (order.task, order.run);
-                let start = Start { task, run, text, deadline, saved };
+                let start = Start { task, run, text, deadline, saved, ticket };
                 platform.start(to(address, order.executor.clone()), start).await
             };
             note::answer("start", &order, answer);
@@ -62,6 +62,11 @@
             note::answer("pace", &order, answer);
             Some(Event::Paced(order, percent, answer))
         }
+        Command::Advise { step, executors } => {
+            let permits = platform.advise(step, &executors).await;
+            note::advised(step, &executors, permits.as_ref());
+            Some(Event::Advised(step, executors, permits))
+        }
         Command::Look { glance, address, seen, deadline, wait } => {
             let to = to(address, glance.executor.clone());
             let look = Look { seen, deadline, wait };
--- a/crates/node/src/keeper/note.rs
+++ b/crates/node/src/keeper/note.rs
@@ -1,7 +1,7 @@
 //! Log lines of shards.
 
-use sycamorerill_jobs::executor::Answer;
-use sycamorerill_jobs::id::ShardId;
+use sycamorerill_jobs::executor::{Answer, Permits};
+use sycamorerill_jobs::id::{ExecutorId, ShardId, StepId};
 use sycamorerill_jobs::shard::{Event, Note, Order};
 
 use crate::log::{Code, Line};
@@ -54,6 +54,15 @@
         .write();
 }
 
+/// Logs what the advice service said.
+pub(super) fn advised(step: StepId, asked: &[ExecutorId], permits: Option<&Permits>) {
+    let line = Line::new(Code::Advised).text("step", step).number("asked", asked.len() as u64);
+    match permits {
+        Some(permits) => line.number("good", permits.good.len() as u64).write(),
+        None => line.write(),
+    }
+}
+
 /// Logs an event that changes what a shard believes of an executor.
 pub(super) fn event(shard: ShardId, event: &Event) {
     let line = |executor, state| {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -46,6 +46,8 @@
     Paced,
     /// An order was not carried out or not answered.
     OrderFailed,
+    /// The advice service said which executors may run a step, or did not answer.
+    Advised,
     /// An executor does not answer, or does again.
     Executor,
     /// An executor gets no work for a while.
@@ -64,7 +66,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -75,6 +77,7 @@
         Self::Finished,
         Self::Paced,
         Self::OrderFailed,
+        Self::Advised,
         Self::Executor,
         Self::Quarantined,
         Self::Gained,
@@ -97,6 +100,7 @@
             Self::Finished => 1202,
             Self::Paced => 1203,
             Self::OrderFailed => 1204,
+            Self::Advised => 1205,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Gained => 1400,
@@ -120,6 +124,7 @@
             Self::Finished => "job.finished",
             Self::Paced => "run.paced",
             Self::OrderFailed => "order.failed",
+            Self::Advised => "step.advised",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Gained => "shard.gained",
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -7,8 +7,8 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::{data, value};
 use sycamorerill_jobs::config::Config;
-use sycamorerill_jobs::executor::{Answer, Listed, Report, Steady};
-use sycamorerill_jobs::id::{ExecutorId, Run, TaskId};
+use sycamorerill_jobs::executor::{Answer, Listed, Permits, Report, Steady, Ticket};
+use sycamorerill_jobs::id::{ExecutorId, Run, StepId, TaskId};
 
 value! {
     /// Tables of the platform's store.
@@ -142,6 +142,8 @@
         pub deadline: Steady,
         /// Checkpoint to resume from.
         pub saved: Option<String>,
+        /// Ticket of the advice service.
+        pub ticket: Option<Ticket>,
     }
 }
 
@@ -213,6 +215,14 @@
     /// Returns the outcome where it is not a report.
     fn look(&self, to: Order, look: Look) -> impl Future<Output = Result<Report, Answer>>;
 
+    /// Asks the advice service which of some executors may run a step; none where it
+    /// refuses or does not answer.
+    fn advise(
+        &self,
+        step: StepId,
+        executors: &[ExecutorId],
+    ) -> impl Future<Output = Option<Permits>>;
+
     /// Reads the entry of an executor; none where it names no executor to use.
     fn executor(&self, row: &Row) -> Option<Listed>;
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -14,10 +14,10 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::config::{Config, Limits, Queue, Service};
 use sycamorerill_jobs::executor::{
-    Answer, Born, Ended, How, Listed, Refusal, Report, Running, Standing, Steady,
+    Answer, Born, Ended, How, Listed, Permits, Refusal, Report, Running, Standing, Steady,
 };
 use sycamorerill_jobs::id::{
-    DomainName, ExecutorId, InstanceName, Label, QueueName, Run, ServiceName, TaskId,
+    DomainName, ExecutorId, InstanceName, Label, QueueName, Run, ServiceName, StepId, TaskId,
 };
 use sycamorerill_jobs::spec::Room;
 use sycamorerill_node::port::{
@@ -298,6 +298,10 @@
         }
     }
 
+    async fn advise(&self, _step: StepId, _executors: &[ExecutorId]) -> Option<Permits> {
+        None
+    }
+
     fn executor(&self, row: &Row) -> Option<Listed> {
         row.value.as_ref()?;
         Some(Listed {
