node, platform: counters, gauges and histograms of each hop on the configured port

Cause: on-call engineers had logs only; the deploy file named no address of metrics.

The page of jobs names every metric, which a test checks; another follows a job through them.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -31,7 +31,7 @@
         return ExitCode::SUCCESS;
     }
     if flags.edge {
-        return match sycamorerill_platform::run() {
+        return match sycamorerill_platform::run(flags.metrics_port) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => report(Report::msg(error), FAILED),
         };
--- a/crates/daemon/src/settings/flags.rs
+++ b/crates/daemon/src/settings/flags.rs
@@ -67,6 +67,9 @@
     /// serve jobs on the users' platform, by the settings file that it writes
     #[argh(switch)]
     pub edge: bool,
+    /// port on which metrics are served with --edge (default: none)
+    #[argh(option)]
+    pub metrics_port: Option<u16>,
     /// print the version and exit
     #[argh(switch)]
     pub version: bool,
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -22,6 +22,19 @@
     }
 }
 
+impl State {
+    /// Returns the state's name.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 data! {
     /// A run that was ordered and whose end is not known.
     #[derive(Serialize, Deserialize)]
--- a/crates/jobs/src/shard/end.rs
+++ b/crates/jobs/src/shard/end.rs
@@ -146,6 +146,7 @@
             return;
         };
         entry.state = state;
+        let accepted_ms = entry.accepted_ms;
         self.learned.model.forget(id);
         self.scheduled.remove(&id);
         let mut steps = Vec::new();
@@ -175,7 +176,8 @@
             self.close(now, &task, run, Closing::NotRecorded);
         }
         self.dirty.insert(id);
-        self.out.push(Command::Log(Note::Finished { job: id, state }));
+        let took = Span::from_ms(self.wall_ms.saturating_sub(accepted_ms));
+        self.out.push(Command::Log(Note::Finished { job: id, state, took }));
         self.stop_wanted(now, id);
     }
 
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -161,6 +161,8 @@
             job: JobId,
             /// How.
             state: State,
+            /// Time since it was accepted, by the time of day.
+            took: Span,
         },
         /// An executor does not answer.
         Unreachable(ExecutorId),
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -18,9 +18,11 @@
 use sycamorerill_jobs::spec::Job;
 
 use self::cache::Cache;
+use crate::clock;
 use crate::follow::News;
 use crate::layout::Layout;
 use crate::log::{Code, Line};
+use crate::metrics::Hop;
 use crate::port::{Platform, Row};
 use crate::run::Outside;
 
@@ -176,7 +178,10 @@
         let queue = queue.name.clone();
         let outside = self.outside.clone();
         self.outside.spawner.spawn(async move {
+            let asked = clock::now();
             let told = submit::submit(&outside, id, &queue, job, patience).await;
+            outside.metrics.passed(Hop::Accepted, clock::now().since(asked));
+            outside.metrics.submitted(told);
             if told == Reply::Accepted {
                 outside.tell(crate::run::Message::Front(Message::Stored(id, queue.clone())));
             }
--- a/crates/node/src/keeper/execute.rs
+++ b/crates/node/src/keeper/execute.rs
@@ -7,6 +7,7 @@
 use super::owner::Place;
 use super::{Message, ORDER_UNCONFIRMED, note};
 use crate::clock;
+use crate::metrics::Hop;
 use crate::port::{Look, Order, Platform, Start};
 use crate::run::{self, Outside};
 
@@ -20,7 +21,7 @@
     let outside = outside.clone();
     let spawner = outside.spawner.clone();
     spawner.spawn(async move {
-        let Some(event) = outcome(&*outside.platform, place, confirmed, command).await else {
+        let Some(event) = outcome(&outside, place, confirmed, command).await else {
             return;
         };
         let message = Message::Event(place.shard, place.epoch, Box::new(event));
@@ -29,15 +30,17 @@
 }
 
 async fn outcome<P: Platform>(
-    platform: &P,
+    outside: &Outside<P>,
     place: Place,
     confirmed: Time,
     command: Command,
 ) -> Option<Event> {
+    let (platform, metrics) = (&*outside.platform, &*outside.metrics);
+    let begun = clock::now();
     let epoch = place.epoch;
     let to = |address, executor| Order { address, executor, epoch };
     // A process that was suspended may have been replaced meanwhile.
-    let stale = clock::now().since(confirmed) > ORDER_UNCONFIRMED;
+    let stale = begun.since(confirmed) > ORDER_UNCONFIRMED;
     match command {
         Command::Start { order, address, text, deadline, saved, ticket } => {
             let answer = if stale {
@@ -47,18 +50,22 @@
                 let start = Start { task, run, text, deadline, saved, ticket };
                 platform.start(to(address, order.executor.clone()), start).await
             };
+            metrics.passed(Hop::Started, clock::now().since(begun));
+            metrics.ordered("start", answer);
             note::answer("start", &order, answer);
             Some(Event::Started(order, answer))
         }
         Command::Stop { order, address } => {
             let to = to(address, order.executor.clone());
             let answer = platform.stop(to, order.task, order.run).await;
+            metrics.ordered("stop", answer);
             note::answer("stop", &order, answer);
             Some(Event::Stopped(order, answer))
         }
         Command::Pace { order, address, percent } => {
             let to = to(address, order.executor.clone());
             let answer = platform.pace(to, order.task, order.run, percent).await;
+            metrics.ordered("pace", answer);
             note::answer("pace", &order, answer);
             Some(Event::Paced(order, percent, answer))
         }
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -26,6 +26,7 @@
 use crate::front::decode;
 use crate::layout::{self, Layout};
 use crate::log::{Code, Line};
+use crate::metrics::Hop;
 use crate::port::{Platform, Row, Table, Version};
 use crate::run::{Outside, Signs};
 use crate::{clock, run};
@@ -156,6 +157,7 @@
             self.step(now, shard);
         }
         self.signs.shards.set(self.kept());
+        self.outside.metrics.set_shards(self.kept());
     }
 
     fn kept(&self) -> usize {
@@ -246,6 +248,9 @@
     }
 
     fn committed(&mut self, now: Time, shard: ShardId, epoch: u64, committed: Committed) {
+        if let Committed::Done { sent, .. } = &committed {
+            self.outside.metrics.passed(Hop::Recorded, now.since(*sent));
+        }
         let Some(owner) = self.owner(shard, epoch) else {
             return;
         };
--- a/crates/node/src/keeper/note.rs
+++ b/crates/node/src/keeper/note.rs
@@ -15,7 +15,8 @@
         Note::Closed { order, by } => {
             run(Code::Closed, shard, order).text("by", format_args!("{by:?}")).write();
         }
-        Note::Finished { job, state } => Line::new(Code::Finished)
+        Note::Finished { job, state, took } => Line::new(Code::Finished)
+            .number("took_ms", took.as_ms())
             .text("job", job)
             .text("state", format_args!("{state:?}"))
             .write(),
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -196,7 +196,10 @@
             for command in self.shard.turn(now, clock::wall_ms()) {
                 match command {
                     Command::Record(batch) => self.batch = Some(batch),
-                    Command::Log(logged) => note::write(self.place.shard, &logged),
+                    Command::Log(logged) => {
+                        self.outside.metrics.noted(&logged);
+                        note::write(self.place.shard, &logged);
+                    }
                     order => {
                         let confirmed = tenure.confirmed();
                         execute::execute(&self.outside, self.place, confirmed, order);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod keeper;
 mod layout;
+mod metrics;
 mod run;
 
 pub use self::keeper::Settings as KeeperSettings;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -240,6 +240,11 @@
     }
 }
 
+/// Returns the number of lines that this process left out.
+pub(crate) fn left_out() -> u64 {
+    writer().left_out()
+}
+
 /// Returns the writer of this process, which a thread of its own empties.
 fn writer() -> &'static Queue {
     static WRITER: OnceLock<Queue> = OnceLock::new();
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,202 @@
+//! Counters, gauges and latency histograms of one instance, as text for a scraper.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use sycamorerill_core::clock::Span;
+use sycamorerill_jobs::executor::Answer;
+use sycamorerill_jobs::shard::{Closing, Note};
+
+use crate::front::Reply;
+
+/// Upper bound of the first bucket, in seconds: an answer of the store takes about 4 ms.
+const FIRST_BUCKET: f64 = 0.004;
+/// Number of buckets, each twice as wide: the last ends at 16 s.
+const BUCKETS: u16 = 13;
+
+/// Labels of what is counted by outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+/// Labels of what is counted by order and outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ordered {
+    order: &'static str,
+    outcome: &'static str,
+}
+
+/// Labels of what is timed by hop.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Passed {
+    hop: &'static str,
+}
+
+/// A hop on the way of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hop {
+    /// From a caller's whole request to the reply on its job.
+    Accepted,
+    /// From the time when a task could start to its placement.
+    Placed,
+    /// From a batch's first sending to its record.
+    Recorded,
+    /// From an order to start to its answer.
+    Started,
+    /// From a job's acceptance to its end.
+    Finished,
+}
+
+/// All metrics of one instance.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    submissions: Family<Outcome, Counter>,
+    hops: Family<Passed, Histogram, fn() -> Histogram>,
+    orders: Family<Ordered, Counter>,
+    closed: Family<Outcome, Counter>,
+    finished: Family<Outcome, Counter>,
+    shards: Gauge,
+    version: Gauge,
+    store_up: Gauge,
+    left_out: Gauge,
+}
+
+impl Hop {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Placed => "placed",
+            Self::Recorded => "recorded",
+            Self::Started => "started",
+            Self::Finished => "finished",
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let buckets = || Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("sycamorerill"),
+            submissions: Family::default(),
+            hops: Family::new_with_constructor(buckets),
+            orders: Family::default(),
+            closed: Family::default(),
+            finished: Family::default(),
+            shards: Gauge::default(),
+            version: Gauge::default(),
+            store_up: Gauge::default(),
+            left_out: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let help = "Submitted jobs, by what their callers were told";
+        registry.register("submissions", help, self.submissions.clone());
+        registry.register("hop_seconds", "Time of a hop on a task's way", self.hops.clone());
+        registry.register("orders", "Orders to executors, by outcome", self.orders.clone());
+        registry.register("runs_closed", "Runs that are over, by evidence", self.closed.clone());
+        registry.register("jobs_finished", "Jobs that ended, by state", self.finished.clone());
+        registry.register("shards_owned", "Shards owned", self.shards.clone());
+        registry.register("config_version", "Configuration in force", self.version.clone());
+        registry.register("store_up", "Whether the store answers", self.store_up.clone());
+        let help = "Lines that the log had no room for";
+        registry.register("log_lines_left_out", help, self.left_out.clone());
+    }
+
+    /// Takes the time of a hop.
+    pub(crate) fn passed(&self, hop: Hop, span: Span) {
+        let labels = Passed { hop: hop.name() };
+        self.hops.get_or_create(&labels).observe(span.as_ms_f64() / 1_000.0);
+    }
+
+    /// Counts a submitted job.
+    pub(crate) fn submitted(&self, reply: Reply) {
+        let outcome = match reply {
+            Reply::Accepted => "accepted",
+            Reply::NotDone(_) => "refused",
+            Reply::Unknown => "unknown",
+            _ => "invalid",
+        };
+        self.submissions.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    /// Counts an order to an executor.
+    pub(crate) fn ordered(&self, order: &'static str, answer: Answer) {
+        let outcome = match answer {
+            Answer::Done(_) => "done",
+            Answer::Refused(..) => "refused",
+            Answer::NotSent => "not_sent",
+            Answer::Unknown => "unknown",
+        };
+        self.orders.get_or_create(&Ordered { order, outcome }).inc();
+    }
+
+    /// Counts a decision of a shard.
+    pub(crate) fn noted(&self, note: &Note) {
+        match note {
+            Note::Placed { waited_ms, .. } => self.passed(Hop::Placed, Span::from_ms(*waited_ms)),
+            Note::Closed { by, .. } => {
+                let outcome = evidence(*by);
+                self.closed.get_or_create(&Outcome { outcome }).inc();
+            }
+            Note::Finished { state, took, .. } => {
+                self.passed(Hop::Finished, *took);
+                self.finished.get_or_create(&Outcome { outcome: state.name() }).inc();
+            }
+            _ => {}
+        }
+    }
+
+    /// Sets the number of shards owned.
+    pub(crate) fn set_shards(&self, number: usize) {
+        self.shards.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the version of the configuration in force.
+    pub(crate) fn set_version(&self, version: u64) {
+        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Sets whether the store answers.
+    pub(crate) fn set_store(&self, up: bool) {
+        self.store_up.set(i64::from(up));
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let left_out = i64::try_from(crate::log::left_out()).unwrap_or(i64::MAX);
+        self.left_out.set(left_out);
+        let mut text = String::new();
+        // Encoding into a string fails only where a metric's own encoder does.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+const fn evidence(by: Closing) -> &'static str {
+    use sycamorerill_jobs::executor::How;
+    match by {
+        Closing::Ended(How::Done) => "done",
+        Closing::Ended(How::Failed) => "failed",
+        Closing::Ended(How::Stopped) => "stopped",
+        Closing::Ended(How::Lapsed) | Closing::Lapsed => "lapsed",
+        Closing::Ended(How::Broken) => "broken",
+        Closing::Ended(How::Alone) => "alone",
+        Closing::Refused(_) => "refused",
+        Closing::NotSent | Closing::NotRecorded => "not_ordered",
+        Closing::NotListed => "not_listed",
+        Closing::Gone => "executor_gone",
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -20,6 +20,7 @@
 use crate::front::{self, Front, Reply, Request};
 use crate::keeper::{self, Keeper};
 use crate::log::{Code, Line};
+use crate::metrics::Metrics;
 use crate::port::{Platform, Table};
 
 /// Time between ticks of an instance that owns a shard.
@@ -72,6 +73,7 @@
 pub(crate) struct Outside<P> {
     pub(crate) platform: Rc<P>,
     pub(crate) spawner: Spawner,
+    pub(crate) metrics: Rc<Metrics>,
     inbox: Sender<Message>,
 }
 
@@ -80,6 +82,7 @@
         Self {
             platform: Rc::clone(&self.platform),
             spawner: self.spawner.clone(),
+            metrics: Rc::clone(&self.metrics),
             inbox: self.inbox.clone(),
         }
     }
@@ -125,6 +128,7 @@
 pub struct Instance {
     inbox: Sender<Message>,
     signs: Rc<Signs>,
+    metrics: Rc<Metrics>,
     config: Rc<std::cell::RefCell<Option<Arc<Config>>>>,
 }
 
@@ -159,6 +163,11 @@
         self.signs.shards.get() == 0
     }
 
+    /// Returns counters, gauges and latency histograms as text.
+    pub fn metrics(&self) -> String {
+        self.metrics.text()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.borrow().clone()
@@ -180,8 +189,15 @@
     let (inbox, messages) = async_channel::unbounded();
     let signs = Rc::new(Signs::default());
     let config = Rc::default();
-    let outside = Outside { platform, spawner: spawner.clone(), inbox: inbox.clone() };
-    let instance = Instance { inbox, signs: Rc::clone(&signs), config: Rc::clone(&config) };
+    let metrics = Rc::new(Metrics::default());
+    let outside = Outside {
+        platform,
+        spawner: spawner.clone(),
+        metrics: Rc::clone(&metrics),
+        inbox: inbox.clone(),
+    };
+    let instance =
+        Instance { inbox, signs: Rc::clone(&signs), metrics, config: Rc::clone(&config) };
     spawner.spawn(declared(outside.clone(), Rc::clone(&signs)));
     let reach = settings.keeper.tenure.reach;
     spawner.spawn(keeper::agree(outside.clone(), reach));
@@ -196,11 +212,13 @@
     let platform = Rc::clone(&outside.platform);
     let tell = move |news: News| {
         let (News::Whole(rows) | News::Changed(rows)) = news else {
+            outside.metrics.set_store(false);
             if signs.store.replace(false) {
                 Line::new(Code::Store).text("state", "away").write();
             }
             return;
         };
+        outside.metrics.set_store(true);
         if !signs.store.replace(true) {
             Line::new(Code::Store).text("state", "back").write();
         }
@@ -238,6 +256,7 @@
 ) {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
+    let metrics = Rc::clone(&outside.metrics);
     let fronted = outside.clone();
     let front: ActorOwn<Front<P>> = actor!(s, <Front<P>>::start(fronted), ret_nop!());
     let keeper: ActorOwn<Keeper<P>> = actor!(
@@ -258,6 +277,7 @@
                     if is_newer(config.borrow().as_deref(), &version) {
                         *config.borrow_mut() = Some(Arc::clone(&version));
                         signs.configured.set(true);
+                        metrics.set_version(version.version);
                         Line::new(Code::Config)
                             .number("version", version.version)
                             .number("queues", version.queues.len() as u64)
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -108,6 +108,32 @@
     );
 }
 
+#[test]
+fn metrics_follow_a_job() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            ready(&a).await;
+            submit(&a, ID, &job(3)).await;
+            reaches(&a, ID, State::Completed).await;
+            let text = a.metrics();
+            for line in [
+                "sycamorerill_submissions_total{outcome=\"accepted\"} 1",
+                "sycamorerill_orders_total{order=\"start\",outcome=\"done\"} 6",
+                "sycamorerill_runs_closed_total{outcome=\"done\"} 6",
+                "sycamorerill_jobs_finished_total{outcome=\"completed\"} 1",
+                "sycamorerill_hop_seconds_count{hop=\"accepted\"} 1",
+                "sycamorerill_hop_seconds_count{hop=\"started\"} 6",
+                "sycamorerill_shards_owned 1",
+                "sycamorerill_store_up 1",
+            ] {
+                assert!(text.lines().any(|found| found == line), "no `{line}` in\n{text}");
+            }
+        },
+        2,
+    );
+}
+
 #[test]
 fn a_repeat_at_another_instance_is_the_same_job() {
     play(
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -62,6 +62,18 @@
     assert!(count > 0);
 }
 
+#[test]
+fn the_page_of_jobs_names_every_metric() {
+    let page = fs::read_to_string(root().join("docs/operations/jobs.md")).unwrap();
+    let source = fs::read_to_string(root().join("crates/node/src/metrics.rs")).unwrap();
+    let calls = source.split("registry.register(\"").skip(1);
+    let names: Vec<&str> = calls.filter_map(|rest| rest.split('"').next()).collect();
+    assert!(names.len() >= 9, "{names:?}");
+    for name in names {
+        assert!(page.contains(&format!("| `{name}` |")), "metric {name} is not on the page");
+    }
+}
+
 #[test]
 fn indexes_list_every_page() {
     let indexes =
