tenure: a holder's silence counts only while the store answers

Change: before it claims from a holder, an instance reads the claim unless the store has answered within 250 ms; after 2 s without an answer of the store the holder has its whole time anew. Test seen red in the change of an existing one: it asks first, then claims.

--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -88,11 +88,20 @@
 /// Wait for each shard that an instance owns already: others come first.
 const CROWDED: Span = Span::from_ms(250);
 
+/// Time without an answer of the store after which it is thought to have been away: the
+/// claims are heard of every 1.2 s where nothing changes.
+const UNHEARD: Span = Span::from_ms(2_000);
+
+/// Age of the store's latest answer up to which a holder's silence is believed.
+const FRESH: Span = Span::from_ms(250);
+
 /// What is to be done about a shard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
     /// Nothing now.
     Wait,
+    /// Read the claim: the store may be away, and the holder only be unheard.
+    Ask,
     /// Write a claim with a higher epoch, on condition that the row is unchanged.
     Claim,
     /// Renew the claim.
@@ -112,8 +121,11 @@
     changed: Option<Time>,
     /// When the present epoch was first seen.
     begun: Time,
+    /// When the store last answered.
+    heard: Time,
     renewed: Time,
     confirmed: Time,
+    asked: Option<Time>,
     attempt: Option<Time>,
 }
 
@@ -131,14 +143,17 @@
             seen: None,
             changed: None,
             begun: Time::ZERO,
+            heard: Time::ZERO,
             renewed: Time::ZERO,
             confirmed: Time::ZERO,
+            asked: None,
             attempt: None,
         }
     }
 
     /// Takes the claim as read from the store at `now`; `None` where there is no row.
     pub fn observe(&mut self, now: Time, claim: Option<Claim>) {
+        self.heard(now);
         let epoch = |claim: &Option<Claim>| claim.as_ref().map(|claim| claim.epoch);
         if epoch(&self.seen) != epoch(&claim) {
             self.begun = now;
@@ -149,6 +164,14 @@
         }
     }
 
+    /// Takes that the store answered at `now`, with or without news of the claim.
+    pub fn heard(&mut self, now: Time) {
+        if now.since(self.heard) >= UNHEARD {
+            self.store_was_away(now);
+        }
+        self.heard = now;
+    }
+
     /// Takes that the store was out of reach until `now`: a holder's silence during
     /// that time says nothing.
     pub fn store_was_away(&mut self, now: Time) {
@@ -219,6 +242,14 @@
         if !due || self.attempt.is_some_and(|at| at > now) {
             return Step::Wait;
         }
+        let held = self.seen.as_ref().is_some_and(|claim| claim.holder.is_some());
+        if held && now.since(self.heard) > FRESH {
+            let lately = self.asked.is_some_and(|at| now.since(at) < AGAIN);
+            if !lately {
+                self.asked = Some(now);
+            }
+            return if lately { Step::Wait } else { Step::Ask };
+        }
         self.attempt = Some(now + self.settings.spread + AGAIN);
         Step::Claim
     }
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -48,10 +48,29 @@
     let mut tenure = tenure("a", 1);
     tenure.observe(START, Some(held(3, "b", 7)));
     let later = START + Settings::default().patience + Settings::default().spread;
+    assert_eq!(tenure.step(later, NONE), Step::Ask);
+    tenure.observe(later, Some(held(3, "b", 7)));
     assert_eq!(tenure.step(later, NONE), Step::Claim);
     assert_eq!(tenure.next_claim().epoch, 4);
 }
 
+#[test]
+fn nothing_is_claimed_while_the_store_does_not_answer_nor_when_it_is_back() {
+    let mut tenure = tenure("a", 1);
+    tenure.observe(START, Some(held(3, "b", 7)));
+    let mut now = START;
+    while now.since(START) < Span::from_secs(4) {
+        assert_ne!(tenure.step(now, NONE), Step::Claim, "at {now:?}");
+        now += Span::from_ms(50);
+    }
+    // The holder has not been able to renew: it has its time from now on.
+    tenure.heard(now);
+    assert_eq!(tenure.step(now, NONE), Step::Wait);
+    let later = now + Settings::default().patience + Settings::default().spread;
+    tenure.heard(later);
+    assert_eq!(tenure.step(later, NONE), Step::Claim);
+}
+
 #[test]
 fn silence_while_the_store_was_away_says_nothing() {
     let mut tenure = tenure("a", 1);
--- a/crates/node/src/keeper/commit.rs
+++ b/crates/node/src/keeper/commit.rs
@@ -92,6 +92,16 @@
     Err(None)
 }
 
+/// Reads the claim on a shard; none where there is no row.
+pub(super) async fn read_claim<P: Platform>(
+    outside: &Outside<P>,
+    shard: ShardId,
+) -> Result<Option<Row>, Error> {
+    let place = layout::of_shard(Table::Claims, shard, CLAIM);
+    let page = outside.platform.read(place.table, &place.part, &place.name, 1).await?;
+    Ok(page.rows.into_iter().find(|row| row.name == place.name))
+}
+
 /// Makes one attempt at a change that takes effect once; returns the version or the rows
 /// that stand against it, and nothing where the outcome is not known.
 async fn attempt<P: Platform>(
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -58,6 +58,7 @@
     Agreed(Layout),
     Claims(News),
     Claimed(ShardId, Time, Result<(Claim, Version), Option<Row>>),
+    Seen(ShardId, Option<Row>),
     Gathered(ShardId, u64, Box<Gathered>),
     Rows(ShardId, u64, Table, News),
     Committed(ShardId, u64, Committed),
@@ -126,6 +127,7 @@
             Message::Agreed(layout) => self.agreed(layout),
             Message::Claims(news) => self.heard_claims(now, news),
             Message::Claimed(shard, sent, outcome) => self.claimed(now, shard, sent, outcome),
+            Message::Seen(shard, row) => self.observe(now, shard, row.as_ref()),
             Message::Gathered(shard, epoch, gathered) => {
                 if let Some(owner) = self.owner(shard, epoch) {
                     owner.gathered(now, *gathered);
@@ -176,6 +178,7 @@
         let each = self.layout.map_or(0, |layout| layout.each);
         match place.tenure.step(now, Burden { kept, each }) {
             Step::Wait => {}
+            Step::Ask => self.ask(shard),
             Step::Claim if self.config.is_some() => self.claim(shard),
             Step::Claim => {}
             Step::Renew => {
@@ -196,6 +199,17 @@
         }
     }
 
+    /// Reads the claim on a shard whose holder has not been heard of.
+    fn ask(&mut self, shard: ShardId) {
+        let outside = self.outside.clone();
+        self.outside.spawner.spawn(async move {
+            // Without an answer nothing is known, and it is asked again.
+            if let Ok(row) = commit::read_claim(&outside, shard).await {
+                outside.tell(run::Message::Keeper(Message::Seen(shard, row)));
+            }
+        });
+    }
+
     fn claim(&mut self, shard: ShardId) {
         let Some(place) = self.shards.get(&shard) else {
             return;
@@ -322,6 +336,9 @@
                 }
             }
             News::Changed(rows) => {
+                for place in self.shards.values_mut() {
+                    place.tenure.heard(now);
+                }
                 for row in rows {
                     let shard = shards.iter().find(|shard| is_claim(&row, **shard));
                     if let Some(shard) = shard {
@@ -338,6 +355,7 @@
             return;
         };
         let version = row.map_or(Version(0), |row| row.version);
+        place.tenure.heard(now);
         if version < place.version {
             return;
         }
