--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -178,6 +178,10 @@
             order: Order,
             /// Share in percent.
             percent: u32,
+            /// Longest tail there over its objective, in percent, as listed last.
+            tail_percent: u32,
+            /// Time for which a task there has been over its objective.
+            over: Span,
         },
     }
 }
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -235,14 +235,17 @@
 
     fn order_pace(&mut self, now: Time, id: &ExecutorId, task: TaskId, run: Run, percent: u32) {
         let order = Order { executor: id.clone(), task, run };
-        let Some(address) = self.executors.get(id).map(|executor| executor.listed.address) else {
+        let Some(executor) = self.executors.get(id) else {
             return;
         };
+        let address = executor.listed.address;
+        let (tail_percent, over) = executor.worst(now);
         let Some(open) = self.open_mut(&order) else {
             return;
         };
         open.set_pace(now, percent);
-        self.out.push(Command::Log(Note::Paced { order: order.clone(), percent }));
+        let note = Note::Paced { order: order.clone(), percent, tail_percent, over };
+        self.out.push(Command::Log(note));
         self.out.push(Command::Pace { order, address, percent });
     }
 
@@ -353,6 +356,14 @@
 }
 
 impl Executor {
+    /// Returns the longest tail there over its objective in percent, and the longest time
+    /// for which one is over it.
+    fn worst(&self, now: Time) -> (u32, Span) {
+        let ratio = self.tails.values().map(|tail| tail.ratio).fold(0.0, f64::max);
+        let over = self.tails.values().filter_map(|tail| tail.over).min();
+        ((ratio * 100.0) as u32, over.map_or(Span::ZERO, |since| now.since(since)))
+    }
+
     /// Takes the tails of the serving jobs there.
     fn note_tails(&mut self, now: Time, samples: BTreeMap<JobId, Sample>) {
         let before = std::mem::take(&mut self.tails);
--- a/crates/node/src/keeper/note.rs
+++ b/crates/node/src/keeper/note.rs
@@ -35,9 +35,11 @@
             .text("executor", executor)
             .number("pause_ms", pause.as_ms())
             .write(),
-        Note::Paced { order, percent } => {
-            run(Code::Paced, shard, order).number("percent", u64::from(*percent)).write();
-        }
+        Note::Paced { order, percent, tail_percent, over } => run(Code::Paced, shard, order)
+            .number("percent", u64::from(*percent))
+            .number("tail_percent", u64::from(*tail_percent))
+            .number("over_ms", over.as_ms())
+            .write(),
     }
 }
 
