--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! and answers with typed commands. [`tenure::Tenure`] decides when to claim,
 //! renew and give up a shard. Neither opens a socket or reads a clock.
 
+pub mod beat;
 pub mod config;
 pub mod executor;
 pub mod id;
--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -30,6 +30,10 @@
         /// Executors that the holder can steer.
         #[serde(rename = "r", default)]
         pub reach: u32,
+        /// When a holder last gave the shard up because it did not keep up, in milliseconds
+        /// since 1970; 0 where none has.
+        #[serde(rename = "g", default)]
+        pub yielded_ms: u64,
     }
 }
 
@@ -88,6 +92,9 @@
 /// Wait for each shard that an instance owns already: others come first.
 const CROWDED: Span = Span::from_ms(250);
 
+/// Least time between two times that a shard is given up by holders that do not keep up.
+const YIELD_EVERY: Span = Span::from_ms(10_000);
+
 /// Time without an answer of the store after which it is thought to have been away: the
 /// claims are heard of every 1.2 s where nothing changes.
 const UNHEARD: Span = Span::from_ms(2_000);
@@ -220,13 +227,26 @@
             None => (1, 0),
         };
         let reach = self.settings.reach;
-        Claim { epoch, holder, started_ms: self.started_ms, renewal, reach }
+        let yielded_ms = self.yielded_ms();
+        Claim { epoch, holder, started_ms: self.started_ms, renewal, reach, yielded_ms }
     }
 
     /// Returns the claim that gives the shard up, keeping its epoch.
     pub fn release(&self) -> Claim {
         let epoch = self.seen.as_ref().map_or(0, |claim| claim.epoch);
-        Claim { epoch, holder: None, started_ms: 0, renewal: 0, reach: 0 }
+        let yielded_ms = self.yielded_ms();
+        Claim { epoch, holder: None, started_ms: 0, renewal: 0, reach: 0, yielded_ms }
+    }
+
+    /// Returns the claim that gives the shard up at `wall_ms` because this instance does
+    /// not keep up; none where another did so lately: then the work is too much for all.
+    pub fn yielding(&self, wall_ms: u64) -> Option<Claim> {
+        let lately = wall_ms.saturating_sub(self.yielded_ms()) < YIELD_EVERY.as_ms();
+        (!lately).then(|| Claim { yielded_ms: wall_ms, ..self.release() })
+    }
+
+    fn yielded_ms(&self) -> u64 {
+        self.seen.as_ref().map_or(0, |claim| claim.yielded_ms)
     }
 
     /// Returns what is to be done at `now` by an instance that would take on `burden`.
--- a/crates/jobs/tests/tenure.rs
+++ b/crates/jobs/tests/tenure.rs
@@ -15,7 +15,14 @@
 }
 
 fn held(epoch: u64, holder: &str, started_ms: u64) -> Claim {
-    Claim { epoch, holder: Some(InstanceName::from(holder)), started_ms, renewal: 0, reach: 175 }
+    Claim {
+        epoch,
+        holder: Some(InstanceName::from(holder)),
+        started_ms,
+        renewal: 0,
+        reach: 175,
+        yielded_ms: 0,
+    }
 }
 
 #[test]
@@ -165,3 +172,17 @@
         now += Settings::default().renew_every;
     }
 }
+
+#[test]
+fn a_shard_is_not_given_up_again_soon_after_another_did_so() {
+    let mut first = tenure("a", 1);
+    first.observe(START, Some(held(3, "a", 1)));
+    let given_up = first.yielding(50_000).expect("the first time");
+    assert_eq!((given_up.holder.as_ref(), given_up.epoch), (None, 3));
+    let mut second = tenure("b", 1);
+    second.observe(START, Some(given_up));
+    let claim = second.next_claim();
+    second.renewed(START, claim);
+    assert_eq!(second.yielding(55_000), None);
+    assert!(second.yielding(61_000).is_some());
+}
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -14,6 +14,7 @@
 use stakker::CX;
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::data;
+use sycamorerill_jobs::beat::Beat;
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::id::{InstanceName, ShardId};
 use sycamorerill_jobs::shard::{self, Event};
@@ -52,6 +53,9 @@
 /// Times that the owner of a shard may go on without a confirmation of its claim.
 const ORDER_UNCONFIRMED: Span = Span::from_ms(3_000);
 
+/// Time after giving a shard up in which others claim it.
+const BARRED: Span = Span::from_ms(2_000);
+
 /// A message to the actor that keeps shards.
 pub(crate) enum Message {
     Configured(Arc<Config>),
@@ -73,6 +77,8 @@
     tenure: Tenure,
     version: Version,
     owner: Option<Owner<P>>,
+    /// Claim by which the shard is given up once nothing of it is being recorded.
+    yielding: Option<Claim>,
     releasing: bool,
 }
 
@@ -96,6 +102,10 @@
     layout: Option<Layout>,
     shards: BTreeMap<ShardId, Place<P>>,
     draining: bool,
+    /// Ticks since a shard is owned.
+    beat: Option<Beat>,
+    /// No shard is claimed before: this instance has given one up.
+    barred: Time,
 }
 
 impl<P: Platform> Keeper<P> {
@@ -116,6 +126,8 @@
             layout: None,
             shards: BTreeMap::new(),
             draining: false,
+            beat: None,
+            barred: Time::ZERO,
         })
     }
 
@@ -147,11 +159,37 @@
                     owner.event(now, *event);
                 }
             }
-            Message::Tick => {}
+            Message::Tick => self.tick(now),
             Message::Drain => self.draining = true,
         }
     }
 
+    fn tick(&mut self, now: Time) {
+        if self.kept() == 0 {
+            self.beat = None;
+            return;
+        }
+        let every = Span::from_ms(run::OWNER_TICK.as_millis() as u64);
+        self.beat.get_or_insert_with(|| Beat::new(now, every)).tick(now);
+    }
+
+    /// Gives a shard up where this instance does not keep up with it.
+    fn yield_if_behind(&mut self, now: Time, shard: ShardId) {
+        if !self.beat.as_ref().is_some_and(|beat| beat.is_behind(now)) {
+            return;
+        }
+        let Some(place) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if place.owner.is_none() {
+            return;
+        }
+        place.yielding = place.tenure.yielding(clock::wall_ms());
+        if place.yielding.is_some() {
+            self.barred = now + BARRED;
+        }
+    }
+
     /// Decides what is to be done.
     pub(crate) fn turn(&mut self, _cx: CX![], now: Time) {
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
@@ -172,14 +210,19 @@
             return;
         };
         if self.draining {
-            self.release(shard);
+            let claim = place.tenure.release();
+            self.release(shard, claim);
+            return;
+        }
+        if let Some(claim) = place.yielding.clone() {
+            self.release(shard, claim);
             return;
         }
         let each = self.layout.map_or(0, |layout| layout.each);
         match place.tenure.step(now, Burden { kept, each }) {
             Step::Wait => {}
             Step::Ask => self.ask(shard),
-            Step::Claim if self.config.is_some() => self.claim(shard),
+            Step::Claim if self.config.is_some() && now >= self.barred => self.claim(shard),
             Step::Claim => {}
             Step::Renew => {
                 if let Some(owner) = &mut place.owner {
@@ -197,6 +240,7 @@
                 Line::new(Code::Lost).text("shard", shard).number("epoch", epoch).write();
             }
         }
+        self.yield_if_behind(now, shard);
     }
 
     /// Reads the claim on a shard whose holder has not been heard of.
@@ -241,6 +285,8 @@
                 Line::new(Code::Gained).text("shard", shard).number("epoch", epoch).write();
                 place.tenure.renewed(sent, claim);
                 place.version = version;
+                place.yielding = None;
+                place.releasing = false;
                 let (Some(config), Some(layout)) = (&self.config, self.layout) else {
                     return;
                 };
@@ -307,7 +353,13 @@
             let rank = fastrand::f64();
             let tenure =
                 Tenure::new(self.settings.tenure, self.name.clone(), self.started_ms, rank);
-            let place = Place { tenure, version: Version(0), owner: None, releasing: false };
+            let place = Place {
+                tenure,
+                version: Version(0),
+                owner: None,
+                yielding: None,
+                releasing: false,
+            };
             self.shards.insert(shard, place);
         }
         let claims = subject(layout, Table::Claims, CLAIMS_GATHER);
@@ -372,8 +424,8 @@
         }
     }
 
-    /// Gives a shard up once nothing of it is being recorded.
-    fn release(&mut self, shard: ShardId) {
+    /// Gives a shard up by `claim` once nothing of it is being recorded.
+    fn release(&mut self, shard: ShardId, claim: Claim) {
         let Some(place) = self.shards.get_mut(&shard) else {
             return;
         };
@@ -382,7 +434,6 @@
             return;
         }
         place.releasing = true;
-        let claim = place.tenure.release();
         let version = place.version;
         let outside = self.outside.clone();
         self.outside.spawner.spawn(async move {
@@ -393,9 +444,12 @@
     }
 
     fn released(&mut self, shard: ShardId) {
-        if let Some(place) = self.shards.get_mut(&shard)
-            && let Some(owner) = place.owner.take()
-        {
+        let Some(place) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        place.releasing = false;
+        place.yielding = None;
+        if let Some(owner) = place.owner.take() {
             Line::new(Code::Lost).text("shard", shard).number("epoch", owner.epoch()).write();
         }
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -24,7 +24,7 @@
 use crate::port::{Platform, Table};
 
 /// Time between ticks of an instance that owns a shard.
-const OWNER_TICK: Duration = Duration::from_millis(50);
+pub(crate) const OWNER_TICK: Duration = Duration::from_millis(50);
 /// Time between ticks of an instance that owns none.
 const IDLE_TICK: Duration = Duration::from_millis(150);
 /// Most messages taken before what follows from them is decided.
