keeper: a shard that was being given up is claimed again after it is lost otherwise

Cause: read again, an owner that fell behind and lost its shard to another before it had given it up kept the mark and never claimed the shard again.

Change: the mark goes with the owner.

--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -56,12 +56,7 @@
             }
             self.begin_round();
         }
-        let jobs: BTreeSet<JobId> = self.round.jobs.iter().copied().take(JOBS_PER_BATCH).collect();
-        self.round.jobs.retain(|job| !jobs.contains(job));
-        self.dirty.retain(|job| !jobs.contains(job));
-        if jobs.len() >= MANY_JOBS {
-            self.write_after = now + GATHER;
-        }
+        let jobs = self.next_jobs(now);
         let mut batch = Batch::default();
         let mut writing = Writing::default();
         for job in &jobs {
@@ -82,6 +77,17 @@
         self.out.push(Command::Record(batch));
     }
 
+    /// Takes the next jobs of the round.
+    fn next_jobs(&mut self, now: Time) -> BTreeSet<JobId> {
+        let jobs: BTreeSet<JobId> = self.round.jobs.iter().copied().take(JOBS_PER_BATCH).collect();
+        self.round.jobs.retain(|job| !jobs.contains(job));
+        self.dirty.retain(|job| !jobs.contains(job));
+        if jobs.len() >= MANY_JOBS {
+            self.write_after = now + GATHER;
+        }
+        jobs
+    }
+
     /// Begins a round of batches: it records all that has changed until now.
     fn begin_round(&mut self) {
         self.round = Round { jobs: self.dirty.clone(), ends: self.ends_taken() };
--- a/crates/jobs/src/tenure.rs
+++ b/crates/jobs/src/tenure.rs
@@ -70,8 +70,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            // That of the smallest instance of the first deployments.
-            reach: 175,
+            // That of an instance with 0.25 cores.
+            reach: 250,
             // A third of the patience, so that two renewals may be lost or slow.
             renew_every: Span::from_ms(400),
             // Longer than two renewals at the store's usual worst answer.
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -214,6 +214,9 @@
             self.release(shard, claim);
             return;
         }
+        if place.owner.is_none() {
+            place.yielding = None;
+        }
         if let Some(claim) = place.yielding.clone() {
             self.release(shard, claim);
             return;
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -108,6 +108,36 @@
     );
 }
 
+#[test]
+fn an_owner_that_falls_behind_gives_its_shard_up_once() {
+    play(
+        |spawner, world| async move {
+            let (a, _) = world.join(&spawner, "a");
+            let (b, _) = world.join(&spawner, "b");
+            ready(&a).await;
+            ready(&b).await;
+            submit(&a, ID, &job(2)).await;
+            reaches(&a, ID, State::Completed).await;
+            let yielded = || -> u64 {
+                let claims = world.values(Table::Claims, "owner");
+                let read = |value: &Bytes| serde_json::from_slice::<Claim>(value).unwrap();
+                claims.iter().map(read).map(|claim| claim.yielded_ms).max().unwrap_or(0)
+            };
+            assert_eq!(yielded(), 0);
+            // Both share the thread, which is held up from now on.
+            while yielded() == 0 {
+                std::thread::sleep(Duration::from_millis(110));
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            let first = yielded();
+            submit(&b, "00000000000000a2", &job(2)).await;
+            reaches(&b, "00000000000000a2", State::Completed).await;
+            assert_eq!(yielded(), first);
+        },
+        2,
+    );
+}
+
 #[test]
 fn metrics_follow_a_job() {
     play(
