--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -62,11 +62,13 @@
     Store,
     /// A configuration is in force, or can't be read.
     Config,
+    /// Metrics can't be served.
+    Metrics,
 }
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -85,6 +87,7 @@
         Self::Layout,
         Self::Store,
         Self::Config,
+        Self::Metrics,
     ];
 
     /// Returns the number of the event.
@@ -108,6 +111,7 @@
             Self::Layout => 1402,
             Self::Store => 1420,
             Self::Config => 1500,
+            Self::Metrics => 1501,
         }
     }
 
@@ -132,6 +136,7 @@
             Self::Layout => "shard.layout",
             Self::Store => "store.state",
             Self::Config => "config.state",
+            Self::Metrics => "metrics.failed",
         }
     }
 }
