jobs: an executor that fell silent is asked until it answers or is no longer listed

Three of the eight executors were silent when the last run there was closed as lapsed; with nothing open there they were not looked at any more, and an executor counts as silent, and takes no work, until a look is answered. Those whose leases still ran when the cut healed were asked and came back.

Change: a listed executor that is silent or not yet greeted is looked at whether it has runs or not. Test seen red.

--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -41,7 +41,10 @@
             return false;
         }
         let untold = executor.told < executor.recorded;
-        if executor.open.is_empty() && !untold && executor.greeted {
+        // One that did not answer is asked until it does, or is no longer listed: it takes
+        // no work before.
+        let unsure = executor.present && (executor.silent.is_some() || !executor.greeted);
+        if executor.open.is_empty() && !untold && !unsure {
             return true;
         }
         executor.looks += 1;
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -315,3 +315,18 @@
     let took = noted.expect("noted").since(ended.expect("ended"));
     assert!(took < Span::from_ms(400), "the end was not taken note of for {took}");
 }
+
+#[test]
+fn an_executor_whose_leases_lapsed_while_it_was_out_of_reach_is_used_again() {
+    let mut world = World::new(1);
+    world.submit(job(1), vec![lasting(2)]);
+    world.pass(Span::from_secs(1));
+    assert_eq!(world.running(), 2);
+    world.machine("x0").reachable = false;
+    world.pass(Span::from_secs(12));
+    assert_eq!(world.running(), 0);
+    world.machine("x0").reachable = true;
+    world.pass(Span::from_secs(1));
+    assert_eq!(world.running(), 2);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
