jobs, node: one walk over an executor's runs, and giving a shard up goes with its owner

Left: job.check runs in the adapter, whose tests ask it, and at the front, which guards against any adapter; the tests' worlds of jobs and node declare the same queue twice, in two crates.

--- a/crates/jobs/src/shard/fleet.rs
+++ b/crates/jobs/src/shard/fleet.rs
@@ -4,7 +4,7 @@
 
 use sycamorerill_core::clock::{Span, Time};
 
-use super::entry::Stop;
+use super::entry::{Entry, Open, Stop};
 use super::message::Note;
 use super::{Command, Shard};
 use crate::executor::{Born, Listed, Standing, Steady};
@@ -210,7 +210,31 @@
     }
 }
 
+/// A run that is open at an executor.
+pub(super) struct There<'a> {
+    pub(super) task: TaskId,
+    pub(super) entry: &'a Entry,
+    pub(super) step: &'a Step,
+    pub(super) open: &'a Open,
+}
+
 impl Shard {
+    /// Returns the runs that are open at an executor.
+    pub(super) fn runs_at<'a>(
+        &'a self,
+        executor: &'a Executor,
+    ) -> impl Iterator<Item = There<'a>> + 'a {
+        let tasks = executor.open.iter().filter_map(|task| {
+            let entry = self.jobs.get(&task.step.job)?;
+            let step = entry.job.steps.get(task.step.step as usize)?;
+            Some((*task, entry, step, entry.task(task)?))
+        });
+        tasks.flat_map(move |(task, entry, step, found)| {
+            let here = found.open.iter().filter(move |open| open.executor == executor.listed.id);
+            here.map(move |open| There { task, entry, step, open })
+        })
+    }
+
     /// Takes the entry of an executor.
     pub(super) fn list(&mut self, now: Time, listed: Listed) {
         self.fresh = true;
--- a/crates/jobs/src/shard/look.rs
+++ b/crates/jobs/src/shard/look.rs
@@ -6,6 +6,7 @@
 
 use super::Shard;
 use super::entry::{Stage, Stop};
+use super::fleet::There;
 use super::message::{Closing, Command, Glance, Note, Order};
 use crate::executor::{Answer, Refusal, Report, Running, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
@@ -166,27 +167,20 @@
             return;
         };
         let first_under_epoch = !executor.fenced;
-        let open: Vec<TaskId> = executor.open.iter().copied().collect();
         let mut unlisted = Vec::new();
-        for task in open {
-            let Some(found) = self.jobs.get(&task.step.job).and_then(|entry| entry.task(&task))
-            else {
+        for There { task, open, .. } in self.runs_at(executor) {
+            if listed.contains(&(task, open.run)) {
                 continue;
+            }
+            let known = match open.stage {
+                Stage::Running { since_look } => glance.number >= since_look,
+                Stage::Inherited => first_under_epoch,
+                Stage::Writing | Stage::Sent | Stage::Unknown => false,
             };
-            for open in found.open.iter().filter(|open| open.executor == *id) {
-                if listed.contains(&(task, open.run)) {
-                    continue;
-                }
-                let known = match open.stage {
-                    Stage::Running { since_look } => glance.number >= since_look,
-                    Stage::Inherited => first_under_epoch,
-                    Stage::Writing | Stage::Sent | Stage::Unknown => false,
-                };
-                let stopped = matches!(open.stop, Stop::Answered { since_look }
-                    if glance.number >= since_look);
-                if known || stopped {
-                    unlisted.push((task, open.run));
-                }
+            let stopped = matches!(open.stop, Stop::Answered { since_look }
+                if glance.number >= since_look);
+            if known || stopped {
+                unlisted.push((task, open.run));
             }
         }
         for (task, run) in unlisted {
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -4,6 +4,7 @@
 
 use super::Shard;
 use super::entry::{Stage, Stop};
+use super::fleet::There;
 use super::message::{Closing, Command, Note, Order};
 use crate::executor::{Answer, Refusal};
 use crate::id::{ExecutorId, JobId, Run, TaskId};
@@ -133,24 +134,19 @@
         let pause = self.settings.order_retry;
         let mut starts = Vec::new();
         let mut stops = Vec::new();
-        for (id, executor) in &self.executors {
-            for task in &executor.open {
-                let Some(found) = self.jobs.get(&task.step.job).and_then(|e| e.task(task)) else {
-                    continue;
-                };
-                for open in found.open.iter().filter(|open| open.executor == *id) {
-                    let due = now.since(open.sent) >= pause;
-                    match (open.stop, open.stage) {
-                        (Stop::Wanted, Stage::Writing) => {}
-                        (Stop::Wanted, _) => stops.push((*task, open.run)),
-                        (Stop::Sent(at), _) if now.since(at) >= pause.times(4) => {
-                            stops.push((*task, open.run));
-                        }
-                        (Stop::No, Stage::Unknown) if due && executor.silent.is_none() => {
-                            starts.push((*task, open.run));
-                        }
-                        _ => {}
+        for executor in self.executors.values() {
+            for There { task, open, .. } in self.runs_at(executor) {
+                let due = now.since(open.sent) >= pause;
+                match (open.stop, open.stage) {
+                    (Stop::Wanted, Stage::Writing) => {}
+                    (Stop::Wanted, _) => stops.push((task, open.run)),
+                    (Stop::Sent(at), _) if now.since(at) >= pause.times(4) => {
+                        stops.push((task, open.run));
                     }
+                    (Stop::No, Stage::Unknown) if due && executor.silent.is_none() => {
+                        starts.push((task, open.run));
+                    }
+                    _ => {}
                 }
             }
         }
--- a/crates/jobs/src/shard/pace.rs
+++ b/crates/jobs/src/shard/pace.rs
@@ -5,7 +5,7 @@
 use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
-use super::fleet::Executor;
+use super::fleet::{Executor, There};
 use super::message::{Command, Note, Order};
 use super::model::{Model, Sample, Shares};
 use crate::executor::{Answer, Running};
@@ -131,7 +131,7 @@
         if executor.fills.is_empty() || lately {
             return;
         }
-        let fillings = self.fillings(id, executor);
+        let fillings = self.fillings(executor);
         let wanted = self.paces(now, executor, &fillings);
         let orders: Vec<(TaskId, Run, u32)> = fillings
             .iter()
@@ -154,27 +154,17 @@
     }
 
     /// Returns the filling runs at an executor.
-    fn fillings(&self, id: &ExecutorId, executor: &Executor) -> Vec<Filling> {
+    fn fillings(&self, executor: &Executor) -> Vec<Filling> {
         let capacity = executor.listed.capacity.cpu.max(1) as f64;
-        let mut fillings = Vec::new();
-        for task in &executor.open {
-            let Some(step) = self.spec(task).filter(|step| step.filling) else {
-                continue;
-            };
-            let Some(found) = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task))
-            else {
-                continue;
-            };
-            let here = found.open.iter().filter(|open| open.executor == *id);
-            fillings.extend(here.map(|open| Filling {
-                task: *task,
-                run: open.run,
-                image: image(step),
-                share: step.room.cpu as f64 / capacity,
-                percent: open.percent,
-            }));
-        }
-        fillings
+        let fillings = self.runs_at(executor).filter(|there| there.step.filling);
+        let filling = |There { task, step, open, .. }| Filling {
+            task,
+            run: open.run,
+            image: image(step),
+            share: step.room.cpu as f64 / capacity,
+            percent: open.percent,
+        };
+        fillings.map(filling).collect()
     }
 
     /// Returns the pace of each filling run at which all serving tasks keep their
--- a/crates/jobs/src/shard/relocate.rs
+++ b/crates/jobs/src/shard/relocate.rs
@@ -6,6 +6,7 @@
 
 use super::Shard;
 use super::entry::{Open, Stage, Stop};
+use super::fleet::There;
 use crate::id::{ExecutorId, Run, TaskId};
 
 /// Pace from which down a run counts as held back, in percent.
@@ -49,17 +50,11 @@
             if executor.fills.is_empty() || executor.servings.is_empty() {
                 continue;
             }
-            for task in &executor.open {
-                let Some(entry) = self.jobs.get(&task.step.job) else {
-                    continue;
-                };
-                let step = &entry.job.steps[task.step.step as usize];
+            for There { task, entry, step, open } in self.runs_at(executor) {
                 let movable = step.filling && step.saves && !step.gang && entry.is_active();
-                let Some(found) = entry.task(task).filter(|_| movable) else {
-                    continue;
-                };
-                let here = found.open.iter().filter(|o| o.executor == *id && is_held(o, now));
-                held.extend(here.map(|open| (id.clone(), *task, open.run)));
+                if movable && is_held(open, now) {
+                    held.push((id.clone(), task, open.run));
+                }
             }
         }
         held
--- a/crates/node/src/keeper/mod.rs
+++ b/crates/node/src/keeper/mod.rs
@@ -66,7 +66,7 @@
     Gathered(ShardId, u64, Box<Gathered>),
     Rows(ShardId, u64, Table, News),
     Committed(ShardId, u64, Committed),
-    Released(ShardId),
+    Released(ShardId, u64),
     Event(ShardId, u64, Box<Event>),
     Tick,
     Drain,
@@ -77,9 +77,6 @@
     tenure: Tenure,
     version: Version,
     owner: Option<Owner<P>>,
-    /// Claim by which the shard is given up once nothing of it is being recorded.
-    yielding: Option<Claim>,
-    releasing: bool,
 }
 
 impl<P: Platform> Place<P> {
@@ -89,6 +86,13 @@
         let latest = self.tenure.claim().is_none_or(|seen| seen.epoch <= claim.epoch);
         latest && self.owner.is_none()
     }
+
+    /// Ends the ownership of the shard, if it is owned.
+    fn lose(&mut self, shard: ShardId) {
+        if let Some(owner) = self.owner.take() {
+            Line::new(Code::Lost).text("shard", shard).number("epoch", owner.epoch()).write();
+        }
+    }
 }
 
 /// The actor that keeps shards.
@@ -153,7 +157,7 @@
             Message::Committed(shard, epoch, committed) => {
                 self.committed(now, shard, epoch, committed);
             }
-            Message::Released(shard) => self.released(shard),
+            Message::Released(shard, epoch) => self.released(shard, epoch),
             Message::Event(shard, epoch, event) => {
                 if let Some(owner) = self.owner(shard, epoch) {
                     owner.event(now, *event);
@@ -181,11 +185,9 @@
         let Some(place) = self.shards.get_mut(&shard) else {
             return;
         };
-        if place.owner.is_none() {
-            return;
-        }
-        place.yielding = place.tenure.yielding(clock::wall_ms());
-        if place.yielding.is_some() {
+        let claim = place.tenure.yielding(clock::wall_ms());
+        if let (Some(owner), Some(claim)) = (&mut place.owner, claim) {
+            owner.yielding = Some(claim);
             self.barred = now + BARRED;
         }
     }
@@ -214,10 +216,7 @@
             self.release(shard, claim);
             return;
         }
-        if place.owner.is_none() {
-            place.yielding = None;
-        }
-        if let Some(claim) = place.yielding.clone() {
+        if let Some(claim) = place.owner.as_ref().and_then(|owner| owner.yielding.clone()) {
             self.release(shard, claim);
             return;
         }
@@ -238,9 +237,7 @@
         {
             owner.turn(now, &place.tenure);
             if owner.is_superseded() {
-                let epoch = owner.epoch();
-                place.owner = None;
-                Line::new(Code::Lost).text("shard", shard).number("epoch", epoch).write();
+                place.lose(shard);
             }
         }
         self.yield_if_behind(now, shard);
@@ -288,8 +285,6 @@
                 Line::new(Code::Gained).text("shard", shard).number("epoch", epoch).write();
                 place.tenure.renewed(sent, claim);
                 place.version = version;
-                place.yielding = None;
-                place.releasing = false;
                 let (Some(config), Some(layout)) = (&self.config, self.layout) else {
                     return;
                 };
@@ -356,13 +351,7 @@
             let rank = fastrand::f64();
             let tenure =
                 Tenure::new(self.settings.tenure, self.name.clone(), self.started_ms, rank);
-            let place = Place {
-                tenure,
-                version: Version(0),
-                owner: None,
-                yielding: None,
-                releasing: false,
-            };
+            let place = Place { tenure, version: Version(0), owner: None };
             self.shards.insert(shard, place);
         }
         let claims = subject(layout, Table::Claims, CLAIMS_GATHER);
@@ -422,8 +411,7 @@
         if let Some(epoch) = epoch
             && (!mine || place.tenure.claim().is_some_and(|claim| claim.epoch != epoch))
         {
-            place.owner = None;
-            Line::new(Code::Lost).text("shard", shard).number("epoch", epoch).write();
+            place.lose(shard);
         }
     }
 
@@ -432,28 +420,25 @@
         let Some(place) = self.shards.get_mut(&shard) else {
             return;
         };
-        let ready = place.owner.as_ref().is_some_and(Owner::is_settled);
-        if !ready || place.releasing {
+        let Some(owner) = place.owner.as_mut().filter(|o| o.is_settled() && !o.releasing) else {
             return;
-        }
-        place.releasing = true;
+        };
+        owner.releasing = true;
+        let epoch = owner.epoch();
         let version = place.version;
         let outside = self.outside.clone();
         self.outside.spawner.spawn(async move {
             // Where it fails, others claim the shard by its silence.
             let _ = commit::claim(&outside, shard, claim, version).await;
-            outside.tell(run::Message::Keeper(Message::Released(shard)));
+            outside.tell(run::Message::Keeper(Message::Released(shard, epoch)));
         });
     }
 
-    fn released(&mut self, shard: ShardId) {
-        let Some(place) = self.shards.get_mut(&shard) else {
-            return;
-        };
-        place.releasing = false;
-        place.yielding = None;
-        if let Some(owner) = place.owner.take() {
-            Line::new(Code::Lost).text("shard", shard).number("epoch", owner.epoch()).write();
+    fn released(&mut self, shard: ShardId, epoch: u64) {
+        if let Some(place) = self.shards.get_mut(&shard)
+            && place.owner.as_ref().is_some_and(|owner| owner.epoch() == epoch)
+        {
+            place.lose(shard);
         }
     }
 }
--- a/crates/node/src/keeper/owner.rs
+++ b/crates/node/src/keeper/owner.rs
@@ -45,6 +45,10 @@
     sequence: (Version, u64),
     /// Whether the claim is to be renewed with the next transaction.
     pub(super) renew_due: bool,
+    /// Claim by which the shard is given up once nothing of it is being recorded.
+    pub(super) yielding: Option<Claim>,
+    /// Whether that claim, or one that hands the shard over, is being written.
+    pub(super) releasing: bool,
     renewing: Option<Claim>,
     committing: Option<Task<()>>,
     /// Whether a batch of the shard is in the transaction under way.
@@ -77,6 +81,8 @@
             claim_version: place.claimed,
             sequence: (place.claimed, 0),
             renew_due: false,
+            yielding: None,
+            releasing: false,
             renewing: None,
             committing: None,
             has_batch: false,
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -80,6 +80,15 @@
     }
 }
 
+/// Starts two instances, `a` and `b`, that are ready.
+async fn pair(spawner: &Spawner, world: &Rc<World>) -> (Instance, Instance) {
+    let (a, _) = world.join(spawner, "a");
+    let (b, _) = world.join(spawner, "b");
+    ready(&a).await;
+    ready(&b).await;
+    (a, b)
+}
+
 async fn reaches(instance: &Instance, name: &str, state: State) {
     loop {
         let reply = instance.ask(request(name, Ask::State)).await;
@@ -94,10 +103,7 @@
 fn a_job_goes_through_any_instance() {
     play(
         |spawner, world| async move {
-            let (a, _) = world.join(&spawner, "a");
-            let (b, _) = world.join(&spawner, "b");
-            ready(&a).await;
-            ready(&b).await;
+            let (a, b) = pair(&spawner, &world).await;
             assert_eq!(b.ask(request(ID, Ask::State)).await, Reply::NoJob);
             submit(&a, ID, &job(3)).await;
             reaches(&b, ID, State::Completed).await;
@@ -112,10 +118,7 @@
 fn an_owner_that_falls_behind_gives_its_shard_up_once() {
     play(
         |spawner, world| async move {
-            let (a, _) = world.join(&spawner, "a");
-            let (b, _) = world.join(&spawner, "b");
-            ready(&a).await;
-            ready(&b).await;
+            let (a, b) = pair(&spawner, &world).await;
             submit(&a, ID, &job(2)).await;
             reaches(&a, ID, State::Completed).await;
             let yielded = || -> u64 {
@@ -168,10 +171,7 @@
 fn a_repeat_at_another_instance_is_the_same_job() {
     play(
         |spawner, world| async move {
-            let (a, _) = world.join(&spawner, "a");
-            let (b, _) = world.join(&spawner, "b");
-            ready(&a).await;
-            ready(&b).await;
+            let (a, b) = pair(&spawner, &world).await;
             submit(&a, ID, &job(2)).await;
             submit(&b, ID, &job(2)).await;
             let other = b.ask(request(ID, Ask::Submit(Ok(job(5))))).await;
@@ -296,10 +296,7 @@
 fn a_cancelled_job_is_cancelled_at_every_instance() {
     play(
         |spawner, world| async move {
-            let (a, _) = world.join(&spawner, "a");
-            let (b, _) = world.join(&spawner, "b");
-            ready(&a).await;
-            ready(&b).await;
+            let (a, b) = pair(&spawner, &world).await;
             world.run_ms.set(LONG_MS);
             let mut long = job(2);
             long.steps[0].lasting = true;
