jobs: each best-effort image has its own column in the interference model

Cause: the model had 24 columns and further images shared the last one. The large deployment has 30 best-effort images, so seven of them, light and heavy ones, shared one weight, and which ones depended on the order of the first reports.

Change: 64 columns. Sums keep reports by weights that grow, so that a report touches only the columns of its own images; a fit solves the columns in use.

The test fails with 24 columns: image 23 then has the weight 0.483 of a mixture.

--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -16,8 +16,8 @@
 use crate::id::{Image, JobId};
 
 /// Number of input columns for best-effort images. Once the others are taken, further images
-/// share the last one.
-const MAX_IMAGES: usize = 24;
+/// share the last one, which then has a weight that suits none of them.
+const MAX_IMAGES: usize = 64;
 /// Number of inputs before those of best-effort images: one for tasks that are neither
 /// best-effort nor latency-critical.
 const FIXED_INPUTS: usize = 1;
@@ -27,6 +27,8 @@
 const PRIOR_STRENGTH: f64 = 0.05;
 /// Factor by which each new report reduces the influence of older ones.
 const DECAY: f64 = 0.999;
+/// Weight of a new report at which the sums are divided by it, so that they stay finite.
+const MAX_REPORT_WEIGHT: f64 = 1e9;
 /// Minimum time between two solutions of a fit.
 const SOLVE_INTERVAL: Span = Span::from_ms(150);
 /// Upper bound on a weight.
@@ -89,10 +91,12 @@
 struct Fit {
     /// Tail without load divided by the objective.
     idle_ratio: f64,
-    /// Sums of products of inputs, as a matrix in row-major order.
+    /// Sums of products of inputs, as a matrix in row-major order, in units of `report_weight`.
     products: Vec<f64>,
-    /// Sums of each input times the utilization that it explains.
+    /// Sums of each input times the utilization that it explains, in units of `report_weight`.
     outcomes: Vec<f64>,
+    /// Weight of the latest report. Instead of all older reports losing weight, new ones gain it.
+    report_weight: f64,
     weights: Vec<f64>,
     /// Weights before any report, or those that a predecessor recorded.
     prior: Vec<f64>,
@@ -152,11 +156,11 @@
     /// `shares` holds the processor shares of best-effort images, `others` that of tasks that
     /// are neither best-effort nor latency-critical.
     pub(super) fn learn(&mut self, now: Time, sample: &Sample, shares: &Shares, others: f64) {
-        let mut inputs = vec![0.0; FIXED_INPUTS + MAX_IMAGES];
-        inputs[0] = others;
+        let mut inputs = vec![(0, others)];
         for (image, share) in shares {
-            inputs[self.add_column(image)] += share;
+            inputs.push((self.add_column(image), *share));
         }
+        let columns = FIXED_INPUTS + self.columns.len().min(MAX_IMAGES);
         let at = self.add_fit(&sample.image);
         let fit = &mut self.fits[at];
         fit.idle_ratio = fit.idle_ratio.min(sample.ratio * IDLE_RATIO_MARGIN);
@@ -166,7 +170,7 @@
         if shares.values().sum::<f64>() > 0.0 {
             fit.add(&inputs, utilization - load.predict(now, Span::ZERO));
             if now.since(fit.solved_at) >= SOLVE_INTERVAL {
-                fit.solve();
+                fit.solve(columns);
                 fit.solved_at = now;
             }
         }
@@ -280,6 +284,7 @@
             idle_ratio: PRIOR_IDLE_RATIO,
             products: vec![0.0; size * size],
             outcomes: vec![0.0; size],
+            report_weight: 1.0,
             prior: weights.clone(),
             weights,
             solved_at: Time::ZERO,
@@ -290,28 +295,45 @@
         utilization(self.idle_ratio, ratio)
     }
 
-    /// Returns the utilization that the inputs add.
-    fn interference(&self, inputs: &[f64]) -> f64 {
-        let pairs = inputs.iter().zip(&self.weights);
-        pairs.map(|(input, weight)| input * weight.clamp(0.0, MAX_WEIGHT)).sum()
+    /// Returns the utilization that the inputs add; each is a column and its value.
+    fn interference(&self, inputs: &[(usize, f64)]) -> f64 {
+        let added =
+            |(column, input): &(usize, f64)| input * self.weights[*column].clamp(0.0, MAX_WEIGHT);
+        inputs.iter().map(added).sum()
     }
 
-    fn add(&mut self, inputs: &[f64], outcome: f64) {
-        let size = inputs.len();
-        for (row, left) in inputs.iter().enumerate() {
-            for (column, right) in inputs.iter().enumerate() {
-                let sum = &mut self.products[row * size + column];
-                *sum = *sum * DECAY + left * right;
+    fn add(&mut self, inputs: &[(usize, f64)], outcome: f64) {
+        self.report_weight /= DECAY;
+        if self.report_weight > MAX_REPORT_WEIGHT {
+            self.rescale();
+        }
+        let size = self.outcomes.len();
+        for (row, left) in inputs {
+            let left = left * self.report_weight;
+            for (column, right) in inputs {
+                self.products[row * size + column] += left * right;
             }
-            self.outcomes[row] = self.outcomes[row] * DECAY + left * outcome;
+            self.outcomes[*row] += left * outcome;
         }
     }
 
-    /// Solves the normal equations with the prior by Gaussian elimination.
-    fn solve(&mut self) {
-        let size = self.outcomes.len();
-        let mut rows = self.products.clone();
-        let mut values = self.outcomes.clone();
+    fn rescale(&mut self) {
+        let factor = 1.0 / self.report_weight;
+        self.products.iter_mut().for_each(|sum| *sum *= factor);
+        self.outcomes.iter_mut().for_each(|sum| *sum *= factor);
+        self.report_weight = 1.0;
+    }
+
+    /// Solves the normal equations of the first `size` columns with the prior by Gaussian
+    /// elimination.
+    fn solve(&mut self, size: usize) {
+        let stride = self.outcomes.len();
+        let unit = 1.0 / self.report_weight;
+        let mut rows: Vec<f64> = (0..size)
+            .flat_map(|row| &self.products[row * stride..row * stride + size])
+            .map(|sum| sum * unit)
+            .collect();
+        let mut values: Vec<f64> = self.outcomes[..size].iter().map(|sum| sum * unit).collect();
         for column in 0..size {
             let prior = self.prior[column];
             rows[column * size + column] += PRIOR_STRENGTH;
--- a/crates/jobs/tests/throttling.rs
+++ b/crates/jobs/tests/throttling.rs
@@ -139,3 +139,51 @@
     sim.advance(Span::from_ms(2_200));
     assert!(sim.state(5).is_some_and(|state| state.is_terminal()), "{:?}", sim.state(5));
 }
+
+/// Returns the weight of best-effort image number `image` in a test with many images.
+fn weight_of(image: u64) -> f64 {
+    if image.is_multiple_of(2) { 0.1 } else { 1.4 }
+}
+
+/// Sets the tail of each executor from the best-effort tasks that run there; the image of a job
+/// is the remainder of its identifier by `images`.
+fn set_tails(sim: &mut Simulation, images: u64) {
+    for executor in sim.executors.values_mut() {
+        let capacity = executor.capacity.cpu as f64;
+        let added = |(task, active): (&TaskId, &support::ActiveRun)| {
+            let share = active.best_effort_cpu? as f64 / capacity;
+            let limit = f64::from(active.limit_percent) / 100.0;
+            Some(share * limit * weight_of(task.step.job.0 % images))
+        };
+        let interference = executor.running.iter().filter_map(added).sum::<f64>();
+        executor.tail_ms = tail(0.3, 1.0, interference, 1.0);
+    }
+}
+
+#[test]
+fn each_of_many_images_has_its_own_weight() {
+    const IMAGES: u64 = 40;
+    let mut sim = Simulation::new(IMAGES as u32);
+    let serving = Step { max_per_executor: Some(1), ..latency_critical(IMAGES as u32, "s") };
+    sim.submit(job(0), vec![serving]);
+    sim.advance(Span::from_ms(300));
+    for round in 1..=25 {
+        for number in 0..IMAGES {
+            // Another order in each round, so that images meet others.
+            let image = (number * 7 + round * 3) % IMAGES;
+            let step = best_effort(3, &format!("f{image}"));
+            sim.submit(job(round * IMAGES + image), vec![step]);
+        }
+        for _ in 0..100 {
+            set_tails(&mut sim, IMAGES);
+            sim.advance(Span::from_ms(10));
+        }
+    }
+    let model = sim.model.expect("the model is recorded");
+    let weights = &model.serving[&Image::from("s")].weights;
+    for image in 0..IMAGES {
+        let learned = weights[&Image::from(format!("f{image}").as_str())];
+        let is_heavy = weight_of(image) > 0.5;
+        assert_eq!(learned > 0.5, is_heavy, "image {image} has the weight {learned}");
+    }
+}
