--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -52,6 +52,8 @@
     pub(super) waiting: BTreeSet<u32>,
     /// Rank under which the step is queued for placement.
     pub(super) rank: Option<Rank>,
+    /// Whether the last placement pass that tried the step found no executor for a task.
+    pub(super) blocked: bool,
     /// When all steps that this step depends on were done.
     pub(super) ready_since: Time,
 }
@@ -181,6 +183,7 @@
             tasks,
             waiting: BTreeSet::new(),
             rank: None,
+            blocked: false,
             ready_since: now,
         }
     }
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -49,6 +49,10 @@
     pub(super) best_effort_cpu: BTreeMap<Image, u64>,
     /// Processor time that latency-critical runs request, in thousandths of a core by image.
     pub(super) latency_critical_cpu: BTreeMap<Image, u64>,
+    /// Sum of `best_effort_cpu`.
+    pub(super) best_effort_total: u64,
+    /// Sum of `latency_critical_cpu`.
+    pub(super) latency_critical_total: u64,
     /// Highest number of a run end that was processed.
     pub(super) ends_processed: u64,
     /// Highest number of a run end that is recorded.
@@ -92,6 +96,8 @@
             used: Resources::default(),
             best_effort_cpu: BTreeMap::new(),
             latency_critical_cpu: BTreeMap::new(),
+            best_effort_total: 0,
+            latency_critical_total: 0,
             ends_processed: 0,
             ends_recorded: 0,
             ends_acknowledged: 0,
@@ -163,9 +169,11 @@
         let cpu = step.resources.cpu;
         if step.best_effort {
             *self.best_effort_cpu.entry(super::throttle::image(step)).or_default() += cpu;
+            self.best_effort_total += cpu;
         }
         if step.objective_ms.is_some() {
             *self.latency_critical_cpu.entry(super::throttle::image(step)).or_default() += cpu;
+            self.latency_critical_total += cpu;
         }
         self.open_tasks.insert(task);
     }
@@ -176,17 +184,14 @@
         self.forecasts = None;
         if step.best_effort {
             release_cpu(&mut self.best_effort_cpu, step);
+            self.best_effort_total = self.best_effort_cpu.values().sum();
         }
         if step.objective_ms.is_some() {
             release_cpu(&mut self.latency_critical_cpu, step);
+            self.latency_critical_total = self.latency_critical_cpu.values().sum();
         }
     }
 
-    /// Returns the processor time that latency-critical runs request, in thousandths of a core.
-    pub(super) fn latency_critical_total(&self) -> u64 {
-        self.latency_critical_cpu.values().sum()
-    }
-
     fn update_departure(&mut self, now: Time) {
         self.leaves_at = match (self.registration.availability, self.registration.remaining) {
             (Availability::Draining, Some(remaining)) => Some(now + remaining),
@@ -248,6 +253,7 @@
     pub(super) fn handle_listed(&mut self, now: Time, registration: Registration) {
         self.placement_due = true;
         let id = registration.id.clone();
+        self.released.insert(id.clone());
         let Some(executor) = self.executors.get_mut(&id) else {
             self.executors.insert(id, Executor::new(now, registration));
             return;
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -230,6 +230,7 @@
                 executor.open_tasks.remove(task);
             }
             self.probe_candidates.insert(open.executor.clone());
+            self.released.insert(open.executor.clone());
         }
         Some(open.executor)
     }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -15,12 +15,15 @@
 mod message;
 mod model;
 mod order;
+mod pass;
 mod place;
 mod probe;
 mod rank;
+mod ranking;
 mod rejections;
 mod relocate;
 mod restore;
+mod score;
 mod settings;
 mod throttle;
 mod write;
@@ -73,6 +76,10 @@
     placement_due: bool,
     /// Earliest time of the next placement pass.
     place_after: Time,
+    /// Earliest time of the next placement pass that tries blocked steps on all executors.
+    full_pass_after: Time,
+    /// Executors on which resources were released since the last placement pass.
+    released: BTreeSet<ExecutorId>,
     /// Earliest time of the next batch, unless it is full.
     write_after: Time,
     /// Placed runs that are started once they are recorded.
@@ -108,6 +115,8 @@
             scheduled: BTreeSet::new(),
             placement_due: false,
             place_after: Time::ZERO,
+            full_pass_after: Time::ZERO,
+            released: BTreeSet::new(),
             write_after: Time::ZERO,
             next_sweep: Time::ZERO,
             placed: Vec::new(),
--- /dev/null
+++ b/crates/jobs/src/shard/pass.rs
@@ -0,0 +1,157 @@
+//! Passes over the waiting steps, in the order of their rank.
+//!
+//! Load pattern: a backlog of hundreds of steps for which no executor has resources, while runs
+//! end all the time. A step that found no executor is tried on all of them again only once in
+//! [`FULL_PASS_INTERVAL`]; until then only executors on which resources were released are tried.
+
+use std::collections::BTreeSet;
+
+use sycamorerill_core::clock::{Span, Time};
+
+use super::Shard;
+use super::rank::Rank;
+use super::rejections::Rejections;
+use crate::id::{ExecutorId, StepId};
+
+/// Maximum number of steps that one pass tries on all executors without finding one.
+const MAX_BLOCKED_PER_PASS: usize = 200;
+/// Pause after a pass in which steps found no executor, so that releases accumulate.
+const BLOCKED_PAUSE: Span = Span::from_ms(10);
+/// Time between two passes that try blocked steps on all executors. Expected interference
+/// changes at this rate, with the reports.
+const FULL_PASS_INTERVAL: Span = Span::from_ms(100);
+
+/// Executors that a step is tried on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Scope {
+    /// All executors.
+    All,
+    /// Executors on which resources were released since the previous pass.
+    Released,
+}
+
+/// Result of trying a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Placed {
+    /// No task of the step waits any more.
+    All,
+    /// Tasks of the step wait until another pass.
+    Some,
+    /// No executor was found for a task of the step.
+    Blocked,
+}
+
+/// State of one pass.
+#[derive(Debug)]
+pub(super) struct Pass {
+    /// Number of runs that the pass may still place.
+    pub(super) budget: usize,
+    /// Whether steps that were blocked before are tried on all executors.
+    full: bool,
+    /// Executors on which resources were released since the previous pass.
+    pub(super) released: BTreeSet<ExecutorId>,
+    /// Resources that no executor has.
+    rejections: Rejections,
+    /// Resources that no executor in `released` has.
+    released_rejections: Rejections,
+}
+
+impl Pass {
+    /// Returns the executors on which a step is tried, given whether it was blocked before.
+    pub(super) const fn scope(&self, blocked: bool) -> Scope {
+        if blocked && !self.full { Scope::Released } else { Scope::All }
+    }
+
+    /// Returns the resources that no executor in `scope` has.
+    pub(super) const fn rejections(&mut self, scope: Scope) -> &mut Rejections {
+        match scope {
+            Scope::All => &mut self.rejections,
+            Scope::Released => &mut self.released_rejections,
+        }
+    }
+}
+
+impl Shard {
+    /// Places waiting tasks in the order of their rank.
+    pub(super) fn place_waiting(&mut self, now: Time) {
+        if !self.placement_due || now < self.place_after {
+            return;
+        }
+        self.placement_due = false;
+        let mut pass = self.begin_pass(now);
+        let mut blocked = 0;
+        let ranked: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
+        for (rank, id) in ranked {
+            if pass.full && self.update_rank(rank, id) {
+                continue;
+            }
+            match self.place_step(now, id, &mut pass) {
+                Placed::All => {
+                    self.waiting.remove(&(rank, id));
+                }
+                Placed::Some => {}
+                Placed::Blocked => blocked += 1,
+            }
+            if pass.budget == 0 {
+                self.continue_pass(now, pass);
+                break;
+            }
+            if blocked >= MAX_BLOCKED_PER_PASS {
+                break;
+            }
+        }
+        if blocked > 0 {
+            self.place_after = now + BLOCKED_PAUSE;
+        }
+    }
+
+    fn begin_pass(&mut self, now: Time) -> Pass {
+        let full = now >= self.full_pass_after;
+        if full {
+            self.full_pass_after = now + FULL_PASS_INTERVAL;
+        }
+        Pass {
+            budget: self.settings.max_placed_per_turn,
+            full,
+            released: std::mem::take(&mut self.released),
+            rejections: Rejections::default(),
+            released_rejections: Rejections::default(),
+        }
+    }
+
+    /// Lets the next turn go on with a pass whose budget is used up.
+    fn continue_pass(&mut self, now: Time, pass: Pass) {
+        self.placement_due = true;
+        self.released.extend(pass.released);
+        if pass.full {
+            self.full_pass_after = now;
+        }
+    }
+
+    /// Moves a step to its current rank, which drops when the job becomes late or expires.
+    /// Returns whether the rank has changed.
+    fn update_rank(&mut self, rank: Rank, id: StepId) -> bool {
+        if rank.is_expired() {
+            return false;
+        }
+        let Some(entry) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
+            return false;
+        };
+        let queue = self.config.queues.get(&entry.queue);
+        let updated = Rank::of(entry, queue, id.step, occurrence.begin_ms, self.wall_ms);
+        if updated == rank {
+            return false;
+        }
+        self.waiting.remove(&(rank, id));
+        self.waiting.insert((updated, id));
+        if let Some(step) =
+            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
+        {
+            step.rank = Some(updated);
+        }
+        true
+    }
+}
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -102,6 +102,7 @@
         executor.probe_after = now;
         executor.confirmed = true;
         if executor.unreachable_since.take().is_some() {
+            self.released.insert(id.clone());
             self.out.push(Command::Log(Decision::Reachable(id.clone())));
         }
         executor.ends_acknowledged = executor.ends_acknowledged.max(executor.ends_recorded);
@@ -129,6 +130,7 @@
             && !executor.fenced
         {
             executor.fenced = true;
+            self.released.insert(id.clone());
             // Leases granted by predecessors remain in force; none of them can end later than
             // this.
             let longest = Steady(report.clock.0 + self.settings.lease.as_ms());
--- a/crates/jobs/src/shard/throttle.rs
+++ b/crates/jobs/src/shard/throttle.rs
@@ -278,6 +278,15 @@
         executor.tails.values().any(|tail| tail.over_since.is_some())
     }
 
+    /// Recomputes the forecast of one executor.
+    pub(super) fn refresh_forecast(&mut self, now: Time, id: &ExecutorId) {
+        let overdue_after = self.settings.max_over_objective.scale(THROTTLE_ALL_AFTER);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.forecasts =
+                Some(forecasts(now, &self.estimator.model, executor, overdue_after));
+        }
+    }
+
     /// Recomputes the forecasts of executors where they are missing or older than
     /// `FORECAST_TTL`.
     pub(super) fn refresh_forecasts(&mut self, now: Time) {
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -15,7 +15,7 @@
 ///
 /// On the test bench, an owner of 350 executors with 670 starts a second used 0.21
 /// processors on average.
-const EXECUTORS_PER_CORE: f64 = 1_000.0;
+const EXECUTORS_PER_CORE: f64 = 2_000.0;
 /// Number of executors that an instance can manage per Mbit/s of its link.
 ///
 /// On the test bench, the same owner transferred about 4 Mbit/s, and bursts are 2.6 times
