jobs: leases are renewed while run ends wait to be recorded

Cause: an executor with a run end that is not recorded was not probed, and probes renew leases. Where recording took longer than the lease of 5 s, as in an outage of the store or with an owner whose processor is used up, all runs on the executor lapsed.

Change: within 3 s of the end of a lease a probe is sent at once, and acknowledges only what is recorded. Runs lapse by the local clock only on executors that are out of reach; others report how their runs ended.

Measured: the new test keeps a lasting task through a 20 s outage; it lapsed before.

--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -59,6 +59,8 @@
     pub(super) ends_recorded: u64,
     /// Highest number of a run end that was acknowledged to the executor as recorded.
     pub(super) ends_acknowledged: u64,
+    /// Number of the run end that the latest probe acknowledges.
+    pub(super) probe_acknowledges: u64,
     /// Number of the latest probe; 0 before the first.
     pub(super) latest_probe: u64,
     /// When the probe in flight was sent.
@@ -101,6 +103,7 @@
             ends_processed: 0,
             ends_recorded: 0,
             ends_acknowledged: 0,
+            probe_acknowledges: 0,
             latest_probe: 0,
             probe_sent: None,
             probe_after: Time::ZERO,
@@ -147,6 +150,17 @@
         self.clock(now) > self.deadline
     }
 
+    /// Returns whether a lease of the executor may end within `lead`.
+    pub(super) fn lease_ends_within(&self, now: Time, lead: Span) -> bool {
+        self.clock(now).0 + lead.as_ms() >= self.deadline.0
+    }
+
+    /// Returns whether the expiry of leases has to be concluded from the local clock, since the
+    /// executor can't be asked.
+    const fn is_out_of_reach(&self) -> bool {
+        !self.present || !self.fenced || self.unreachable_since.is_some()
+    }
+
     /// Resets the state for a new incarnation, which runs nothing and numbers run ends from 1.
     pub(super) fn begin_incarnation(&mut self, now: Time, incarnation: Incarnation, clock: Steady) {
         self.registration.incarnation = incarnation;
@@ -155,6 +169,7 @@
         self.ends_processed = 0;
         self.ends_recorded = 0;
         self.ends_acknowledged = 0;
+        self.probe_acknowledges = 0;
         self.probe_sent = None;
         self.probe_after = now;
         self.unreachable_since = None;
@@ -370,13 +385,16 @@
         }
     }
 
-    /// Closes the runs of executors whose leases have expired, and removes executors that are
-    /// gone.
+    /// Closes the runs of executors that are out of reach and whose leases have expired, and
+    /// removes executors that are gone.
+    ///
+    /// An executor in reach reports by itself which runs have ended, and how.
     pub(super) fn close_expired(&mut self, now: Time) {
         let expired: Vec<ExecutorId> = self
             .executors
             .iter()
-            .filter(|(_, e)| !e.open_tasks.is_empty() && e.has_expired_leases(now))
+            .filter(|(_, e)| !e.open_tasks.is_empty() && e.is_out_of_reach())
+            .filter(|(_, e)| e.has_expired_leases(now))
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -38,9 +38,13 @@
         if executor.probe_sent.is_some() || !executor.has_address() {
             return true;
         }
-        // Each probe acknowledges recorded run ends, so it waits until all processed ends are
-        // recorded.
-        if now < executor.probe_after || executor.ends_recorded < executor.ends_processed {
+        if now < executor.probe_after {
+            return false;
+        }
+        // Ends that are not acknowledged are reported at once, so a probe waits until all
+        // processed ends are recorded, unless leases must be renewed meanwhile.
+        let unrecorded = executor.ends_recorded < executor.ends_processed;
+        if unrecorded && !executor.lease_ends_within(now, settings.renewal_lead) {
             return false;
         }
         let unacknowledged = executor.ends_acknowledged < executor.ends_recorded;
@@ -56,7 +60,7 @@
         let verify = std::mem::take(&mut executor.verify);
         let settled = executor.fenced && executor.confirmed && !verify;
         let wait = match executor.unreachable_since {
-            None if !executor.open_tasks.is_empty() && settled => {
+            None if !executor.open_tasks.is_empty() && settled && !unrecorded => {
                 match executor.best_effort_cpu.is_empty()
                     || executor.latency_critical_cpu.is_empty()
                 {
@@ -75,6 +79,7 @@
         };
         let probe = Probe { executor: id.clone(), number: executor.latest_probe };
         let acknowledged = executor.ends_recorded;
+        executor.probe_acknowledges = acknowledged;
         let address = executor.registration.address;
         self.out.push(Command::Probe { probe, address, acknowledged, deadline, wait });
         true
@@ -105,7 +110,7 @@
             self.released.insert(id.clone());
             self.out.push(Command::Log(Decision::Reachable(id.clone())));
         }
-        executor.ends_acknowledged = executor.ends_acknowledged.max(executor.ends_recorded);
+        executor.ends_acknowledged = executor.ends_acknowledged.max(executor.probe_acknowledges);
         let complete = report.ended.len() < MAX_ENDS_PER_REPORT;
         let mut listed: BTreeSet<(TaskId, Run)> =
             report.ended.iter().map(|end| (end.task, end.run)).collect();
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -13,6 +13,9 @@
         pub sweep: Span,
         /// Duration of the lease that each probe and each start grants.
         pub lease: Span,
+        /// Time before the end of a lease from which on it is renewed even if run ends of the
+        /// executor wait to be recorded.
+        pub renewal_lead: Span,
         /// How long a probe may wait for a run to end.
         pub probe_wait: Span,
         /// How long a probe may wait where best-effort and latency-critical tasks share the
@@ -48,6 +51,8 @@
             sweep: Span::from_ms(100),
             // More than twice the duration of a takeover of the shard, which is about 2 s.
             lease: Span::from_ms(5_000),
+            // Leaves two attempts at a probe before the lease ends.
+            renewal_lead: Span::from_ms(3_000),
             // The longest wait that executors offer, since each probe has a cost.
             probe_wait: Span::from_ms(2_000),
             // A fifth of `max_over_objective`.
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -330,3 +330,21 @@
     assert_eq!(sim.run_count(), 2);
     assert!(sim.violations.is_empty(), "{:?}", sim.violations);
 }
+
+#[test]
+fn leases_are_renewed_while_run_ends_wait_to_be_recorded() {
+    let mut sim = Simulation::new(1);
+    sim.submit(job(1), vec![long_running(1)]);
+    sim.submit(job(2), vec![step(1)]);
+    sim.advance(Span::from_ms(500));
+    sim.store_available = false;
+    // The short run ends within a second, and its end can't be recorded.
+    sim.advance(Span::from_secs(20));
+    assert_eq!(sim.executors_running(&task(1, 0, 0)), ["x0"]);
+    sim.store_available = true;
+    sim.advance(Span::from_secs(1));
+    assert_eq!(sim.states.get(&job(2)), Some(&State::Completed));
+    assert!(sim.executor("x0").ended.is_empty(), "the end is acknowledged");
+    assert_eq!(sim.executor("x0").end_count, 1, "no lease has expired");
+    assert_no_violations(&sim);
+}
