jobs: a successor goes on with the occurrences of a schedule in progress

Cause: restoring a record raised the number of the next occurrence beyond the occurrences that it restores, so their steps were never begun, and a task whose run had ended unseen was never started again.

Change: the number is not raised. Occurrences in memory are then passed over, and their steps are begun.

Measured: the test a_successor_goes_on_with_the_occurrences_in_progress leaves the job running before and completes it after.

--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -167,7 +167,6 @@
         let occurrence = entry.occurrence(number, now);
         entry.occurrences.insert(number, occurrence);
     }
-    entry.next_occurrence = entry.next_occurrence.max(number + 1);
     if entry.state == State::Queued {
         entry.state = State::Running;
     }
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -7,7 +7,7 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
 use sycamorerill_jobs::progress::State;
-use sycamorerill_jobs::spec::Step;
+use sycamorerill_jobs::spec::{Schedule, Step};
 
 fn task(id: u64, step: u32, index: u32) -> TaskId {
     StepId { job: job(id), occurrence: 0, step }.task(index)
@@ -348,3 +348,20 @@
     assert_eq!(sim.executor("x0").end_count, 1, "no lease has expired");
     assert_no_violations(&sim);
 }
+
+#[test]
+fn a_successor_goes_on_with_the_occurrences_in_progress() {
+    let mut sim = Simulation::new(2);
+    let steps = vec![step(2), Step { depends_on: vec![0], ..step(2) }];
+    let schedule = Schedule { start_ms: sim.wall_ms(), period_ms: 600, times: 3 };
+    sim.submit_scheduled(job(1), steps, Some(schedule));
+    sim.advance(Span::from_ms(800));
+    // The runs end while no owner is there, so that the successor has to start the tasks anew.
+    for name in ["x0", "x1"] {
+        sim.executor(name).running.clear();
+    }
+    sim.take_over();
+    sim.advance(Span::from_secs(6));
+    assert_eq!(sim.states.get(&job(1)), Some(&State::Completed));
+    assert_no_violations(&sim);
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use sycamorerill_jobs::id::{DomainName, ExecutorId, JobId, Label, QueueName, ServiceName, TaskId};
 use sycamorerill_jobs::progress::{Progress, State};
 use sycamorerill_jobs::shard::{Command, Event, Probe, Records, Settings, Shard, Snapshot};
-use sycamorerill_jobs::spec::{AcceptedJob, Job, Resources, Step};
+use sycamorerill_jobs::spec::{AcceptedJob, Job, Resources, Schedule, Step};
 
 pub(crate) use executor::{ActiveRun, FakeExecutor};
 
@@ -194,7 +194,17 @@
 
     /// Accepts a job with these steps.
     pub(crate) fn submit(&mut self, id: JobId, steps: Vec<Step>) {
-        let job = Job { text: "text".to_owned(), steps, schedule: None };
+        self.submit_scheduled(id, steps, None);
+    }
+
+    /// Accepts a job with these steps that runs as scheduled.
+    pub(crate) fn submit_scheduled(
+        &mut self,
+        id: JobId,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) {
+        let job = Job { text: "text".to_owned(), steps, schedule };
         let accepted = AcceptedJob { queue: QueueName::from("q"), at_ms: self.wall_ms(), job };
         self.accepted.insert(id, accepted.clone());
         self.handle(Event::Accepted(id, Box::new(accepted)));
