--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -11,15 +11,10 @@
 ///
 /// Each part accepts 200 transactions a second.
 pub(crate) const JOB_PARTS: u64 = 4;
-/// Number of executors that an instance can manage per processor.
-///
-/// On the test bench, an owner of 350 executors with 670 starts a second used 0.21
-/// processors on average.
+/// Number of executors that an instance can manage per processor; docs/CAPACITY.md has the
+/// measurements.
 const EXECUTORS_PER_CORE: f64 = 2_000.0;
-/// Number of executors that an instance can manage per Mbit/s of its link.
-///
-/// On the test bench, the same owner transferred about 4 Mbit/s, and bursts are 2.6 times
-/// as much.
+/// Number of executors that an instance can manage per Mbit/s of its link, bursts included.
 const EXECUTORS_PER_MBIT: f64 = 40.0;
 /// Lower bound on the number of executors that an instance is assumed to manage.
 const MIN_EXECUTORS: f64 = 20.0;
