--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 mod executor;
 mod policy;
+mod probe;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -446,54 +447,6 @@
         !self.executors.values().any(|executor| executor.ended.iter().any(|end| end.task == *task))
     }
 
-    fn start_probe(
-        &mut self,
-        probe: Probe,
-        acknowledged: u64,
-        deadline: Option<Steady>,
-        wait: Span,
-    ) {
-        let (now, epoch) = (self.now, self.epoch);
-        let executor = self.executors.get_mut(&probe.executor).expect("known executor");
-        if executor.replaced {
-            let refused = Outcome::Refused(Refusal::Incarnation, None);
-            self.handle(Event::ProbeFailed(probe, refused));
-            return;
-        }
-        if !executor.reachable {
-            self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
-            return;
-        }
-        if epoch < executor.fence {
-            let refused = Outcome::Refused(Refusal::Fence, Some(executor.clock(now)));
-            self.handle(Event::ProbeFailed(probe, refused));
-            return;
-        }
-        executor.fence = epoch;
-        executor.ended.retain(|end| end.number > acknowledged);
-        if let Some(deadline) = deadline {
-            executor.deadline = executor.deadline.max(deadline.0);
-        }
-        self.pending_probes.push((probe, now + wait + self.probe_latency));
-    }
-
-    fn answer_probes(&mut self) {
-        let now = self.now;
-        for (probe, until) in std::mem::take(&mut self.pending_probes) {
-            let executor = &self.executors[&probe.executor];
-            if !executor.reachable {
-                self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
-            } else if now >= until
-                || (!executor.ended.is_empty() && self.probe_latency == Span::ZERO)
-            {
-                let report = executor.report(now);
-                self.handle(Event::Probed(probe, report));
-            } else {
-                self.pending_probes.push((probe, until));
-            }
-        }
-    }
-
     /// Returns the share of an executor's processors that best-effort tasks use.
     pub(crate) fn best_effort_share(&self, id: &str) -> f64 {
         let executor = &self.executors[&ExecutorId::from(id)];
--- /dev/null
+++ b/crates/jobs/tests/support/probe.rs
@@ -0,0 +1,59 @@
+//! Probes of simulated executors.
+
+use sycamorerill_core::clock::Span;
+use sycamorerill_jobs::executor::{Outcome, Refusal, Steady};
+use sycamorerill_jobs::shard::{Event, Probe};
+
+use super::Simulation;
+
+impl Simulation {
+    /// Delivers a probe; its answer follows when a run ends or the wait is over.
+    pub(super) fn start_probe(
+        &mut self,
+        probe: Probe,
+        acknowledged: u64,
+        deadline: Option<Steady>,
+        wait: Span,
+    ) {
+        let (now, epoch) = (self.now, self.epoch);
+        let executor = self.executors.get_mut(&probe.executor).expect("known executor");
+        if executor.replaced {
+            let refused = Outcome::Refused(Refusal::Incarnation, None);
+            self.handle(Event::ProbeFailed(probe, refused));
+            return;
+        }
+        if !executor.reachable {
+            self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
+            return;
+        }
+        if epoch < executor.fence {
+            let refused = Outcome::Refused(Refusal::Fence, Some(executor.clock(now)));
+            self.handle(Event::ProbeFailed(probe, refused));
+            return;
+        }
+        executor.fence = epoch;
+        executor.ended.retain(|end| end.number > acknowledged);
+        if let Some(deadline) = deadline {
+            executor.deadline = executor.deadline.max(deadline.0);
+        }
+        self.pending_probes.push((probe, now + wait + self.probe_latency));
+    }
+
+    /// Answers the probes whose wait is over or for which a run has ended.
+    pub(super) fn answer_probes(&mut self) {
+        let now = self.now;
+        for (probe, until) in std::mem::take(&mut self.pending_probes) {
+            let executor = &self.executors[&probe.executor];
+            if !executor.reachable {
+                self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
+            } else if now >= until
+                || (!executor.ended.is_empty() && self.probe_latency == Span::ZERO)
+            {
+                let report = executor.report(now);
+                self.handle(Event::Probed(probe, report));
+            } else {
+                self.pending_probes.push((probe, until));
+            }
+        }
+    }
+}
