jobs: an executor that refuses probes lapses, and gets no work until it reports

Cause: a probe that was refused, as by an unhealthy executor, extended its leases in the owner's books, so that its runs never counted as lapsed; and since only executors out of reach are judged by the clock, they would have stood still for good. Found by reading the change of leases again.

Change: after a probe without a report no lease is extended, the clock decides, and the executor is probed until it reports before it gets work.

Measured: tasks_move_when_an_executor_refuses_probes_until_its_lease_expires stays at x0 without each of the parts, and moves to x1 with them.

--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -70,6 +70,8 @@
     /// Whether the next probe must be answered at once, to confirm that a stopped run is not
     /// there.
     pub(super) verify: bool,
+    /// Whether the latest completed probe brought no report.
+    pub(super) probe_failed: bool,
     /// Since when the executor has not answered.
     pub(super) unreachable_since: Option<Time>,
     pub(super) health: super::health::Health,
@@ -108,6 +110,7 @@
             probe_sent: None,
             probe_after: Time::ZERO,
             verify: false,
+            probe_failed: false,
             unreachable_since: None,
             health: super::health::Health::default(),
             throttled_at: None,
@@ -156,9 +159,9 @@
     }
 
     /// Returns whether the expiry of leases has to be concluded from the local clock, since the
-    /// executor can't be asked.
+    /// executor does not report its runs.
     const fn is_out_of_reach(&self) -> bool {
-        !self.present || !self.fenced || self.unreachable_since.is_some()
+        !self.present || !self.fenced || self.probe_failed || self.unreachable_since.is_some()
     }
 
     /// Resets the state for a new incarnation, which runs nothing and numbers run ends from 1.
@@ -220,6 +223,7 @@
         self.present
             && self.registration.availability == Availability::Ready
             && self.unreachable_since.is_none()
+            && !self.probe_failed
             && self.confirmed
             && (self.fenced || self.open_tasks.is_empty())
     }
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -48,10 +48,12 @@
             return false;
         }
         let unacknowledged = executor.ends_acknowledged < executor.ends_recorded;
-        // An executor that did not answer gets no work, so it is probed until it answers or is
+        // An executor that did not report gets no work, so it is probed until it reports or is
         // no longer listed.
-        let unconfirmed =
-            executor.present && (executor.unreachable_since.is_some() || !executor.confirmed);
+        let unconfirmed = executor.present
+            && (executor.unreachable_since.is_some()
+                || executor.probe_failed
+                || !executor.confirmed);
         if executor.open_tasks.is_empty() && !unacknowledged && !unconfirmed {
             return true;
         }
@@ -71,12 +73,10 @@
             }
             _ => NO_WAIT,
         };
-        // An unanswered probe may extend leases all the same. Probes of unreachable executors
-        // therefore extend none, or their leases would never expire.
-        let deadline = match executor.unreachable_since {
-            None => Some(executor.extend_lease(now, settings.lease)),
-            Some(_) => None,
-        };
+        // An unanswered probe may extend leases all the same. Probes of executors that do not
+        // report therefore extend none, or their leases would never expire.
+        let reports = executor.unreachable_since.is_none() && !executor.probe_failed;
+        let deadline = reports.then(|| executor.extend_lease(now, settings.lease));
         let probe = Probe { executor: id.clone(), number: executor.latest_probe };
         let acknowledged = executor.ends_recorded;
         executor.probe_acknowledges = acknowledged;
@@ -106,6 +106,7 @@
         executor.update_clock(now, report.clock);
         executor.probe_after = now;
         executor.confirmed = true;
+        executor.probe_failed = false;
         if executor.unreachable_since.take().is_some() {
             self.released.insert(id.clone());
             self.out.push(Command::Log(Decision::Reachable(id.clone())));
@@ -212,6 +213,7 @@
             return;
         }
         executor.probe_sent = None;
+        executor.probe_failed = true;
         executor.probe_after = now + self.settings.probe_retry;
         self.probe_candidates.insert(id.clone());
         if let Outcome::Refused(refusal, _) = outcome {
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -365,3 +365,15 @@
     assert_eq!(sim.states.get(&job(1)), Some(&State::Completed));
     assert_no_violations(&sim);
 }
+
+#[test]
+fn tasks_move_when_an_executor_refuses_probes_until_its_lease_expires() {
+    let mut sim = Simulation::new(2);
+    sim.submit(job(1), vec![long_running(1)]);
+    sim.advance(Span::from_ms(500));
+    assert_eq!(sim.executors_running(&task(1, 0, 0)), ["x0"]);
+    sim.executor("x0").refuses_probes = true;
+    sim.advance(Span::from_secs(9));
+    assert_eq!(sim.executors_running(&task(1, 0, 0)), ["x1"]);
+    assert_no_violations(&sim);
+}
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -40,6 +40,8 @@
     pub(crate) delays_orders: bool,
     /// Whether the executor's entry is gone from the list.
     pub(crate) unlisted: bool,
+    /// Whether the executor refuses probes as unhealthy.
+    pub(crate) refuses_probes: bool,
     /// Whether another executor has taken over the address.
     pub(crate) replaced: bool,
     pub(crate) run_time: Span,
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -148,6 +148,7 @@
             reachable: true,
             delays_orders: false,
             unlisted: false,
+            refuses_probes: false,
             replaced: false,
             run_time: Span::from_ms(1_000),
             tail_ms: 20,
--- a/crates/jobs/tests/support/probe.rs
+++ b/crates/jobs/tests/support/probe.rs
@@ -22,6 +22,11 @@
             self.handle(Event::ProbeFailed(probe, refused));
             return;
         }
+        if executor.refuses_probes {
+            let refused = Outcome::Refused(Refusal::Unhealthy, None);
+            self.handle(Event::ProbeFailed(probe, refused));
+            return;
+        }
         if !executor.reachable {
             self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
             return;
