node: an instance steers 1,000 executors a core again

Cause: with one shard the owner of large's 890 executors uses 0.3 of its 0.5 cores on average, and has no margin.

Change: 1,000 executors a core as before, so two shards on large.

--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -13,7 +13,7 @@
 pub(crate) const JOB_PARTS: u64 = 4;
 /// Number of executors that an instance can manage per processor; docs/CAPACITY.md has the
 /// measurements.
-const EXECUTORS_PER_CORE: f64 = 2_000.0;
+const EXECUTORS_PER_CORE: f64 = 1_000.0;
 /// Number of executors that an instance can manage per Mbit/s of its link, bursts included.
 const EXECUTORS_PER_MBIT: f64 = 40.0;
 /// Lower bound on the number of executors that an instance is assumed to manage.
