jobs, node: log lines tell how an owner keeps up and what its interference model holds

Change: shard.load and shard.yielded with the share of expected ticks, model.recorded with error, load and weights for each image, three metrics.

--- a/crates/jobs/src/overload.rs
+++ b/crates/jobs/src/overload.rs
@@ -44,8 +44,15 @@
         if now.since(self.started) < WINDOW.saturating_mul(2) {
             return false;
         }
+        self.tick_ratio(now) < MIN_TICK_RATIO
+    }
+
+    /// Returns the ratio of received to expected ticks in the last 1.5 s.
+    ///
+    /// It is lower than the actual ratio in the first 1.5 s.
+    pub fn tick_ratio(&self, now: Time) -> f64 {
         let received = self.ticks.iter().filter(|at| now.since(**at) <= WINDOW).count();
         let expected = WINDOW.as_ms_f64() / self.period.as_ms_f64();
-        (received as f64) < expected * MIN_TICK_RATIO
+        received as f64 / expected
     }
 }
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -186,6 +186,8 @@
             /// Longest time for which a task on the executor has been over its objective.
             over: Span,
         },
+        /// The interference model was recorded; one for each latency-critical image.
+        ModelRecorded(super::FitReport),
     }
 }
 
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -41,7 +41,7 @@
 use crate::progress::State;
 
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
-pub use self::model::{ImageSnapshot, Snapshot};
+pub use self::model::{FitReport, ImageSnapshot, Snapshot};
 pub use self::restore::Records;
 pub use self::settings::Settings;
 
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -101,6 +101,36 @@
     /// Weights before any report, or those that a predecessor recorded.
     prior: Vec<f64>,
     solved_at: Time,
+    /// Accuracy since it was last taken.
+    accuracy: Accuracy,
+}
+
+/// Sums over the reports on one latency-critical image.
+#[derive(Clone, Copy, Debug, Default)]
+struct Accuracy {
+    reports: u32,
+    saturated: u32,
+    error_sum: f64,
+    load_sum: f64,
+}
+
+/// Fit for one latency-critical image with its accuracy over recent reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FitReport {
+    /// Latency-critical image.
+    pub image: Image,
+    /// Tail without load divided by the objective.
+    pub idle_ratio: f64,
+    /// Number of reports since the previous `FitReport` of the image.
+    pub reports: u32,
+    /// Number of those whose tails are too long to tell utilizations apart.
+    pub saturated: u32,
+    /// Mean of predicted less observed utilization over these reports.
+    pub mean_error: f64,
+    /// Mean load of the jobs' own users at these reports.
+    pub mean_load: f64,
+    /// Utilization added per processor share of 1, by best-effort image.
+    pub weights: BTreeMap<Image, f64>,
 }
 
 /// Interference model as recorded for a successor.
@@ -134,6 +164,20 @@
         Snapshot { serving: self.fit_indices.iter().map(record).collect() }
     }
 
+    /// Returns all fits with their accuracy since the previous call.
+    pub(super) fn take_fit_reports(&mut self) -> Vec<FitReport> {
+        let snapshot = self.snapshot();
+        let reports = snapshot.serving.into_iter().map(|(image, recorded)| {
+            let Accuracy { reports, saturated, error_sum, load_sum } =
+                std::mem::take(&mut self.fit(&image).accuracy);
+            let count = f64::from(reports.max(1));
+            let (mean_error, mean_load) = (error_sum / count, load_sum / count);
+            let (idle_ratio, weights) = (recorded.rest, recorded.weights);
+            FitReport { image, idle_ratio, reports, saturated, mean_error, mean_load, weights }
+        });
+        reports.collect()
+    }
+
     /// Starts from the state that a predecessor recorded.
     pub(super) fn restore(&mut self, snapshot: Snapshot) {
         for (image, recorded) in snapshot.serving {
@@ -167,6 +211,7 @@
         let utilization = fit.utilization(sample.ratio);
         let interference = fit.interference(&inputs);
         let load = self.loads.entry(sample.job).or_insert(Load::new(now));
+        fit.accuracy.add(load.predict(now, Span::ZERO), interference, utilization);
         if shares.values().sum::<f64>() > 0.0 {
             fit.add(&inputs, utilization - load.predict(now, Span::ZERO));
             if now.since(fit.solved_at) >= SOLVE_INTERVAL {
@@ -275,6 +320,15 @@
     }
 }
 
+impl Accuracy {
+    fn add(&mut self, load: f64, interference: f64, observed: f64) {
+        self.reports += 1;
+        self.saturated += u32::from(observed >= MAX_UTILIZATION);
+        self.error_sum += (load + interference).min(MAX_UTILIZATION) - observed;
+        self.load_sum += load;
+    }
+}
+
 impl Fit {
     fn new() -> Self {
         let size = FIXED_INPUTS + MAX_IMAGES;
@@ -288,6 +342,7 @@
             prior: weights.clone(),
             weights,
             solved_at: Time::ZERO,
+            accuracy: Accuracy::default(),
         }
     }
 
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -6,7 +6,7 @@
 
 use super::Shard;
 use super::entry::{Entry, Stage};
-use super::message::{Batch, Command};
+use super::message::{Batch, Command, Decision};
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, JobId, Run, TaskId};
 use crate::progress::{DoneRecord, OpenRun, Progress, State, TaskRecord};
@@ -74,6 +74,9 @@
         if now.since(self.estimator.recorded_at) >= SNAPSHOT_INTERVAL {
             self.estimator.recorded_at = now;
             batch.model = Some(self.estimator.model.snapshot());
+            let reports = self.estimator.model.take_fit_reports();
+            let log = |report| Command::Log(Decision::ModelRecorded(report));
+            self.out.extend(reports.into_iter().map(log));
         }
         self.pending_batch = Some(pending);
         self.out.push(Command::Record(batch));
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -107,6 +107,11 @@
         }))
     }
 
+    /// Returns the number of messages that wait for the actors.
+    pub(crate) fn inbox_len(&self) -> usize {
+        self.inbox.len()
+    }
+
     /// Sends a message to the actors.
     pub(crate) fn send(&self, message: Message) {
         // The inbox is closed only when the instance ends.
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -56,10 +56,16 @@
     Executor,
     /// An executor was quarantined and receives no work for a time.
     Quarantined,
+    /// The interference model was recorded.
+    Model,
     /// The instance has become the owner of a shard.
     Gained,
     /// The instance no longer owns a shard.
     Lost,
+    /// The instance releases a shard because it falls behind.
+    Yielded,
+    /// How well an owner of shards keeps up.
+    Load,
     /// The number of shards has been agreed.
     Layout,
     /// The store became unavailable, or available again.
@@ -72,7 +78,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 22] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -86,8 +92,11 @@
         Self::Advised,
         Self::Executor,
         Self::Quarantined,
+        Self::Model,
         Self::Gained,
         Self::Lost,
+        Self::Yielded,
+        Self::Load,
         Self::Layout,
         Self::Store,
         Self::Config,
@@ -110,8 +119,11 @@
             Self::Advised => 1205,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
+            Self::Model => 1302,
             Self::Gained => 1400,
             Self::Lost => 1401,
+            Self::Yielded => 1403,
+            Self::Load => 1404,
             Self::Layout => 1402,
             Self::Store => 1420,
             Self::Config => 1500,
@@ -135,8 +147,11 @@
             Self::Advised => "step.advised",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
+            Self::Model => "model.recorded",
             Self::Gained => "shard.gained",
             Self::Lost => "shard.lost",
+            Self::Yielded => "shard.yielded",
+            Self::Load => "shard.load",
             Self::Layout => "shard.layout",
             Self::Store => "store.state",
             Self::Config => "config.state",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -61,7 +61,10 @@
     orders: Family<OrderLabels, Counter>,
     closed: Family<OutcomeLabels, Counter>,
     finished: Family<OutcomeLabels, Counter>,
+    tails: Family<OutcomeLabels, Counter>,
     shards: Gauge,
+    ticks_percent: Gauge,
+    inbox: Gauge,
     version: Gauge,
     store_up: Gauge,
     dropped_lines: Gauge,
@@ -89,7 +92,10 @@
             orders: Family::default(),
             closed: Family::default(),
             finished: Family::default(),
+            tails: Family::default(),
             shards: Gauge::default(),
+            ticks_percent: Gauge::default(),
+            inbox: Gauge::default(),
             version: Gauge::default(),
             store_up: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -108,7 +114,13 @@
         registry.register("orders", "Orders to executors, by outcome", self.orders.clone());
         registry.register("runs_closed", "Runs that are over, by evidence", self.closed.clone());
         registry.register("jobs_finished", "Jobs that ended, by state", self.finished.clone());
+        let help = "Reports on latency-critical jobs, by whether their tails tell the utilization";
+        registry.register("tail_reports", help, self.tails.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
+        let help = "Percentage of the expected ticks that an owner of shards received";
+        registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
+        let help = "Messages that wait for the actors of an owner of shards";
+        registry.register("owner_inbox", help, self.inbox.clone());
         registry.register("config_version", "Configuration in force", self.version.clone());
         registry.register("store_up", "Whether the store answers", self.store_up.clone());
         let help = "Lines that the log had no room for";
@@ -157,6 +169,13 @@
                 self.observe_hop(Hop::Finished, *took);
                 self.finished.get_or_create(&OutcomeLabels { outcome: state.name() }).inc();
             }
+            Decision::ModelRecorded(report) => {
+                let count = |outcome, number: u32| {
+                    self.tails.get_or_create(&OutcomeLabels { outcome }).inc_by(number.into());
+                };
+                count("informative", report.reports.saturating_sub(report.saturated));
+                count("saturated", report.saturated);
+            }
             _ => {}
         }
     }
@@ -166,6 +185,13 @@
         self.shards.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Sets the percentage of its expected ticks that this instance received as an owner, and the
+    /// number of messages that wait for its actors.
+    pub(crate) fn set_load(&self, ticks_percent: u64, inbox: usize) {
+        self.ticks_percent.set(i64::try_from(ticks_percent).unwrap_or(i64::MAX));
+        self.inbox.set(i64::try_from(inbox).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the configuration in force.
     pub(crate) fn set_config_version(&self, version: u64) {
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/node/src/shards/logging.rs
+++ b/crates/node/src/shards/logging.rs
@@ -2,7 +2,7 @@
 
 use sycamorerill_jobs::executor::{Advice, Outcome};
 use sycamorerill_jobs::id::{ExecutorId, ShardId, StepId};
-use sycamorerill_jobs::shard::{Decision, Event, Order};
+use sycamorerill_jobs::shard::{Decision, Event, FitReport, Order};
 
 use crate::log::{Code, Line};
 
@@ -42,9 +42,25 @@
                 .number("over_ms", over.as_ms())
                 .write()
         }
+        Decision::ModelRecorded(report) => fit(shard, report),
     }
 }
 
+fn fit(shard: ShardId, report: &FitReport) {
+    let weights: Vec<String> =
+        report.weights.iter().map(|(image, weight)| format!("{image}={weight:.2}")).collect();
+    Line::new(Code::Model)
+        .text("shard", shard)
+        .text("image", &report.image)
+        .text("idle_ratio", format_args!("{:.3}", report.idle_ratio))
+        .number("reports", u64::from(report.reports))
+        .number("saturated", u64::from(report.saturated))
+        .text("mean_error", format_args!("{:.3}", report.mean_error))
+        .text("mean_load", format_args!("{:.3}", report.mean_load))
+        .text("weights", weights.join(" "))
+        .write();
+}
+
 /// Logs the outcome of an order, unless the order was carried out.
 pub(super) fn outcome(what: &str, order: &Order, outcome: Outcome) {
     if matches!(outcome, Outcome::Done(_)) {
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -55,6 +55,9 @@
 /// Longest time after the last confirmation of a claim in which its owner starts runs.
 const MAX_UNCONFIRMED: Span = Span::from_ms(3_000);
 
+/// Time between two log lines on how well an owner keeps up.
+const LOAD_LOG_INTERVAL: Span = Span::from_ms(2_000);
+
 /// Time after yielding a shard in which this instance claims none, so that others can.
 const RECLAIM_DELAY: Span = Span::from_ms(2_000);
 
@@ -112,6 +115,8 @@
     draining: bool,
     /// Detects late ticks; set while this instance owns a shard.
     tick_monitor: Option<TickMonitor>,
+    /// Time of the next log line on how well this instance keeps up.
+    next_load_log: Time,
     /// Time before which no shard is claimed, because this instance has yielded one.
     no_claims_before: Time,
 }
@@ -135,6 +140,7 @@
             shards: BTreeMap::new(),
             draining: false,
             tick_monitor: None,
+            next_load_log: Time::ZERO,
             no_claims_before: Time::ZERO,
         })
     }
@@ -179,6 +185,25 @@
         }
         let interval = Span::from_ms(instance::OWNER_TICK_INTERVAL.as_millis() as u64);
         self.tick_monitor.get_or_insert_with(|| TickMonitor::new(now, interval)).tick(now);
+        self.log_load(now);
+    }
+
+    /// Logs and publishes how well this instance keeps up, at most once in
+    /// [`LOAD_LOG_INTERVAL`].
+    fn log_load(&mut self, now: Time) {
+        if now < self.next_load_log {
+            return;
+        }
+        self.next_load_log = now + LOAD_LOG_INTERVAL;
+        let (ticks, inbox) = (self.ticks_percent(now), self.context.inbox_len());
+        self.context.metrics.set_load(ticks, inbox);
+        Line::new(Code::Load).number("ticks_percent", ticks).number("inbox", inbox as u64).write();
+    }
+
+    /// Returns the percentage of the expected ticks that arrived recently.
+    fn ticks_percent(&self, now: Time) -> u64 {
+        let ratio = self.tick_monitor.as_ref().map_or(1.0, |monitor| monitor.tick_ratio(now));
+        (ratio * 100.0) as u64
     }
 
     /// Yields a shard if the ticks of this instance come too late.
@@ -186,11 +211,15 @@
         if !self.tick_monitor.as_ref().is_some_and(|monitor| monitor.is_overloaded(now)) {
             return;
         }
+        let ticks = self.ticks_percent(now);
         let Some(state) = self.shards.get_mut(&shard) else {
             return;
         };
         let claim = state.ownership.yielded_claim(clock::wall_ms());
-        if let (Some(owner), Some(claim)) = (&mut state.owner, claim) {
+        if let (Some(owner), Some(claim)) = (&mut state.owner, claim)
+            && owner.yielded_claim.is_none()
+        {
+            Line::new(Code::Yielded).text("shard", shard).number("ticks_percent", ticks).write();
             owner.yielded_claim = Some(claim);
             self.no_claims_before = now + RECLAIM_DELAY;
         }
