jobs, node: a slow machine that follows a slow owner releases the shard within seconds

Cause: an owner that falls behind releases its shard, but releases were 10 s apart at least. Where the successor's machine was slow too, it kept the shard for 10 s. A machine that lost the shard because it could not renew claimed it again at once.

Change: a release may follow after 3 s, then 6, 12 and 24 s, so that work which is too much for any owner causes fewer releases in the long run (5 instead of 7 a minute). An instance that failed as a holder lets others claim first for 15 s, instead of claiming nothing for 2 s after a release and everything after a loss.

--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -35,6 +35,9 @@
         /// since 1970; 0 if none has.
         #[serde(rename = "g", default)]
         pub yielded_ms: u64,
+        /// Number of such releases in a row.
+        #[serde(rename = "y", default)]
+        pub yields: u32,
     }
 }
 
@@ -53,6 +56,9 @@
         /// Additional claim delay of an instance without the capacity for the shard, so that
         /// instances with the capacity claim first.
         pub low_capacity_delay: Span,
+        /// Additional claim delay of an instance that recently failed as a holder, so that others
+        /// with the capacity claim first. It is less than `low_capacity_delay`.
+        pub failed_holder_delay: Span,
         /// Minimum time from the claim of a holder without the capacity for the shard until an
         /// instance with the capacity takes the shard over, even if the holder renews.
         pub takeover_delay: Span,
@@ -84,6 +90,7 @@
             // At least twice the sum of `claim_spread` and the time to write a claim and notify the
             // other instances.
             low_capacity_delay: Span::from_ms(800),
+            failed_holder_delay: Span::from_ms(400),
             // Long enough that shards stay in place while many instances start or recover.
             takeover_delay: Span::from_ms(2_500),
         }
@@ -98,8 +105,18 @@
 /// with fewer shards claim first.
 const DELAY_PER_OWNED_SHARD: Span = Span::from_ms(250);
 
-/// Minimum time between two releases of a shard by holders that fell behind.
-const MIN_YIELD_INTERVAL: Span = Span::from_ms(10_000);
+/// Minimum time between two releases of a shard by holders that fell behind. It doubles with
+/// each release in a row, since the work may be too much for any instance.
+const MIN_YIELD_INTERVAL: Span = Span::from_ms(3_000);
+
+/// Upper bound on the minimum time between two such releases.
+const MAX_YIELD_INTERVAL: Span = Span::from_ms(24_000);
+
+/// Time without such a release after which the next one counts as the first in a row.
+const YIELD_MEMORY: Span = Span::from_ms(30_000);
+
+/// Time after an instance failed as a holder in which it lets others claim first.
+const FAILED_HOLDER_MEMORY: Span = Span::from_ms(15_000);
 
 /// Time without a response after which the store is considered to have been unavailable. It
 /// responds about the claims every 1.2 s even if none has changed.
@@ -149,6 +166,9 @@
     /// Earliest time of the next `Action::Claim`, set by the previous one; `None` once a claim
     /// or renewal is acknowledged.
     retry_at: Option<Time>,
+    /// When this instance last released the shard because it fell behind, or lost its claim to
+    /// another.
+    failed_at: Option<Time>,
 }
 
 impl Ownership {
@@ -177,6 +197,7 @@
             last_confirmed: Time::ZERO,
             last_read: None,
             retry_at: None,
+            failed_at: None,
         }
     }
 
@@ -188,7 +209,11 @@
             self.epoch_seen_at = now;
         }
         if self.claim != claim || self.unchanged_since.is_none() {
+            let was_held = self.is_held();
             self.claim = claim;
+            if was_held && !self.is_held() {
+                self.failed_at = Some(now);
+            }
             self.unchanged_since = Some(now);
         }
     }
@@ -251,29 +276,45 @@
             None => (1, 0),
         };
         let max_executors = self.settings.max_executors;
-        let yielded_ms = self.yielded_ms();
-        Claim { epoch, holder, started_ms: self.started_ms, renewal, max_executors, yielded_ms }
+        let (yielded_ms, yields) = self.last_yield();
+        let started_ms = self.started_ms;
+        Claim { epoch, holder, started_ms, renewal, max_executors, yielded_ms, yields }
     }
 
     /// Returns the claim that releases the shard and keeps its epoch.
     pub fn released_claim(&self) -> Claim {
         let epoch = self.claim.as_ref().map_or(0, |claim| claim.epoch);
-        let yielded_ms = self.yielded_ms();
-        Claim { epoch, holder: None, started_ms: 0, renewal: 0, max_executors: 0, yielded_ms }
+        let (yielded_ms, yields) = self.last_yield();
+        Claim {
+            epoch,
+            holder: None,
+            started_ms: 0,
+            renewal: 0,
+            max_executors: 0,
+            yielded_ms,
+            yields,
+        }
     }
 
     /// Returns the claim that releases the shard because this instance fell behind at
     /// `wall_ms`, in milliseconds since 1970.
     ///
-    /// Returns `None` if a holder did so in the last 10 s: the work is then too much for any
-    /// instance.
+    /// Returns `None` if a holder did so shortly before: 3 s, and twice as long after each
+    /// release in a row, up to 24 s.
     pub fn yielded_claim(&self, wall_ms: u64) -> Option<Claim> {
-        let recently = wall_ms.saturating_sub(self.yielded_ms()) < MIN_YIELD_INTERVAL.as_ms();
-        (!recently).then(|| Claim { yielded_ms: wall_ms, ..self.released_claim() })
+        let (yielded_ms, yields) = self.last_yield();
+        let since = Span::from_ms(wall_ms.saturating_sub(yielded_ms));
+        if yields > 0 && since < yield_interval(yields) {
+            return None;
+        }
+        let yields = if since < YIELD_MEMORY { yields + 1 } else { 1 };
+        Some(Claim { yielded_ms: wall_ms, yields, ..self.released_claim() })
     }
 
-    fn yielded_ms(&self) -> u64 {
-        self.claim.as_ref().map_or(0, |claim| claim.yielded_ms)
+    /// Returns when a holder last released the shard because it fell behind, in milliseconds
+    /// since 1970, and the number of such releases in a row.
+    fn last_yield(&self) -> (u64, u32) {
+        self.claim.as_ref().map_or((0, 0), |claim| (claim.yielded_ms, claim.yields))
     }
 
     /// Returns the action to take at `now`; `load` includes this shard.
@@ -285,7 +326,7 @@
             let due = now.since(self.last_renewal) >= self.settings.renewal_interval;
             return if due { Action::Renew } else { Action::Wait };
         }
-        let due = now.since(unchanged_since) >= self.claim_delay(load)
+        let due = now.since(unchanged_since) >= self.claim_delay(now, load)
             || self.takes_over_live_holder(now, load);
         if !due || self.retry_at.is_some_and(|at| at > now) {
             return Action::Wait;
@@ -303,7 +344,7 @@
     }
 
     /// Returns how long the claim must have been unchanged before this instance claims.
-    fn claim_delay(&self, load: Load) -> Span {
+    fn claim_delay(&self, now: Time, load: Load) -> Span {
         let holder = self.claim.as_ref().and_then(|claim| claim.holder.as_ref());
         let renewal_timeout = match holder {
             // The holder is an earlier process of this instance, which has ended.
@@ -314,8 +355,12 @@
         let low_capacity_delay =
             if self.has_capacity(load) { Span::ZERO } else { self.settings.low_capacity_delay };
         let owned_delay = DELAY_PER_OWNED_SHARD.saturating_mul(u64::from(load.owned_shards));
+        let failed = self.failed_at.is_some_and(|at| now.since(at) < FAILED_HOLDER_MEMORY);
+        let failed_holder_delay =
+            if failed { self.settings.failed_holder_delay } else { Span::ZERO };
         renewal_timeout
             + low_capacity_delay
+            + failed_holder_delay
             + owned_delay
             + self.settings.claim_spread.scale(self.spread_fraction)
     }
@@ -339,3 +384,9 @@
         self.settings.max_executors >= load.executors_per_shard * (load.owned_shards + 1)
     }
 }
+
+/// Returns the minimum time until the release after `yields` releases in a row.
+fn yield_interval(yields: u32) -> Span {
+    let doublings = yields.saturating_sub(1).min(8);
+    MIN_YIELD_INTERVAL.saturating_mul(1 << doublings).min(MAX_YIELD_INTERVAL)
+}
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -58,9 +58,6 @@
 /// Time between two log lines on how well an owner keeps up.
 const LOAD_LOG_INTERVAL: Span = Span::from_ms(2_000);
 
-/// Time after yielding a shard in which this instance claims none, so that others can.
-const RECLAIM_DELAY: Span = Span::from_ms(2_000);
-
 /// A message to the [`Manager`] actor.
 pub(crate) enum Message {
     Configured(Arc<Config>),
@@ -117,8 +114,6 @@
     tick_monitor: Option<TickMonitor>,
     /// Time of the next log line on how well this instance keeps up.
     next_load_log: Time,
-    /// Time before which no shard is claimed, because this instance has yielded one.
-    no_claims_before: Time,
 }
 
 impl<P: Platform> Manager<P> {
@@ -141,7 +136,6 @@
             draining: false,
             tick_monitor: None,
             next_load_log: Time::ZERO,
-            no_claims_before: Time::ZERO,
         })
     }
 
@@ -221,7 +215,6 @@
         {
             Line::new(Code::Yielded).text("shard", shard).number("ticks_percent", ticks).write();
             owner.yielded_claim = Some(claim);
-            self.no_claims_before = now + RECLAIM_DELAY;
         }
     }
 
@@ -257,9 +250,7 @@
         match state.ownership.next_action(now, Load { owned_shards, executors_per_shard }) {
             Action::Wait => {}
             Action::ReadClaim => self.read_claim(shard),
-            Action::Claim if self.config.is_some() && now >= self.no_claims_before => {
-                self.claim(shard)
-            }
+            Action::Claim if self.config.is_some() => self.claim(shard),
             Action::Claim => {}
             Action::Renew => {
                 if let Some(owner) = &mut state.owner {
