jobs, node: an owner that is behind puts off best-effort work

Cause: an owner that had no processor time to spare went on placing its whole backlog of best-effort tasks. An overload that keeps itself going.

Ruled out: the model.

Urgent and long-running tasks and lowered limits are as before.

--- a/crates/jobs/src/overload.rs
+++ b/crates/jobs/src/overload.rs
@@ -12,6 +12,10 @@
 /// at least 95 percent of their ticks, and an owner on a machine five times slower received
 /// 50 to 65 percent.
 const MIN_TICK_RATIO: f64 = 0.7;
+/// Ratio of received to expected ticks below which an owner is behind.
+const BEHIND_TICK_RATIO: f64 = 0.85;
+/// Shortest time over which ticks tell whether an owner is behind.
+const MIN_SAMPLE: Span = Span::from_ms(300);
 
 /// Ticks that a shard owner's timer delivered recently.
 #[derive(Clone, Debug)]
@@ -47,12 +51,17 @@
         self.tick_ratio(now) < MIN_TICK_RATIO
     }
 
-    /// Returns the ratio of received to expected ticks in the last 1.5 s.
-    ///
-    /// It is lower than the actual ratio in the first 1.5 s.
+    /// Returns whether the owner should put off work that is not urgent: less than 85 percent of
+    /// the expected ticks arrived in the last 1.5 s, or since the owner started.
+    pub fn is_behind(&self, now: Time) -> bool {
+        now.since(self.started) >= MIN_SAMPLE && self.tick_ratio(now) < BEHIND_TICK_RATIO
+    }
+
+    /// Returns the ratio of received to expected ticks in the last 1.5 s, or since the owner
+    /// started.
     pub fn tick_ratio(&self, now: Time) -> f64 {
         let received = self.ticks.iter().filter(|at| now.since(**at) <= WINDOW).count();
-        let expected = WINDOW.as_ms_f64() / self.period.as_ms_f64();
-        received as f64 / expected
+        let elapsed = now.since(self.started).min(WINDOW).max(self.period);
+        received as f64 * self.period.as_ms_f64() / elapsed.as_ms_f64()
     }
 }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -76,6 +76,10 @@
     placement_due: bool,
     /// Earliest time of the next placement pass.
     place_after: Time,
+    /// Whether the owner falls behind, so that work that is not urgent is put off.
+    behind: bool,
+    /// Earliest time of the next placement of best-effort tasks while the owner is behind.
+    best_effort_after: Time,
     /// Earliest time of the next placement pass that tries blocked steps on all executors.
     full_pass_after: Time,
     /// Executors on which resources were released since the last placement pass.
@@ -115,6 +119,8 @@
             scheduled: BTreeSet::new(),
             placement_due: false,
             place_after: Time::ZERO,
+            behind: false,
+            best_effort_after: Time::ZERO,
             full_pass_after: Time::ZERO,
             released: BTreeSet::new(),
             write_after: Time::ZERO,
@@ -173,6 +179,15 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Sets whether the owner falls behind with its work.
+    ///
+    /// Throttled runs and best-effort tasks that wait cost the owner more the more of them there
+    /// are. While it is behind, it places few best-effort tasks, raises limits rarely and moves
+    /// no runs.
+    pub const fn set_behind(&mut self, behind: bool) {
+        self.behind = behind;
+    }
+
     /// Returns whether an executor has seen a higher epoch. The shard then belongs to another
     /// owner, and this one issues no further commands.
     pub const fn is_superseded(&self) -> bool {
@@ -191,7 +206,9 @@
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.retry_orders(now);
-            self.relocate(now);
+            if !self.behind {
+                self.relocate(now);
+            }
         }
         self.placement_due = true;
     }
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -3,6 +3,10 @@
 //! Load pattern: a backlog of hundreds of steps for which no executor has resources, while runs
 //! end all the time. A step that found no executor is tried on all of them again only once in
 //! [`FULL_PASS_INTERVAL`]; until then only executors on which resources were released are tried.
+//!
+//! Load pattern: an owner that has less processor time than its work takes, with a backlog of
+//! best-effort tasks. Each of them that is placed next to latency-critical tasks costs further
+//! orders, so few are placed until the owner has caught up.
 
 use std::collections::BTreeSet;
 
@@ -21,6 +25,11 @@
 /// changes at this rate, with the reports.
 const FULL_PASS_INTERVAL: Span = Span::from_ms(100);
 
+/// Time between two placements of best-effort tasks by an owner that is behind.
+const BEHIND_INTERVAL: Span = Span::from_ms(200);
+/// Maximum number of best-effort runs that such a placement places.
+const MAX_BEST_EFFORT_BEHIND: usize = 16;
+
 /// Executors that a step is tried on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Scope {
@@ -46,6 +55,8 @@
 pub(super) struct Pass {
     /// Number of runs that the pass may still place.
     pub(super) budget: usize,
+    /// Number of best-effort runs that the pass may still place.
+    pub(super) best_effort_budget: usize,
     /// Whether steps that were blocked before are tried on all executors.
     full: bool,
     /// Executors on which resources were released since the previous pass.
@@ -112,6 +123,7 @@
         }
         Pass {
             budget: self.settings.max_placed_per_turn,
+            best_effort_budget: self.best_effort_budget(now),
             full,
             released: std::mem::take(&mut self.released),
             rejections: Rejections::default(),
@@ -119,6 +131,18 @@
         }
     }
 
+    /// Returns the number of best-effort runs that a pass may place.
+    fn best_effort_budget(&mut self, now: Time) -> usize {
+        if !self.behind {
+            return usize::MAX;
+        }
+        if now < self.best_effort_after {
+            return 0;
+        }
+        self.best_effort_after = now + BEHIND_INTERVAL;
+        MAX_BEST_EFFORT_BEHIND
+    }
+
     /// Lets the next turn go on with a pass whose budget is used up.
     fn continue_pass(&mut self, now: Time, pass: Pass) {
         self.placement_due = true;
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -42,6 +42,9 @@
         let (Some(spec), Some(step)) = (job.steps.get(id.step as usize), entry.step(id)) else {
             return Placed::All;
         };
+        if spec.best_effort && pass.best_effort_budget == 0 {
+            return Placed::Some;
+        }
         let scope = pass.scope(step.blocked && !needs_ticket);
         if scope == Scope::Released && pass.released.is_empty() {
             return Placed::Some;
@@ -87,7 +90,7 @@
         let mut rack = request.rack.clone();
         let mut left = waiting.len();
         for index in waiting {
-            if pass.budget == 0 {
+            if pass.budget == 0 || (request.step.best_effort && pass.best_effort_budget == 0) {
                 return Placed::Some;
             }
             let task = request.id.task(*index);
@@ -100,6 +103,9 @@
             let run = self.next_run(&task);
             self.open_run(now, &task, run, executor.clone(), request.step);
             pass.budget -= 1;
+            if request.step.best_effort {
+                pass.best_effort_budget -= 1;
+            }
             left -= 1;
             rack = self.update_ranking(now, request, scope, pass, &mut ranking, &executor, rack);
         }
@@ -139,6 +145,9 @@
             rack = self.update_ranking(now, request, all, pass, &mut ranking, &executor, rack);
         }
         pass.budget = pass.budget.saturating_sub(placed.len());
+        if request.step.best_effort {
+            pass.best_effort_budget = pass.best_effort_budget.saturating_sub(placed.len());
+        }
         Placed::All
     }
 
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -234,6 +234,7 @@
 
     fn turn_shard(&mut self, now: Time, shard: ShardId) {
         let owned_shards = self.owned_count() as u32;
+        let behind = self.tick_monitor.as_ref().is_some_and(|monitor| monitor.is_behind(now));
         let Some(state) = self.shards.get_mut(&shard) else {
             return;
         };
@@ -261,7 +262,7 @@
         if let Some(state) = self.shards.get_mut(&shard)
             && let Some(owner) = &mut state.owner
         {
-            owner.turn(now, &state.ownership);
+            owner.turn(now, &state.ownership, behind);
             if owner.is_superseded() {
                 state.drop_owner(shard);
             }
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -200,8 +200,11 @@
     }
 
     /// Executes the commands that the shard decides on, and commits its records.
-    pub(super) fn turn(&mut self, now: Time, ownership: &Ownership) {
+    ///
+    /// `behind` tells whether this instance falls behind with its work.
+    pub(super) fn turn(&mut self, now: Time, ownership: &Ownership, behind: bool) {
         if self.restored {
+            self.shard.set_behind(behind);
             for command in self.shard.turn(now, clock::wall_ms()) {
                 match command {
                     Command::Record(batch) => self.batch = Some(batch),
