jobs: nothing is started beyond a capacity that has shrunk

Cause: whether a run fits was decided when it was placed. A run that was placed and not recorded yet, as while the store is away, or whose order had no answer, was ordered later even if the executor's capacity had shrunk meanwhile. An executor that does not enforce its capacity then holds more than it has.

Change: a recorded run is started only if the executor does not hold more than its capacity, and is placed again otherwise; runs that are being stopped count. An order without an answer is not repeated there: as many such runs as are too much are stopped.

Measured: both tests give six runs on four cores before and four after.

--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -219,6 +219,11 @@
         }
     }
 
+    /// Returns whether the executor holds more than its capacity, since that has shrunk.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        !self.registration.capacity.covers(&self.used)
+    }
+
     fn update_departure(&mut self, now: Time) {
         self.leaves_at = match (self.registration.availability, self.registration.remaining) {
             (Availability::Draining, Some(remaining)) => Some(now + remaining),
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -210,7 +210,9 @@
         Refused(Refusal),
         /// The order to start the run was never sent, as the connection failed.
         NotSent,
-        /// The report to a probe under the current epoch, or after a stop, does not list the
+        /// The order to start the run was never sent, as the executor's capacity has shrunk.
+    NoCapacity,
+    /// The report to a probe under the current epoch, or after a stop, does not list the
         /// run.
         NotListed,
         /// The executor's lease has expired by the executor's own clock.
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -4,10 +4,11 @@
 
 use super::Shard;
 use super::entry::{Stage, Stop};
-use super::executors::PlacedRun;
+use super::executors::{Executor, PlacedRun};
 use super::message::{Closing, Command, Decision, Order};
 use crate::executor::{Outcome, Refusal};
 use crate::id::{ExecutorId, JobId, Run, TaskId};
+use crate::spec::Resources;
 
 impl Shard {
     /// Sends the order to start a run that is recorded.
@@ -134,13 +135,16 @@
         }
     }
 
-    /// Repeats orders that were not answered in time.
+    /// Repeats orders that were not answered in time, and stops runs that were not confirmed on
+    /// executors whose capacity has shrunk.
     pub(super) fn retry_orders(&mut self, now: Time) {
         let pause = self.settings.order_retry;
         let mut starts = Vec::new();
         let mut stops = Vec::new();
+        let mut excess = Vec::new();
         for executor in self.executors.values() {
-            for PlacedRun { task, open, .. } in self.runs_on(executor) {
+            let mut resources_kept = None;
+            for PlacedRun { task, step, open, .. } in self.runs_on(executor) {
                 let due = now.since(open.last_sent) >= pause;
                 match (open.stop, open.stage) {
                     (Stop::Requested, Stage::Recording) => {}
@@ -151,7 +155,14 @@
                     (Stop::NotRequested, Stage::Unknown)
                         if due && executor.unreachable_since.is_none() =>
                     {
-                        starts.push((task, open.run));
+                        let kept =
+                            resources_kept.get_or_insert_with(|| self.resources_kept(executor));
+                        if !executor.registration.capacity.covers(kept) {
+                            *kept = kept.saturating_sub(&step.reserved());
+                            excess.push((task, open.run));
+                        } else if !executor.is_overcommitted() {
+                            starts.push((task, open.run));
+                        }
                     }
                     _ => {}
                 }
@@ -160,11 +171,20 @@
         for (task, run) in starts {
             self.send_start(now, &task, run);
         }
+        for (task, run) in excess {
+            self.request_stop(now, &task, run);
+        }
         for (task, run) in stops {
             self.send_stop(now, &task, run);
         }
     }
 
+    /// Returns the resources of the runs on an executor that are not to be stopped.
+    fn resources_kept(&self, executor: &Executor) -> Resources {
+        let kept = self.runs_on(executor).filter(|placed| placed.open.stop == Stop::NotRequested);
+        kept.fold(Resources::default(), |sum, placed| sum.plus(&placed.step.reserved()))
+    }
+
     /// Requests that a run be stopped; a run that is not recorded yet is closed at once.
     pub(super) fn request_stop(&mut self, now: Time, task: &TaskId, run: Run) {
         let found = self.jobs.get_mut(&task.step.job).and_then(|entry| entry.task_mut(task));
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -6,7 +6,8 @@
 
 use super::Shard;
 use super::entry::{Entry, Stage};
-use super::message::{Batch, Command, Decision};
+use super::executors::Executor;
+use super::message::{Batch, Closing, Command, Decision};
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, JobId, Run, TaskId};
 use crate::progress::{DoneRecord, OpenRun, Progress, State, TaskRecord};
@@ -153,13 +154,22 @@
             self.mark_end_recorded(&id, incarnation, end);
         }
         for (task, run) in pending.starts {
-            let entry = self.jobs.get(&task.step.job);
-            let open = entry
-                .and_then(|e| e.task(&task))
-                .and_then(|found| found.open_runs.iter().find(|open| open.run == run));
-            if open.is_some_and(|open| open.stage == Stage::Recording) {
-                self.send_start(now, &task, run);
-            }
+            self.start_recorded(now, &task, run);
+        }
+    }
+
+    /// Sends the order to start a run that is recorded, unless the run was closed meanwhile or the
+    /// executor's capacity has shrunk below what it holds.
+    fn start_recorded(&mut self, now: Time, task: &TaskId, run: Run) {
+        let found = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task));
+        let open = found.and_then(|found| found.open_runs.iter().find(|open| open.run == run));
+        let Some(open) = open.filter(|open| open.stage == Stage::Recording) else {
+            return;
+        };
+        if self.executors.get(&open.executor).is_some_and(Executor::is_overcommitted) {
+            self.close(now, task, run, Closing::NoCapacity);
+        } else {
+            self.send_start(now, task, run);
         }
     }
 }
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -377,3 +377,59 @@
     assert_eq!(sim.executors_running(&task(1, 0, 0)), ["x1"]);
     assert_no_violations(&sim);
 }
+
+/// Sets the number of cores of the first executor and reports its new list entry.
+fn resize(sim: &mut Simulation, cores: u64) {
+    sim.executor("x0").capacity.cpu = cores * 1_000;
+    let id = sim.executor("x0").id.clone();
+    sim.list_executor(&id);
+}
+
+/// The executor's capacity shrinks between the placement of runs and their record.
+#[test]
+fn placed_runs_are_not_started_beyond_a_capacity_that_has_shrunk() {
+    let mut sim = Simulation::new(1);
+    sim.store_available = false;
+    sim.submit(job(1), vec![step(6)]);
+    sim.advance(Span::from_ms(100));
+    resize(&mut sim, 4);
+    sim.store_available = true;
+    let mut most = 0;
+    for _ in 0..100 {
+        sim.advance(Span::from_ms(50));
+        most = most.max(sim.run_count());
+    }
+    assert_eq!(most, 4);
+    assert_eq!(sim.state(1), Some(State::Completed));
+}
+
+/// Orders without an answer are not repeated beyond a capacity that has shrunk: the first ones may
+/// still be carried out, and the repeated ones would be.
+#[test]
+fn unanswered_orders_are_not_repeated_beyond_a_capacity_that_has_shrunk() {
+    let mut sim = Simulation::new(1);
+    sim.executor("x0").delays_orders = true;
+    sim.submit(job(1), vec![step(6)]);
+    sim.advance(Span::from_ms(100));
+    resize(&mut sim, 4);
+    sim.executor("x0").delays_orders = false;
+    let mut most = 0;
+    for _ in 0..200 {
+        sim.advance(Span::from_ms(50));
+        most = most.max(sim.run_count());
+    }
+    assert_eq!(most, 4);
+    assert_eq!(sim.state(1), Some(State::Completed));
+}
+
+#[test]
+fn a_capacity_that_has_grown_is_used() {
+    let mut sim = Simulation::new(1);
+    resize(&mut sim, 2);
+    sim.submit(job(1), vec![step(6)]);
+    sim.advance(Span::from_ms(100));
+    assert_eq!(sim.run_count(), 2);
+    resize(&mut sim, 6);
+    sim.advance(Span::from_ms(100));
+    assert_eq!(sim.run_count(), 6);
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -223,7 +223,7 @@
         Closing::Ended(EndReason::Broken) => "broken",
         Closing::Ended(EndReason::Alone) => "alone",
         Closing::Refused(_) => "refused",
-        Closing::NotSent | Closing::NotRecorded => "not_ordered",
+        Closing::NotSent | Closing::NotRecorded | Closing::NoCapacity => "not_ordered",
         Closing::NotListed => "not_listed",
         Closing::Gone => "executor_gone",
     }
