jobs: the fit of one image has a module of its own; suspects wait for advice like others

Read again: a step of which only suspects were blocked asked the advice service for no executors, so on a queue with a policy they would have waited for ever; it asks now. No other decision changes.

--- a/crates/jobs/src/overload.rs
+++ b/crates/jobs/src/overload.rs
@@ -8,9 +8,7 @@
 /// Time over which ticks are counted. A takeover costs a third of a second, so one slow
 /// second alone must not cause it.
 const WINDOW: Span = Span::from_ms(1_500);
-/// Minimum ratio of received to expected ticks. In benchmarks, owners that kept up received
-/// at least 95 percent of their ticks, and an owner on a machine five times slower received
-/// 50 to 65 percent.
+/// Ratio of received to expected ticks below which an owner should release its shard.
 const MIN_TICK_RATIO: f64 = 0.7;
 /// Ratio of received to expected ticks below which an owner is behind.
 const BEHIND_TICK_RATIO: f64 = 0.85;
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -211,8 +211,8 @@
         /// The order to start the run was never sent, as the connection failed.
         NotSent,
         /// The order to start the run was never sent, as the executor's capacity has shrunk.
-    NoCapacity,
-    /// The report to a probe under the current epoch, or after a stop, does not list the
+        NoCapacity,
+        /// The report to a probe under the current epoch, or after a stop, does not list the
         /// run.
         NotListed,
         /// The executor's lease has expired by the executor's own clock.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -11,6 +11,7 @@
 mod drain;
 mod entry;
 mod executors;
+mod fit;
 mod health;
 mod lifecycle;
 mod message;
@@ -41,8 +42,9 @@
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::State;
 
+pub use self::fit::FitReport;
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
-pub use self::model::{FitReport, ImageSnapshot, Snapshot};
+pub use self::model::{ImageSnapshot, Snapshot};
 pub use self::restore::Records;
 pub use self::settings::Settings;
 
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -13,26 +13,14 @@
 use serde::{Deserialize, Serialize};
 use sycamorerill_core::clock::{Span, Time};
 
+use super::fit::{
+    Accuracy, FIXED_INPUTS, Fit, FitReport, MAX_IMAGES, MAX_UTILIZATION, MAX_WEIGHT,
+    PRIOR_IDLE_RATIO, PRIOR_WEIGHT, utilization,
+};
 use crate::id::{Image, JobId};
 
-/// Number of input columns for best-effort images. Once the others are taken, further images
-/// share the last one, which then has a weight that suits none of them.
-const MAX_IMAGES: usize = 64;
-/// Number of inputs before those of best-effort images: one for tasks that are neither
-/// best-effort nor latency-critical.
-const FIXED_INPUTS: usize = 1;
-/// Weight of a best-effort image before any report.
-const PRIOR_WEIGHT: f64 = 1.0;
-/// Strength of the prior in squared shares: equals five reports with a share of a tenth.
-const PRIOR_STRENGTH: f64 = 0.05;
-/// Factor by which each new report reduces the influence of older ones.
-const DECAY: f64 = 0.999;
-/// Weight of a new report at which the sums are divided by it, so that they stay finite.
-const MAX_REPORT_WEIGHT: f64 = 1e9;
 /// Minimum time between two solutions of a fit.
 const SOLVE_INTERVAL: Span = Span::from_ms(150);
-/// Upper bound on a weight.
-const MAX_WEIGHT: f64 = 12.0;
 /// Load of a job's users before any report.
 const PRIOR_LOAD: f64 = 0.45;
 /// Fraction of the prediction error that is added to the load of a job.
@@ -48,12 +36,8 @@
 const MAX_EXTRAPOLATION: Span = Span::from_ms(1_500);
 /// Interference at which a report has half the confidence as an observation of the load.
 const HALF_CONFIDENCE_INTERFERENCE: f64 = 0.08;
-/// Idle tail divided by the objective before any tail was reported.
-const PRIOR_IDLE_RATIO: f64 = 0.2;
 /// Upper bound on the idle tail, as a fraction of the lowest tail reported.
 const IDLE_RATIO_MARGIN: f64 = 0.9;
-/// Upper bound on a utilization; longer tails do not tell utilizations apart.
-const MAX_UTILIZATION: f64 = 0.96;
 
 /// Shares of an executor's processors in use, by best-effort image.
 pub(super) type Shares = BTreeMap<Image, f64>;
@@ -86,53 +70,6 @@
     at: Time,
 }
 
-/// Least-squares fit for one latency-critical image.
-#[derive(Clone, Debug)]
-struct Fit {
-    /// Tail without load divided by the objective.
-    idle_ratio: f64,
-    /// Sums of products of inputs, as a matrix in row-major order, in units of `report_weight`.
-    products: Vec<f64>,
-    /// Sums of each input times the utilization that it explains, in units of `report_weight`.
-    outcomes: Vec<f64>,
-    /// Weight of the latest report. Instead of all older reports losing weight, new ones gain it.
-    report_weight: f64,
-    weights: Vec<f64>,
-    /// Weights before any report, or those that a predecessor recorded.
-    prior: Vec<f64>,
-    solved_at: Time,
-    /// Accuracy since it was last taken.
-    accuracy: Accuracy,
-}
-
-/// Sums over the reports on one latency-critical image.
-#[derive(Clone, Copy, Debug, Default)]
-struct Accuracy {
-    reports: u32,
-    saturated: u32,
-    error_sum: f64,
-    load_sum: f64,
-}
-
-/// Fit for one latency-critical image with its accuracy over recent reports.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FitReport {
-    /// Latency-critical image.
-    pub image: Image,
-    /// Tail without load divided by the objective.
-    pub idle_ratio: f64,
-    /// Number of reports since the previous `FitReport` of the image.
-    pub reports: u32,
-    /// Number of those whose tails are too long to tell utilizations apart.
-    pub saturated: u32,
-    /// Mean of predicted less observed utilization over these reports.
-    pub mean_error: f64,
-    /// Mean load of the jobs' own users at these reports.
-    pub mean_load: f64,
-    /// Utilization added per processor share of 1, by best-effort image.
-    pub weights: BTreeMap<Image, f64>,
-}
-
 /// Interference model as recorded for a successor.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -291,12 +228,6 @@
     (weight * 1_000.0).round() / 1_000.0
 }
 
-/// Returns the utilization at a tail of `ratio`, given the idle tail; both are divided by the
-/// objective.
-fn utilization(idle_ratio: f64, ratio: f64) -> f64 {
-    (1.0 - idle_ratio / ratio.max(idle_ratio)).min(MAX_UTILIZATION)
-}
-
 impl Load {
     const fn new(now: Time) -> Self {
         Self { level: PRIOR_LOAD, slope: 0.0, at: now }
@@ -319,97 +250,3 @@
         self.at = now;
     }
 }
-
-impl Accuracy {
-    fn add(&mut self, load: f64, interference: f64, observed: f64) {
-        self.reports += 1;
-        self.saturated += u32::from(observed >= MAX_UTILIZATION);
-        self.error_sum += (load + interference).min(MAX_UTILIZATION) - observed;
-        self.load_sum += load;
-    }
-}
-
-impl Fit {
-    fn new() -> Self {
-        let size = FIXED_INPUTS + MAX_IMAGES;
-        let mut weights = vec![PRIOR_WEIGHT; size];
-        weights[..FIXED_INPUTS].fill(0.0);
-        Self {
-            idle_ratio: PRIOR_IDLE_RATIO,
-            products: vec![0.0; size * size],
-            outcomes: vec![0.0; size],
-            report_weight: 1.0,
-            prior: weights.clone(),
-            weights,
-            solved_at: Time::ZERO,
-            accuracy: Accuracy::default(),
-        }
-    }
-
-    fn utilization(&self, ratio: f64) -> f64 {
-        utilization(self.idle_ratio, ratio)
-    }
-
-    /// Returns the utilization that the inputs add; each is a column and its value.
-    fn interference(&self, inputs: &[(usize, f64)]) -> f64 {
-        let added =
-            |(column, input): &(usize, f64)| input * self.weights[*column].clamp(0.0, MAX_WEIGHT);
-        inputs.iter().map(added).sum()
-    }
-
-    fn add(&mut self, inputs: &[(usize, f64)], outcome: f64) {
-        self.report_weight /= DECAY;
-        if self.report_weight > MAX_REPORT_WEIGHT {
-            self.rescale();
-        }
-        let size = self.outcomes.len();
-        for (row, left) in inputs {
-            let left = left * self.report_weight;
-            for (column, right) in inputs {
-                self.products[row * size + column] += left * right;
-            }
-            self.outcomes[*row] += left * outcome;
-        }
-    }
-
-    fn rescale(&mut self) {
-        let factor = 1.0 / self.report_weight;
-        self.products.iter_mut().for_each(|sum| *sum *= factor);
-        self.outcomes.iter_mut().for_each(|sum| *sum *= factor);
-        self.report_weight = 1.0;
-    }
-
-    /// Solves the normal equations of the first `size` columns with the prior by Gaussian
-    /// elimination.
-    fn solve(&mut self, size: usize) {
-        let stride = self.outcomes.len();
-        let unit = 1.0 / self.report_weight;
-        let mut rows: Vec<f64> = (0..size)
-            .flat_map(|row| &self.products[row * stride..row * stride + size])
-            .map(|sum| sum * unit)
-            .collect();
-        let mut values: Vec<f64> = self.outcomes[..size].iter().map(|sum| sum * unit).collect();
-        for column in 0..size {
-            let prior = self.prior[column];
-            rows[column * size + column] += PRIOR_STRENGTH;
-            values[column] += PRIOR_STRENGTH * prior;
-        }
-        // The prior makes the matrix positive definite, so no pivot is zero.
-        for pivot in 0..size {
-            for row in pivot + 1..size {
-                let factor = rows[row * size + pivot] / rows[pivot * size + pivot];
-                if factor == 0.0 {
-                    continue;
-                }
-                for column in pivot..size {
-                    rows[row * size + column] -= factor * rows[pivot * size + column];
-                }
-                values[row] -= factor * values[pivot];
-            }
-        }
-        for row in (0..size).rev() {
-            let known: f64 = (row + 1..size).map(|c| rows[row * size + c] * self.weights[c]).sum();
-            self.weights[row] = (values[row] - known) / rows[row * size + row];
-        }
-    }
-}
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -39,7 +39,7 @@
     Released,
 }
 
-/// Result of trying a step.
+/// Result of trying a step, from the most to the least that was placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Placed {
     /// No task of the step waits any more.
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -63,20 +63,22 @@
             true => self.place_gang(now, &request, &waiting, pass),
             false => self.place_tasks(now, &request, &others, scope, pass),
         };
-        let placed_suspects = if suspects.is_empty() || spec.gang {
+        let placed_suspects = if spec.gang {
             Placed::All
         } else {
             request.suspects = true;
             self.place_tasks(now, &request, &suspects, scope, pass)
         };
-        self.set_blocked(id, placed.max(placed_suspects) == Placed::Blocked);
-        if placed == Placed::Blocked && needs_ticket {
+        let result = placed.max(placed_suspects);
+        self.set_blocked(id, result == Placed::Blocked);
+        if result == Placed::Blocked && needs_ticket {
             self.request_advice(now, &request);
         }
+        // Suspects are placed on fewer executors than other tasks.
         if placed == Placed::Blocked && !needs_ticket && !spec.gang {
             pass.rejections(scope).record(&service, spec);
         }
-        placed.max(placed_suspects)
+        result
     }
 
     fn set_blocked(&mut self, id: StepId, blocked: bool) {
@@ -96,6 +98,9 @@
         scope: Scope,
         pass: &mut Pass,
     ) -> Placed {
+        if waiting.is_empty() {
+            return Placed::All;
+        }
         let mut ranking = self.ranking(now, request, scope, pass);
         let mut rack = request.rack.clone();
         let mut left = waiting.len();
