--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -4,8 +4,8 @@
 //! end all the time. A step that found no executor is tried on all of them again only once in
 //! [`FULL_PASS_INTERVAL`]; until then only executors on which resources were released are tried.
 //!
-//! Load pattern: an owner that has less processor time than its work takes, with a backlog of
-//! best-effort tasks. Each of them that is placed next to latency-critical tasks costs further
+//! Second load pattern: an owner that has less processor time than its work takes, with a backlog
+//! of best-effort tasks. Each of them that is placed next to latency-critical tasks costs further
 //! orders, so few are placed until the owner has caught up.
 
 use std::collections::BTreeSet;
@@ -25,9 +25,9 @@
 /// changes at this rate, with the reports.
 const FULL_PASS_INTERVAL: Span = Span::from_ms(100);
 
-/// Time between two placements of best-effort tasks by an owner that is behind.
+/// Time between two passes in which an owner that is behind places best-effort tasks.
 const BEHIND_INTERVAL: Span = Span::from_ms(200);
-/// Maximum number of best-effort runs that such a placement places.
+/// Maximum number of best-effort runs that such a pass places.
 const MAX_BEST_EFFORT_BEHIND: usize = 16;
 
 /// Executors that a step is tried on.
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -64,12 +64,12 @@
     Gained,
     /// The instance no longer owns a shard.
     Lost,
+    /// The number of shards has been agreed.
+    Layout,
     /// The instance releases a shard because it falls behind.
     Yielded,
     /// How well an owner of shards keeps up.
     Load,
-    /// The number of shards has been agreed.
-    Layout,
     /// The store became unavailable, or available again.
     Store,
     /// A configuration took effect or can't be read, or the settings file was read again.
@@ -98,9 +98,9 @@
         Self::Model,
         Self::Gained,
         Self::Lost,
+        Self::Layout,
         Self::Yielded,
         Self::Load,
-        Self::Layout,
         Self::Store,
         Self::Config,
         Self::Metrics,
@@ -126,9 +126,9 @@
             Self::Model => 1302,
             Self::Gained => 1400,
             Self::Lost => 1401,
+            Self::Layout => 1402,
             Self::Yielded => 1403,
             Self::Load => 1404,
-            Self::Layout => 1402,
             Self::Store => 1420,
             Self::Config => 1500,
             Self::Metrics => 1501,
@@ -155,9 +155,9 @@
             Self::Model => "model.recorded",
             Self::Gained => "shard.gained",
             Self::Lost => "shard.lost",
+            Self::Layout => "shard.layout",
             Self::Yielded => "shard.yielded",
             Self::Load => "shard.load",
-            Self::Layout => "shard.layout",
             Self::Store => "store.state",
             Self::Config => "config.state",
             Self::Metrics => "metrics.failed",
