jobs: only confirmed crashes end a job

Callers would have seen: a job shown as failed although at most one executor had crashed under its task.

Cause: a run whose start was not answered and whose lease lapsed was kept without that fact, and counted as a confirmed crash once its executor restarted. Four unanswered orders ended a job even without one confirmed crash. An older executor's entry with the same address counted as evidence too, and a confirmed run on an executor that was not fenced yet counted as unanswered.

Change: a lapsed start keeps whether it was confirmed; two confirmed crashes are the least that ends a job, however many orders were unanswered; evidence needs a later incarnation.

--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -23,12 +23,12 @@
 /// Longest time from a start to the executor's last answer at which a crash is attributed to the
 /// task.
 const ATTRIBUTION_WINDOW: Span = Span::from_ms(1_000);
-/// Minimum number of crashes under a task after which it is given up.
+/// Minimum number of confirmed crashes under a task after which it is given up: the platform's
+/// contract allows no fewer.
 const MIN_CRASHES: u32 = 2;
 /// Number of crashes after which a task is given up however many attempts its queue allows.
 const MAX_CRASHES: u32 = 3;
-/// Number of crashes after which a task is given up even if it is not certain that it had started
-/// each time.
+/// Number of crashes, confirmed or not, after which `MIN_CRASHES` confirmed ones are enough.
 const MAX_UNCONFIRMED_CRASHES: u32 = 4;
 /// Time since an executor's start in which another crash is likely for reasons of its own.
 const UNSTABLE_AFTER_START: Span = Span::from_ms(10_000);
@@ -38,14 +38,14 @@
 const RECENT_RUN_PENALTY: f64 = 2.0;
 /// Score deducted for each run that a crash would end.
 const COST_PER_RUN: f64 = 0.1;
-
-/// Time for which it is kept which runs lapsed soon after their start.
+/// Time for which runs that lapsed soon after their start are remembered.
 const LAPSED_START_MEMORY: Span = Span::from_ms(60_000);
 
-/// A run that had just started when its executor fell silent, and that lapsed since.
+/// A run that had just started, or may have, when its executor fell silent, and that lapsed since.
 #[derive(Clone, Debug)]
 pub(super) struct LapsedStart {
     order: Order,
+    involvement: Involvement,
     incarnation: Incarnation,
     address: SocketAddr,
     lapsed_at: Time,
@@ -72,7 +72,8 @@
             true => MAX_CRASHES,
             false => max_attempts.clamp(MIN_CRASHES, MAX_CRASHES),
         };
-        self.confirmed_crashes >= limit || self.crashes >= MAX_UNCONFIRMED_CRASHES
+        let limit = if self.crashes >= MAX_UNCONFIRMED_CRASHES { MIN_CRASHES } else { limit };
+        self.confirmed_crashes >= limit
     }
 }
 
@@ -151,14 +152,15 @@
         let registration = &executor.registration;
         self.lapsed_starts.push(LapsedStart {
             order: order.clone(),
+            involvement,
             incarnation: registration.incarnation,
             address: registration.address,
             lapsed_at: now,
         });
     }
 
-    /// Attributes crashes to tasks whose runs lapsed, if an executor's new incarnation or its
-    /// address at another executor shows that it has crashed.
+    /// Attributes crashes to tasks whose runs lapsed, if a later incarnation of the executor, or a
+    /// later executor at its address, shows that it has crashed.
     pub(super) fn attribute_lapsed(
         &mut self,
         now: Time,
@@ -169,16 +171,16 @@
         if self.lapsed_starts.is_empty() {
             return;
         }
-        let shows_crash = |start: &LapsedStart| match start.order.executor == *id {
-            true => incarnation > start.incarnation,
-            false => address == start.address,
+        let shows_crash = |start: &LapsedStart| {
+            let same = start.order.executor == *id || start.address == address;
+            same && incarnation > start.incarnation
         };
         let (crashed, others): (Vec<_>, Vec<_>) =
             self.lapsed_starts.drain(..).partition(shows_crash);
         self.lapsed_starts = others;
         self.lapsed_starts.retain(|start| now.since(start.lapsed_at) < LAPSED_START_MEMORY);
         for start in crashed {
-            self.record_crash(now, &start.order, Involvement::Started);
+            self.record_crash(now, &start.order, start.involvement);
         }
     }
 
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -385,7 +385,9 @@
                     | super::entry::Stage::Inherited
             );
             if may_arrive || !fenced {
-                if open.stage != super::entry::Stage::Inherited && open.stop == Stop::NotRequested {
+                let is_unanswered =
+                    matches!(open.stage, super::entry::Stage::Sent | super::entry::Stage::Unknown);
+                if is_unanswered && open.stop == Stop::NotRequested {
                     unanswered = Some(open.run);
                 }
                 open.stop = Stop::Requested;
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -146,6 +146,55 @@
     assert_eq!(fleet.sim.state(1), Some(State::Completed));
 }
 
+/// An order that never arrived started nothing, whatever happens to its executor later.
+#[test]
+fn unanswered_orders_to_executors_that_restart_later_do_not_end_a_job() {
+    let mut fleet = Fleet::new(6, &[]);
+    // Several orders in a row lapse before the first executor returns.
+    fleet.downtime = Span::from_secs(21);
+    let ids: Vec<ExecutorId> = fleet.sim.executors.keys().cloned().collect();
+    for id in &ids {
+        fleet.crash(id);
+    }
+    fleet.sim.submit(job(1), vec![step(1)]);
+    fleet.advance(Span::from_secs(30));
+    let crashes = fleet.sim.log.iter().filter(|line| line.contains("Crashed")).count();
+    assert!(crashes >= 4, "{crashes} unanswered orders");
+    assert!(!fleet.sim.log.iter().any(|line| is_confirmed_crash(line)), "{:?}", fleet.sim.log);
+    assert_eq!(fleet.sim.state(1), Some(State::Completed));
+}
+
+/// The entry of an executor that had the address before may be listed again.
+#[test]
+fn an_older_entry_with_the_address_of_a_cut_off_executor_shows_no_crash() {
+    let mut fleet = Fleet::new(2, &[]);
+    for executor in fleet.sim.executors.values_mut() {
+        executor.run_time = Span::from_secs(20);
+    }
+    fleet.sim.submit(job(1), vec![step(1)]);
+    fleet.advance(Span::from_ms(50));
+    let name = fleet.sim.executors_running(&task(1, 0)).remove(0);
+    let address = fleet.sim.executor(&name).address;
+    fleet.sim.executor(&name).reachable = false;
+    fleet.advance(Span::from_secs(7));
+    let other = if name == "x0" { "x1" } else { "x0" };
+    let (own_address, own_incarnation) =
+        (fleet.sim.executor(other).address, fleet.sim.executor(other).incarnation);
+    fleet.sim.executor(other).address = address;
+    fleet.sim.executor(other).incarnation = 1;
+    fleet.sim.list_executor(&ExecutorId::from(other));
+    fleet.sim.executor(other).address = own_address;
+    fleet.sim.executor(other).incarnation = own_incarnation;
+    assert!(!fleet.sim.log.iter().any(|line| line.contains("Crashed")), "{:?}", fleet.sim.log);
+    fleet.advance(Span::from_ms(100));
+    assert!(!fleet.sim.log.iter().any(|line| line.contains("Crashed")), "{:?}", fleet.sim.log);
+}
+
+/// Returns whether a line tells that a task had certainly started on an executor that crashed.
+fn is_confirmed_crash(line: &str) -> bool {
+    line.contains("Crashed") && !line.contains("confirmed: 0")
+}
+
 #[test]
 fn a_successor_remembers_the_crashes_under_a_task() {
     let deadly = task(1, 0);
