node: metrics of a former owner show no late ticks

Operators would have seen: owner_ticks_percent of an instance that released its shard stays at the low value that made it release, and is 0 on instances that never owned one.

Cause: the gauges were set only while a shard is owned.

Change: they are 100 and 0 messages where none is owned.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -101,6 +101,7 @@
             dropped_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.clear_load();
         metrics
     }
 }
@@ -192,6 +193,11 @@
         self.inbox.set(i64::try_from(inbox).unwrap_or(i64::MAX));
     }
 
+    /// Sets the values of [`Self::set_load`] to those of an instance that owns no shard.
+    pub(crate) fn clear_load(&self) {
+        self.set_load(100, 0);
+    }
+
     /// Sets the version of the configuration in force.
     pub(crate) fn set_config_version(&self, version: u64) {
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -174,7 +174,9 @@
 
     fn tick(&mut self, now: Time) {
         if self.owned_count() == 0 {
-            self.tick_monitor = None;
+            if self.tick_monitor.take().is_some() {
+                self.context.metrics.clear_load();
+            }
             return;
         }
         let interval = Span::from_ms(instance::OWNER_TICK_INTERVAL.as_millis() as u64);
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -151,6 +151,30 @@
     );
 }
 
+/// The load of an owner must not stay in the metrics of an instance that has released its shard.
+#[test]
+fn metrics_of_a_former_owner_show_no_late_ticks() {
+    const TIMELY: &str = "sycamorerill_owner_ticks_percent 100";
+    run_test(
+        |spawner, platform| async move {
+            let (a, _) = platform.start_instance(&spawner, "a");
+            assert!(a.metrics().contains(TIMELY));
+            wait_until_ready(&a).await;
+            submit_until_accepted(&a, JOB_ID, &job(2)).await;
+            // Blocks the thread of the instance, so that its ticks come late.
+            while a.metrics().contains(TIMELY) {
+                std::thread::sleep(Duration::from_millis(110));
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            a.drain();
+            while !a.metrics().contains(TIMELY) {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        },
+        2,
+    );
+}
+
 #[test]
 fn metrics_count_a_job_from_submission_to_end() {
     run_test(
