jobs, node: shard.load tells how much work waits and how far it is throttled

Operators saw: an owner with few ticks and many throttle orders, and not whether best-effort tasks wait for an executor or run there at a low limit.

Change: shard.load names its shard and has waiting_steps, best_effort_runs and mean_limit_percent.

--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -7,6 +7,7 @@
 //! expired by the executor's own clock; or the executor's incarnation is over.
 
 mod advice;
+mod backlog;
 mod crash;
 mod drain;
 mod entry;
@@ -42,6 +43,7 @@
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::State;
 
+pub use self::backlog::Backlog;
 pub use self::fit::FitReport;
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
 pub use self::model::{ImageSnapshot, Snapshot};
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -193,7 +193,18 @@
         self.next_load_log = now + LOAD_LOG_INTERVAL;
         let (ticks, inbox) = (self.ticks_percent(now), self.context.inbox_len());
         self.context.metrics.set_load(ticks, inbox);
-        Line::new(Code::Load).number("ticks_percent", ticks).number("inbox", inbox as u64).write();
+        for (shard, state) in &self.shards {
+            let Some(owner) = &state.owner else { continue };
+            let backlog = owner.backlog();
+            Line::new(Code::Load)
+                .text("shard", shard)
+                .number("ticks_percent", ticks)
+                .number("inbox", inbox as u64)
+                .number("waiting_steps", backlog.waiting_steps)
+                .number("best_effort_runs", backlog.best_effort_runs)
+                .number("mean_limit_percent", backlog.mean_limit_percent)
+                .write();
+        }
     }
 
     /// Returns the percentage of the expected ticks that arrived recently.
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -10,7 +10,7 @@
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::id::{ExecutorId, ShardId};
 use sycamorerill_jobs::ownership::{Claim, Ownership};
-use sycamorerill_jobs::shard::{Batch, Command, Event, Settings, Shard};
+use sycamorerill_jobs::shard::{Backlog, Batch, Command, Event, Settings, Shard};
 use sycamorerill_jobs::spec::AcceptedJob;
 
 use super::commit::{Sequence, commit};
@@ -104,6 +104,11 @@
         self.shard.is_superseded()
     }
 
+    /// Returns the work of the shard that waits or is throttled.
+    pub(super) fn backlog(&self) -> Backlog {
+        self.shard.backlog()
+    }
+
     /// Returns whether no transaction is in progress.
     pub(super) const fn is_idle(&self) -> bool {
         self.transaction_task.is_none()
