--- a/crates/tasks/src/cell/crash.rs
+++ b/crates/tasks/src/cell/crash.rs
@@ -22,8 +22,10 @@
 const ISOLATION: Span = Span::from_ms(2_000);
 /// Time for which a suspect waits for a worker without new tasks.
 const MAX_ISOLATION_WAIT: Span = Span::from_secs(10);
-/// Bounds on the number of crashes after which a task is given up.
-const CRASH_LIMIT: (u32, u32) = (2, 3);
+/// Minimum number of crashes under a task after which it is given up: one may have another cause.
+const MIN_CRASHES: u32 = 2;
+/// Number of crashes after which a task is given up however many attempts its class allows.
+const MAX_CRASHES: u32 = 3;
 
 impl Assignment {
     /// Returns whether a crash after a last report at `last_report_at` is attributed to the task.
@@ -106,10 +108,9 @@
         out: &mut Vec<Command>,
     ) -> bool {
         let Some(class) = self.jobs.entry(key.job()).map(|job| job.class) else { return false };
-        let (least, most) = CRASH_LIMIT;
         let limit = match self.classes.get(&class) {
-            Some(class) if !class.service => class.attempts.clamp(least, most),
-            _ => most,
+            Some(class) if !class.service => class.attempts.clamp(MIN_CRASHES, MAX_CRASHES),
+            _ => MAX_CRASHES,
         };
         let Some(name) = self.workers.entry(worker).map(|entry| entry.name.clone()) else {
             return false;
