--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# One large job comes among small ones: takes about 65 s.
+# Executors that run nothing are killed and start again at once, under the id that they had. Takes about 90 s.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sycamorerilld ] && [ -x target/review/release/review-standin ] || exit 2
-exec target/review/release/review-standin large-job "$PWD" review/3
+exec target/review/release/review-standin quick-restart "$PWD" review/3
