--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -24,6 +24,14 @@
         "large-job" => large_job(&mut world, trouble),
         "quick-restart" => quick_restart(&mut world, trouble),
         "crash-then-lost" => crash_then_lost(&mut world, trouble),
+        "hand-over" => {
+            hand_over(&mut world, trouble, 5.0, 2.6);
+            twice(&world)
+        }
+        "listed-again" => {
+            hand_over(&mut world, trouble, 4.2, 3.6);
+            lost_lasting(&world)
+        }
         "long-history" => long_history(&mut world, trouble),
         "label-in-other-shard" => label_in_other_shard(&mut world, trouble),
         _ => return None,
@@ -44,7 +52,7 @@
 fn begin(world: &mut World, nodes: usize, cpu_share: f64) {
     world.run_executors();
     world.configure();
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(1_500));
     for _ in 0..nodes {
         world.add_node(cpu_share);
     }
@@ -223,6 +231,71 @@
     lost(world, &jobs)
 }
 
+/// Executors are cut from the store for `cut_s`, and the owner of the shard is stopped as planned
+/// `stop_s` after the cut has begun.
+fn hand_over(world: &mut World, trouble: bool, cut_s: f64, stop_s: f64) {
+    for number in 0..60 {
+        world.add_executor(["a", &format!("r1-{}", number / 8)], 64_000);
+    }
+    begin(world, 3, 0.25);
+    for _ in 0..4 {
+        let id = world.new_id();
+        let mut lasting = job(60, 2_000, 500, json!({"anti_affinity": 1, "long_running": true}));
+        lasting["task_spec"] = json!("stock-watch cpu=2000");
+        world.submit(&id, &lasting);
+    }
+    let begun = Instant::now();
+    let at = |seconds: f64| begun + Duration::from_secs_f64(seconds);
+    let (cut_at, stop_at, heal_at) = (at(8.0), at(8.0 + stop_s), at(8.0 + cut_s));
+    // 12 of 60 are 20 percent.
+    let cut: Vec<_> = world.executors[20..32].to_vec();
+    let (mut is_cut, mut is_healed, mut rolling) = (!trouble, !trouble, None);
+    let mut is_rolled = false;
+    while begun.elapsed() < Duration::from_secs(40) {
+        let now = Instant::now();
+        if !is_cut && now >= cut_at {
+            is_cut = true;
+            cut.iter().for_each(|executor| executor.cut_from_store());
+        }
+        if !is_healed && now >= heal_at {
+            is_healed = true;
+            for executor in &cut {
+                executor.heal(Duration::from_millis(world.random(MAX_FIRST_REPORT_MS)));
+            }
+        }
+        if !is_rolled && now >= stop_at {
+            is_rolled = true;
+            rolling = Some(world.roll_owner());
+        }
+        if let Some((number, kill_at)) = rolling
+            && world.end_roll(number, kill_at)
+        {
+            rolling = None;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Rule LOST for tasks that last: nothing of the task runs for 3 s, from 6 s after its last run.
+fn lost_lasting(world: &World) -> usize {
+    let runs = world.record.runs();
+    let now = world.record.now_ms();
+    let mut count = 0;
+    for (at, run) in runs.iter().enumerate() {
+        let Some((ended_ms, how)) = run.end else { continue };
+        let next = runs[at..].iter().find(|later| later.task == run.task && later.run > run.run);
+        let next_ms = next.map_or(now, |next| next.from_ms);
+        if next_ms >= ended_ms + 6_000 + IDLE_MS {
+            count += 1;
+            world.record.line(&format!(
+                "LOST: {} run {} on {} ended ({how}) at {ended_ms} ms, the next run came at {next_ms} ms",
+                run.task, run.run, run.executor
+            ));
+        }
+    }
+    count
+}
+
 /// Jobs a second of the site `reb-sched`, and bytes of a job's text there.
 const SITE_JOBS_PER_S: u64 = 13;
 const SITE_TEXT_BYTES: usize = 800;
--- a/review/standin/src/executor.rs
+++ b/review/standin/src/executor.rs
@@ -76,6 +76,8 @@
     process: u64,
     listed_value: Option<String>,
     last_beat: Instant,
+    /// Whether the path to the store is cut.
+    cut: bool,
 }
 
 pub struct Executor {
@@ -147,6 +149,7 @@
         labels: [&str; 2],
         cpu: u64,
         uptime: Duration,
+        first_report: Duration,
         store: &Arc<Store>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
@@ -154,11 +157,12 @@
         let address = listener.local_addr().expect("an address");
         let state = State {
             power: Power::Up,
-            life: Life::new(uptime.as_millis() as u64, Duration::ZERO),
+            life: Life::new(uptime.as_millis() as u64, first_report),
             connections: Vec::new(),
             process: 0,
             listed_value: None,
             last_beat: Instant::now(),
+            cut: false,
         };
         let executor = Arc::new(Self {
             id: id.to_owned(),
@@ -332,7 +336,9 @@
             }
             if now >= life.beat_at {
                 life.beat_at = now + Duration::from_millis(HEARTBEAT_MS);
-                self.beat(&mut state);
+                if !state.cut {
+                    self.beat(&mut state);
+                }
             }
         }
         let silent = now.duration_since(state.last_beat).as_millis() as u64;
@@ -360,6 +366,20 @@
         }
     }
 
+    /// Cuts the path from the executor to the store; all others reach it still.
+    pub fn cut_from_store(&self) {
+        self.state.lock().unwrap().cut = true;
+        self.record.line(&format!("executor {} is cut from the store", self.id));
+    }
+
+    /// Heals the path to the store; the list shows the next report after `lag`.
+    pub fn heal(&self, lag: Duration) {
+        let mut state = self.state.lock().unwrap();
+        state.cut = false;
+        state.life.beat_at = state.life.beat_at.max(Instant::now()) + lag;
+        self.record.line(&format!("executor {} reaches the store again", self.id));
+    }
+
     /// Returns whether the executor is up and runs nothing.
     pub fn is_idle(&self) -> bool {
         let state = self.state.lock().unwrap();
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -65,7 +65,10 @@
         let ip = format!("127.{}.1.1", self.net);
         let id = format!("i-7f3a{:04x}", self.executors.len());
         let uptime = Duration::from_secs(3_600);
-        let executor = Executor::start(&ip, &id, labels, cpu, uptime, &self.store, &self.record);
+        // They report about every 1.1 s, each at a time of its own.
+        let first = Duration::from_millis(self.random(1_100));
+        let executor =
+            Executor::start(&ip, &id, labels, cpu, uptime, first, &self.store, &self.record);
         self.executors.push(executor);
     }
 
@@ -146,6 +149,39 @@
         }
     }
 
+    /// Stops the machine that gained the shard last, as planned: SIGTERM, SIGKILL after `grace_s`,
+    /// and a start.
+    pub fn roll_owner(&mut self) -> (usize, Instant) {
+        let owner = (0..self.nodes.len()).max_by_key(|number| self.gained_at(*number));
+        let owner = owner.unwrap_or(0);
+        let node = &self.nodes[owner];
+        let pid = node.child.as_ref().map_or(0, Child::id).to_string();
+        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        self.record.line(&format!("platform: {} gets SIGTERM", node.name));
+        (owner, Instant::now() + Duration::from_secs(6))
+    }
+
+    /// Starts a machine again that got SIGTERM, once its process has ended or its time is over.
+    pub fn end_roll(&mut self, number: usize, kill_at: Instant) -> bool {
+        let Some(child) = &mut self.nodes[number].child else { return true };
+        if child.try_wait().is_ok_and(|status| status.is_none()) && Instant::now() < kill_at {
+            return false;
+        }
+        self.kill_node(number);
+        self.spawn_node(number);
+        true
+    }
+
+    /// Returns when the machine last logged that it gained the shard, in milliseconds since 1970.
+    fn gained_at(&self, number: usize) -> u64 {
+        let log = self.dir.join(format!("{}.log", self.nodes[number].name));
+        let log = std::fs::read_to_string(log).unwrap_or_default();
+        let gained = log.lines().filter(|line| line.contains("\"shard.gained\""));
+        let line: Value =
+            gained.last().and_then(|l| serde_json::from_str(l).ok()).unwrap_or_default();
+        line["ms"].as_u64().unwrap_or(0)
+    }
+
     /// Returns the resident memory of a machine's process, in bytes.
     pub fn memory(&self, number: usize) -> u64 {
         let Some(child) = &self.nodes[number].child else { return 0 };
