jobs, node: a successor closes runs only when the leases of their executors have ended

Callers saw tasks run twice (TWICE) when executors were cut off from the store while their shard was handed over.

Cause: a successor closed the runs of an unlisted executor 3 s after the takeover. The three seconds are those of an outage of the store, and here the store was up; the predecessor's leases had up to 5 s to go. It could not ask the executor, since the record of a run had no address.

Change: records hold the address, so a successor probes the executors of recorded runs whether they are listed or not. Without an answer only the end of the predecessor's leases closes a run. So that this costs no time where the predecessor had waited already, an owner records when the leases of executors that do not answer end, on the store's clock, and renews none of them before that record is removed. The grace of the contract is kept for its own situation: the store was unavailable shortly before. An owner that was suspended renews no lease until its claim is confirmed, which bounds the time in which an unaware predecessor renews: 1.5 s in place of an assumed 8 s.

--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -157,6 +157,8 @@
     epoch_seen_at: Time,
     /// When the store last responded.
     last_response: Time,
+    /// When the store was last known to be unavailable.
+    last_outage: Option<Time>,
     /// When the latest acknowledged claim or renewal was sent.
     last_renewal: Time,
     /// When the latest acknowledged write under the claim was sent.
@@ -193,6 +195,7 @@
             unchanged_since: None,
             epoch_seen_at: Time::ZERO,
             last_response: Time::ZERO,
+            last_outage: None,
             last_renewal: Time::ZERO,
             last_confirmed: Time::ZERO,
             last_read: None,
@@ -221,7 +224,7 @@
     /// Records that the store responded at `now`, whether or not it reported the claim.
     pub fn record_response(&mut self, now: Time) {
         if now.since(self.last_response) >= OUTAGE_THRESHOLD {
-            self.record_outage(now);
+            self.restart_timeout(now);
         }
         self.last_response = now;
     }
@@ -230,6 +233,11 @@
     ///
     /// A holder could not renew in that time, so its missing renewals do not count.
     pub fn record_outage(&mut self, now: Time) {
+        self.last_outage = Some(now);
+        self.restart_timeout(now);
+    }
+
+    fn restart_timeout(&mut self, now: Time) {
         if self.unchanged_since.is_some() {
             self.unchanged_since = Some(now);
         }
@@ -249,6 +257,11 @@
         self.last_confirmed = self.last_confirmed.max(sent);
     }
 
+    /// Returns when the store was last known to be unavailable.
+    pub const fn last_outage(&self) -> Option<Time> {
+        self.last_outage
+    }
+
     /// Returns the latest claim that was read or acknowledged, if any.
     pub const fn claim(&self) -> Option<&Claim> {
         self.claim.as_ref()
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -1,5 +1,7 @@
 //! Stored record of a job: its state and the tasks that have started.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use sycamorerill_core::{data, value};
 
@@ -48,6 +50,9 @@
         /// Start of the executor's incarnation, in milliseconds since 1970.
         #[serde(rename = "b")]
         pub incarnation: u64,
+        /// Address that the order was sent to, if it is recorded.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        pub address: Option<SocketAddr>,
     }
 }
 
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -1,6 +1,7 @@
 //! In-memory state of jobs with their occurrences, steps and tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sycamorerill_core::clock::Time;
@@ -85,6 +86,8 @@
     pub(super) run: Run,
     pub(super) executor: ExecutorId,
     pub(super) incarnation: Incarnation,
+    /// Address of the executor when the run was placed; `None` if a predecessor did not record it.
+    pub(super) address: Option<SocketAddr>,
     pub(super) stage: Stage,
     /// Whether the run is to be stopped, and the progress of the order to stop it.
     pub(super) stop: Stop,
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -14,10 +14,6 @@
 /// Slowest rate of an executor's clock relative to the local clock.
 pub(super) const SLOWEST_CLOCK: f64 = 0.98;
 
-/// Time after a takeover within which entries that an outage removed from the list are back:
-/// two seconds by the platform's contract, and one for reading the list.
-const UNLISTED_GRACE: Span = Span::from_ms(3_000);
-
 /// State of one executor.
 #[derive(Debug)]
 pub(super) struct Executor {
@@ -39,6 +35,9 @@
     pub(super) trial_until: Time,
     /// Latest end of any lease that the executor may have been granted, by its own clock.
     pub(super) deadline: Steady,
+    /// Whether the end of the leases is recorded for a successor, or may be. They are not renewed
+    /// then.
+    pub(super) lease_end_recorded: bool,
     /// Whether orders of predecessors can no longer take effect.
     pub(super) fenced: bool,
     /// Whether the current incarnation has answered a probe. Always true for the incarnation
@@ -102,6 +101,7 @@
             last_placed: Time::ZERO,
             trial_until: Time::ZERO,
             deadline: Steady(0),
+            lease_end_recorded: false,
             fenced: true,
             confirmed: true,
             inherited_until: Time::ZERO,
@@ -154,10 +154,7 @@
     /// Returns whether all leases of the executor have certainly expired.
     pub(super) fn has_expired_leases(&self, now: Time) -> bool {
         if !self.fenced {
-            // By the platform's contract, an executor that stays unlisted for this long without
-            // an answer is gone.
-            let gone = !self.present && now.since(self.presence_changed) >= UNLISTED_GRACE;
-            return gone || now >= self.inherited_until;
+            return now >= self.inherited_until;
         }
         self.clock(now) > self.deadline
     }
@@ -173,6 +170,12 @@
         !self.present || !self.fenced || self.probe_failed || self.unreachable_since.is_some()
     }
 
+    /// Returns whether a predecessor's executor is not in the list and has not answered since the
+    /// takeover.
+    const fn is_unlisted(&self) -> bool {
+        !self.present && !self.fenced
+    }
+
     /// Resets the state for a new incarnation, which runs nothing and numbers run ends from 1.
     pub(super) fn begin_incarnation(&mut self, now: Time, incarnation: Incarnation, clock: Steady) {
         self.registration.incarnation = incarnation;
@@ -239,6 +242,7 @@
             && self.unreachable_since.is_none()
             && !self.probe_failed
             && self.confirmed
+            && self.may_extend_lease()
             && (self.fenced || self.open_tasks.is_empty())
     }
 }
@@ -288,8 +292,11 @@
         let id = registration.id.clone();
         self.released.insert(id.clone());
         self.attribute_lapsed(now, &id, registration.incarnation, registration.address);
+        let recorded = self.is_lease_end_recorded(&id);
         let Some(executor) = self.executors.get_mut(&id) else {
-            self.executors.insert(id, Executor::new(now, registration));
+            let executor = Executor::new(now, registration);
+            let executor = Executor { lease_end_recorded: recorded, ..executor };
+            self.executors.insert(id, executor);
             return;
         };
         if registration.incarnation < executor.registration.incarnation {
@@ -424,11 +431,12 @@
     ///
     /// An executor in reach reports by itself which runs have ended, and how.
     pub(super) fn close_expired(&mut self, now: Time) {
+        let unlisted_are_gone = self.unlisted_are_gone(now);
         let expired: Vec<ExecutorId> = self
             .executors
             .iter()
             .filter(|(_, e)| !e.open_tasks.is_empty() && e.is_out_of_reach())
-            .filter(|(_, e)| e.has_expired_leases(now))
+            .filter(|(_, e)| e.has_expired_leases(now) || (unlisted_are_gone && e.is_unlisted()))
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
--- /dev/null
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -0,0 +1,167 @@
+//! Lease ends of executors that do not answer, recorded for a successor.
+//!
+//! An owner stops renewing the leases of an executor that does not answer, and knows when they end.
+//! A successor that does not reach the executor either would have to assume that they were renewed
+//! until the takeover. The recorded lease end spares it that time.
+//!
+//! A recorded lease end must hold for as long as the record does, so leases are renewed again only
+//! once the record has been removed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::data;
+
+use super::Shard;
+use super::executors::{Executor, SLOWEST_CLOCK};
+use crate::id::ExecutorId;
+
+/// Margin for the end of a predecessor's last lease beyond its calculated end.
+const LEASE_MARGIN: Span = Span::from_ms(200);
+/// Time without an answer after which the lease end of an executor is recorded.
+const MIN_SILENCE: Span = Span::from_ms(500);
+/// Maximum number of lease ends in a record, which keeps it well below the size of a row.
+const MAX_RECORDED: usize = 500;
+/// Time after the store's return within which the entries that its outage removed are back: two
+/// seconds by the platform's contract, and one for reading the list.
+const UNLISTED_GRACE: Span = Span::from_ms(3_000);
+
+data! {
+    /// Time left of the leases of an executor that does not answer.
+    pub struct LeaseEnd {
+        /// Executor that does not answer.
+        pub executor: ExecutorId,
+        /// Upper bound on the time left until all leases of the executor have ended.
+        pub left: Span,
+    }
+}
+
+/// Lease ends in the store, as far as this owner knows.
+#[derive(Debug, Default)]
+pub(super) struct Recorded {
+    /// Executors whose lease ends are recorded, or may be while a batch is pending.
+    executors: BTreeSet<ExecutorId>,
+    /// Executors in the latest record, which is confirmed with the pending batch.
+    latest: BTreeSet<ExecutorId>,
+    /// Time left of leases at the takeover, as recorded by the predecessor.
+    inherited: BTreeMap<ExecutorId, Span>,
+    /// Whether the record is that of the predecessor.
+    is_inherited: bool,
+    /// Whether the next batch replaces the record.
+    is_due: bool,
+    /// When executors that are still unlisted count as gone, if the store was unavailable before
+    /// the takeover.
+    gone_at: Option<Time>,
+}
+
+impl Recorded {
+    /// Returns whether the next batch replaces the record.
+    pub(super) const fn is_due(&self) -> bool {
+        self.is_due
+    }
+}
+
+impl Executor {
+    /// Returns whether a lease may be granted: no lease end that was recorded would be exceeded.
+    pub(super) const fn may_extend_lease(&self) -> bool {
+        !self.lease_end_recorded
+    }
+
+    /// Returns an upper bound on the time left until all leases of the executor have ended.
+    fn lease_left(&self, now: Time) -> Span {
+        if !self.fenced {
+            return self.inherited_until.since(now);
+        }
+        let left = self.deadline.0.saturating_sub(self.clock(now).0);
+        Span::from_ms(left).scale(1.0 / SLOWEST_CLOCK) + LEASE_MARGIN
+    }
+
+    fn is_silent(&self, now: Time) -> bool {
+        let since = self.unreachable_since;
+        !self.open_tasks.is_empty() && since.is_some_and(|at| now.since(at) >= MIN_SILENCE)
+    }
+}
+
+impl Shard {
+    /// Takes over the lease ends that the predecessor recorded.
+    pub(super) fn restore_lease_ends(
+        &mut self,
+        now: Time,
+        recorded: &[LeaseEnd],
+        after_outage: bool,
+    ) {
+        let ends = recorded.iter().map(|end| (end.executor.clone(), end.left + LEASE_MARGIN));
+        self.lease_ends.inherited = ends.collect();
+        self.lease_ends.is_inherited = !recorded.is_empty();
+        self.lease_ends.executors = self.lease_ends.inherited.keys().cloned().collect();
+        self.lease_ends.gone_at = after_outage.then(|| now + UNLISTED_GRACE);
+        self.update_recorded_flags();
+    }
+
+    /// Returns an upper bound on the time from the takeover until the leases that predecessors
+    /// granted to an executor have ended.
+    pub(super) fn longest_inherited_lease(&self, id: &ExecutorId) -> Span {
+        let settings = self.settings;
+        let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + LEASE_MARGIN;
+        let longest = settings.predecessor_grace + lease;
+        self.lease_ends.inherited.get(id).map_or(longest, |recorded| longest.min(*recorded))
+    }
+
+    /// Returns whether the lease end of an executor is recorded, or may be.
+    pub(super) fn is_lease_end_recorded(&self, id: &ExecutorId) -> bool {
+        self.lease_ends.executors.contains(id)
+    }
+
+    /// Returns whether entries that the store's outage removed would be back by `now`.
+    ///
+    /// By the platform's contract, an executor whose entry is still missing then is gone.
+    pub(super) fn unlisted_are_gone(&self, now: Time) -> bool {
+        self.lease_ends.gone_at.is_some_and(|at| now >= at)
+    }
+
+    /// Checks whether the executors that do not answer are others than those in the record.
+    pub(super) fn check_lease_ends(&mut self, now: Time) {
+        let is_current = self.silent_executors(now).map(|(id, _)| id).eq(&self.lease_ends.latest);
+        self.lease_ends.is_due = self.lease_ends.is_inherited || !is_current;
+    }
+
+    /// Returns the lease ends to record with the next batch, if they have changed.
+    pub(super) fn next_lease_ends(&mut self, now: Time) -> Option<Vec<LeaseEnd>> {
+        if !std::mem::take(&mut self.lease_ends.is_due) {
+            return None;
+        }
+        let end = |(id, executor): (&ExecutorId, &Executor)| LeaseEnd {
+            executor: id.clone(),
+            left: executor.lease_left(now),
+        };
+        let ends: Vec<LeaseEnd> = self.silent_executors(now).map(end).collect();
+        self.lease_ends.is_inherited = false;
+        self.lease_ends.latest = ends.iter().map(|end| end.executor.clone()).collect();
+        self.lease_ends.executors.extend(self.lease_ends.latest.iter().cloned());
+        self.update_recorded_flags();
+        Some(ends)
+    }
+
+    fn silent_executors(&self, now: Time) -> impl Iterator<Item = (&ExecutorId, &Executor)> {
+        let silent = self.executors.iter().filter(move |(_, executor)| executor.is_silent(now));
+        silent.take(MAX_RECORDED)
+    }
+
+    /// Notes that the lease ends sent last are recorded, in place of all earlier ones.
+    pub(super) fn end_record_of_lease_ends(&mut self) {
+        self.lease_ends.executors.clone_from(&self.lease_ends.latest);
+        self.update_recorded_flags();
+    }
+
+    fn update_recorded_flags(&mut self) {
+        for (id, executor) in &mut self.executors {
+            let recorded = self.lease_ends.executors.contains(id);
+            if executor.lease_end_recorded && !recorded {
+                self.probe_candidates.insert(id.clone());
+                self.released.insert(id.clone());
+                self.placement_due = true;
+            }
+            executor.lease_end_recorded = recorded;
+        }
+    }
+}
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -77,6 +77,8 @@
         pub states: Vec<(JobId, State)>,
         /// Interference model, if it is due to be recorded.
         pub model: Option<super::Snapshot>,
+        /// Lease ends of all executors that do not answer, if they have changed.
+        pub lease_ends: Option<Vec<super::LeaseEnd>>,
     }
 }
 
@@ -208,7 +210,8 @@
         Ended(EndReason),
         /// The executor refused the order to start the run.
         Refused(Refusal),
-        /// The order to start the run was never sent, as the connection failed.
+        /// The order to start the run was never sent, as the connection failed or the executor may
+        /// get no lease.
         NotSent,
         /// The order to start the run was never sent, as the executor's capacity has shrunk.
         NoCapacity,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -14,6 +14,7 @@
 mod executors;
 mod fit;
 mod health;
+mod lease_ends;
 mod lifecycle;
 mod message;
 mod model;
@@ -45,6 +46,7 @@
 
 pub use self::backlog::Backlog;
 pub use self::fit::FitReport;
+pub use self::lease_ends::LeaseEnd;
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
 pub use self::model::{ImageSnapshot, Snapshot};
 pub use self::restore::Records;
@@ -66,6 +68,8 @@
     dirty: BTreeSet<JobId>,
     /// Jobs and run ends that the next batches record.
     round: write::Round,
+    /// Lease ends that are recorded for a successor.
+    lease_ends: lease_ends::Recorded,
     /// Batch that was sent to the store and is not confirmed yet.
     pending_batch: Option<write::PendingBatch>,
     /// Executors permitted by the advice service, for steps of queues with a policy.
@@ -121,6 +125,7 @@
             waiting: BTreeSet::new(),
             dirty: BTreeSet::new(),
             round: write::Round::default(),
+            lease_ends: lease_ends::Recorded::default(),
             pending_batch: None,
             advice: BTreeMap::new(),
             probe_candidates: BTreeSet::new(),
@@ -212,6 +217,7 @@
     fn tick(&mut self, now: Time) {
         self.begin_due(now);
         self.close_expired(now);
+        self.check_lease_ends(now);
         self.stop_on_draining(now);
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -11,7 +11,7 @@
 use crate::spec::Resources;
 
 impl Shard {
-    /// Sends the order to start a run that is recorded.
+    /// Sends the order to start a run that is recorded, unless the executor may get no lease.
     pub(super) fn send_start(&mut self, now: Time, task: &TaskId, run: Run) {
         let lease = self.settings.lease;
         let Some(entry) = self.jobs.get_mut(&task.step.job) else {
@@ -28,6 +28,9 @@
         let Some(executor) = self.executors.get_mut(&open.executor) else {
             return;
         };
+        if !executor.may_extend_lease() {
+            return;
+        }
         if open.stage == Stage::Recording {
             open.first_sent = now;
         }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -316,6 +316,7 @@
             run,
             executor: id.clone(),
             incarnation: executor.registration.incarnation,
+            address: Some(executor.registration.address),
             stage: Stage::Recording,
             stop: Stop::NotRequested,
             limit_percent: 100,
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -62,6 +62,8 @@
         let verify = std::mem::take(&mut executor.verify);
         let settled = executor.fenced && executor.confirmed && !verify;
         let wait = match executor.unreachable_since {
+            // The leases are renewed as soon as their recorded end is removed.
+            None if !executor.may_extend_lease() => settings.probe_retry,
             None if !executor.open_tasks.is_empty() && settled && !unrecorded => {
                 match executor.best_effort_cpu.is_empty()
                     || executor.latency_critical_cpu.is_empty()
@@ -76,7 +78,8 @@
         // An unanswered probe may extend leases all the same. Probes of executors that do not
         // report therefore extend none, or their leases would never expire.
         let reports = executor.unreachable_since.is_none() && !executor.probe_failed;
-        let deadline = reports.then(|| executor.extend_lease(now, settings.lease));
+        let extends = reports && executor.may_extend_lease();
+        let deadline = extends.then(|| executor.extend_lease(now, settings.lease));
         let probe = Probe { executor: id.clone(), number: executor.latest_probe };
         let acknowledged = executor.ends_recorded;
         executor.probe_acknowledges = acknowledged;
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -1,6 +1,6 @@
 //! Restoration of a shard from the records of its predecessors.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
@@ -8,15 +8,16 @@
 
 use super::Shard;
 use super::entry::{Entry, OpenRun, Stage, Stop};
-use super::executors::{Executor, SLOWEST_CLOCK};
+use super::executors::Executor;
+use super::lease_ends::LeaseEnd;
 use super::lifecycle::new_entry;
 use crate::executor::{Availability, Incarnation, Registration, Steady};
-use crate::id::{DomainName, ExecutorId, JobId, Run, ServiceName, StepId, TaskId};
-use crate::progress::{Progress, State, TaskRecord};
+use crate::id::{DomainName, JobId, Run, ServiceName, StepId, TaskId};
+use crate::progress::{self, Progress, State, TaskRecord};
 use crate::spec::{AcceptedJob, Resources};
 
-/// Margin for the end of a predecessor's last lease beyond its calculated end.
-const LEASE_MARGIN: Span = Span::from_ms(200);
+/// Address of an executor whose address is not known.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 data! {
     /// Records of a shard that a successor starts from.
@@ -30,6 +31,11 @@
         pub model: Option<super::Snapshot>,
         /// Progress of jobs.
         pub progress: Vec<(JobId, Progress)>,
+        /// Time left of the leases of executors that did not answer the predecessor.
+        pub lease_ends: Vec<LeaseEnd>,
+        /// Whether the store was unavailable shortly before, so that entries of executors may have
+        /// been removed for that reason.
+        pub after_outage: bool,
     }
 }
 
@@ -41,6 +47,7 @@
         if let Some(snapshot) = records.model {
             self.estimator.model.restore(snapshot);
         }
+        self.restore_lease_ends(now, &records.lease_ends, records.after_outage);
         for (id, accepted) in records.jobs {
             self.jobs.insert(id, new_entry(accepted));
         }
@@ -103,6 +110,7 @@
                 run: Run(open.run),
                 executor: open.executor.clone(),
                 incarnation: Incarnation(open.incarnation),
+                address: open.address,
                 stage: Stage::Inherited,
                 stop,
                 limit_percent: 100,
@@ -114,40 +122,40 @@
             })
             .collect();
         for open in &record.open {
-            self.inherit(now, &id, &open.executor, Incarnation(open.incarnation));
+            self.inherit(now, &id, open);
         }
     }
 
-    /// Marks an executor as one where a predecessor's run may be active.
-    fn inherit(&mut self, now: Time, task: &TaskId, id: &ExecutorId, incarnation: Incarnation) {
-        let settings = self.settings;
+    /// Marks the executor of a recorded run as one where that run may be active.
+    fn inherit(&mut self, now: Time, task: &TaskId, record: &progress::OpenRun) {
+        let id = &record.executor;
+        let lease_end = now + self.longest_inherited_lease(id);
         let job = self.jobs.get(&task.step.job).map(|entry| Arc::clone(&entry.job));
         let step = job.as_ref().and_then(|job| job.steps.get(task.step.step as usize));
         let Some(step) = step else {
             return;
         };
-        let executor = self
-            .executors
-            .entry(id.clone())
-            .or_insert_with(|| Executor::unlisted(now, id, incarnation));
-        executor.fenced = false;
-        let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + LEASE_MARGIN;
-        executor.inherited_until = now + settings.predecessor_grace + lease;
+        let executor =
+            self.executors.entry(id.clone()).or_insert_with(|| Executor::unlisted(now, record));
+        executor.inherit(record, lease_end);
         executor.reserve(*task, step);
         self.probe_candidates.insert(id.clone());
     }
 }
 
 impl Executor {
-    /// Returns an executor that is named in a record but not listed.
-    fn unlisted(now: Time, id: &ExecutorId, incarnation: Incarnation) -> Self {
+    /// Returns the executor of a recorded run that is not listed.
+    ///
+    /// It takes no work until it is listed, but it is probed if the record has its address: an
+    /// executor that is cut off from the store may still run its tasks.
+    fn unlisted(now: Time, record: &progress::OpenRun) -> Self {
         let registration = Registration {
-            id: id.clone(),
-            incarnation,
-            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            id: record.executor.clone(),
+            incarnation: Incarnation(record.incarnation),
+            address: record.address.unwrap_or(NO_ADDRESS),
             service: ServiceName::from(""),
             domain: DomainName::from(""),
-            availability: Availability::Draining,
+            availability: Availability::Ready,
             warm_up: Span::ZERO,
             remaining: None,
             capacity: Resources::default(),
@@ -159,6 +167,20 @@
         executor
     }
 
+    /// Marks the executor as one where runs of predecessors may be active until `lease_end`.
+    fn inherit(&mut self, record: &progress::OpenRun, lease_end: Time) {
+        self.fenced = false;
+        self.inherited_until = self.inherited_until.max(lease_end);
+        let latest = Incarnation(record.incarnation);
+        if !self.present
+            && latest > self.registration.incarnation
+            && let Some(address) = record.address
+        {
+            self.registration.incarnation = latest;
+            self.registration.address = address;
+        }
+    }
+
     /// Returns whether the address of the executor is known.
     pub(super) fn has_address(&self) -> bool {
         self.registration.address.port() != 0
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -60,7 +60,9 @@
             probe_wait_over: Span::from_ms(400),
             probe_retry: Span::from_ms(250),
             order_retry: Span::from_ms(300),
-            predecessor_grace: Span::from_ms(8_000),
+            // A predecessor that is awake learns of the takeover from the store or from an
+            // executor within this time, and one that was suspended extends no lease before.
+            predecessor_grace: Span::from_ms(1_500),
             remote_penalty: 1.5,
             max_over_objective: Span::from_ms(4_000),
             max_placed_per_turn: 128,
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -53,7 +53,7 @@
             return;
         }
         if self.round.jobs.is_empty() {
-            if self.dirty.is_empty() {
+            if self.dirty.is_empty() && !self.lease_ends.is_due() {
                 self.mark_ends_recorded();
                 return;
             }
@@ -79,6 +79,7 @@
             let log = |report| Command::Log(Decision::ModelRecorded(report));
             self.out.extend(reports.into_iter().map(log));
         }
+        batch.lease_ends = self.next_lease_ends(now);
         self.pending_batch = Some(pending);
         self.out.push(Command::Record(batch));
     }
@@ -150,6 +151,7 @@
         let Some(pending) = self.pending_batch.take() else {
             return;
         };
+        self.end_record_of_lease_ends();
         for (id, incarnation, end) in pending.ends {
             self.mark_end_recorded(&id, incarnation, end);
         }
@@ -166,8 +168,11 @@
         let Some(open) = open.filter(|open| open.stage == Stage::Recording) else {
             return;
         };
-        if self.executors.get(&open.executor).is_some_and(Executor::is_overcommitted) {
+        let executor = self.executors.get(&open.executor);
+        if executor.is_some_and(Executor::is_overcommitted) {
             self.close(now, task, run, Closing::NoCapacity);
+        } else if executor.is_none_or(|executor| !executor.may_extend_lease()) {
+            self.close(now, task, run, Closing::NotSent);
         } else {
             self.send_start(now, task, run);
         }
@@ -225,5 +230,10 @@
 }
 
 fn open_run_record(open: &super::entry::OpenRun) -> OpenRun {
-    OpenRun { run: open.run.0, executor: open.executor.clone(), incarnation: open.incarnation.0 }
+    OpenRun {
+        run: open.run.0,
+        executor: open.executor.clone(),
+        incarnation: open.incarnation.0,
+        address: open.address,
+    }
 }
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -270,9 +270,11 @@
     assert_no_violations(&sim);
 }
 
+/// The entries that an outage of the store removed are back within 2 s of its return.
 #[test]
-fn a_successor_treats_an_executor_that_stays_unlisted_as_gone() {
+fn a_successor_after_an_outage_treats_an_executor_that_stays_unlisted_as_gone() {
     let mut sim = Simulation::new(2);
+    sim.after_outage = true;
     sim.submit(job(1), vec![long_running(2)]);
     sim.advance(Span::from_ms(500));
     let at = sim.executors_running(&task(1, 0, 0))[0].clone();
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -19,7 +19,9 @@
 };
 use sycamorerill_jobs::id::{DomainName, ExecutorId, JobId, Label, QueueName, ServiceName, TaskId};
 use sycamorerill_jobs::progress::{Progress, State};
-use sycamorerill_jobs::shard::{Command, Event, Probe, Records, Settings, Shard, Snapshot};
+use sycamorerill_jobs::shard::{
+    Command, Event, LeaseEnd, Probe, Records, Settings, Shard, Snapshot,
+};
 use sycamorerill_jobs::spec::{AcceptedJob, Job, Resources, Schedule, Step};
 
 pub(crate) use executor::{ActiveRun, FakeExecutor};
@@ -41,6 +43,10 @@
     pub(crate) cancelled: BTreeSet<JobId>,
     pub(crate) progress: BTreeMap<JobId, Progress>,
     pub(crate) states: BTreeMap<JobId, State>,
+    /// Lease ends that are recorded, with the times at which all leases have ended.
+    pub(crate) lease_ends: BTreeMap<ExecutorId, Time>,
+    /// Whether the next successor takes over shortly after an outage of the store.
+    pub(crate) after_outage: bool,
     /// Orders that are delivered later, each with the epoch of its sender.
     pub(crate) delayed_orders: Vec<(u64, Command)>,
     /// Violated guarantees, such as two runs of a task at once.
@@ -113,6 +119,8 @@
             cancelled: BTreeSet::new(),
             progress: BTreeMap::new(),
             states: BTreeMap::new(),
+            lease_ends: BTreeMap::new(),
+            after_outage: false,
             delayed_orders: Vec::new(),
             violations: Vec::new(),
             checks_all_executors: true,
@@ -239,11 +247,21 @@
             cancelled: self.cancelled.iter().copied().collect(),
             model: self.model.clone(),
             progress: self.progress.iter().map(|(id, record)| (*id, record.clone())).collect(),
+            lease_ends: self.recorded_lease_ends(),
+            after_outage: self.after_outage,
         };
         let wall_ms = self.wall_ms();
         self.shard.restore(self.now, wall_ms, records);
     }
 
+    fn recorded_lease_ends(&self) -> Vec<LeaseEnd> {
+        let left = |(id, end): (&ExecutorId, &Time)| LeaseEnd {
+            executor: id.clone(),
+            left: end.since(self.now),
+        };
+        self.lease_ends.iter().map(left).collect()
+    }
+
     /// Replaces the owner with a successor whose list of executors has the given age.
     pub(crate) fn take_over_with_stale_list(&mut self, age: Span) {
         for executor in self.executors.values_mut() {
@@ -320,16 +338,20 @@
                 self.model = batch.model.or(self.model.take());
                 self.progress.extend(batch.progress);
                 self.states.extend(batch.states);
+                if let Some(ends) = batch.lease_ends {
+                    let ends = ends.into_iter().map(|end| (end.executor, self.now + end.left));
+                    self.lease_ends = ends.collect();
+                }
                 self.batch_pending = true;
             }
-            Command::Start { ref order, .. } => {
+            Command::Start { ref order, address, .. } => {
                 let order = order.clone();
-                let outcome = self.deliver(&order.executor, command.clone());
+                let outcome = self.deliver(&order.executor, address, command.clone());
                 self.handle(Event::Started(order, outcome));
             }
-            Command::Stop { ref order, .. } => {
+            Command::Stop { ref order, address } => {
                 let order = order.clone();
-                let outcome = self.deliver(&order.executor, command.clone());
+                let outcome = self.deliver(&order.executor, address, command.clone());
                 self.handle(Event::Stopped(order, outcome));
             }
             Command::Throttle { order, percent, .. } => {
@@ -343,16 +365,19 @@
                 let advice = self.answer_query(step, &executors);
                 self.handle(Event::Advised(step, executors, advice));
             }
-            Command::Probe { probe, acknowledged, deadline, wait, .. } => {
+            Command::Probe { probe, address, acknowledged, deadline, wait } => {
+                if self.executors[&probe.executor].address != address {
+                    return self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
+                }
                 self.start_probe(probe, acknowledged, deadline, wait);
             }
             Command::Log(decision) => self.log.push(format!("{} {decision:?}", self.now.as_ms())),
         }
     }
 
-    fn deliver(&mut self, id: &ExecutorId, command: Command) -> Outcome {
+    fn deliver(&mut self, id: &ExecutorId, address: SocketAddr, command: Command) -> Outcome {
         let epoch = self.epoch;
-        let Some(executor) = self.executors.get(id) else {
+        let Some(executor) = self.executors.get(id).filter(|found| found.address == address) else {
             return Outcome::NotSent;
         };
         if executor.replaced {
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Table};
 use crate::shards::{self, Manager};
+use crate::suspension;
 use crate::watch::{Subscription, Update, watch};
 
 /// Time between ticks of an instance that owns a shard.
@@ -75,6 +76,7 @@
     pub(crate) platform: Rc<P>,
     pub(crate) spawner: Spawner,
     pub(crate) metrics: Rc<Metrics>,
+    pub(crate) suspension: Rc<suspension::Detector>,
     inbox: Sender<Message>,
 }
 
@@ -84,6 +86,7 @@
             platform: Rc::clone(&self.platform),
             spawner: self.spawner.clone(),
             metrics: Rc::clone(&self.metrics),
+            suspension: Rc::clone(&self.suspension),
             inbox: self.inbox.clone(),
         }
     }
@@ -207,6 +210,7 @@
         platform,
         spawner: spawner.clone(),
         metrics: Rc::clone(&metrics),
+        suspension: Rc::default(),
         inbox: inbox.clone(),
     };
     let instance =
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -24,6 +24,8 @@
 pub(crate) const SEQUENCE: &str = "sequence";
 /// Name of the row with the interference model of a shard's owner.
 pub(crate) const MODEL: &str = "learned";
+/// Name of the row with the lease ends of executors that do not answer.
+pub(crate) const LEASES: &str = "leases";
 /// Name of the row with the layout.
 const LAYOUT: &str = "layout";
 /// Suffix of a job's identifier in the name of the row that cancels the job.
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use sycamorerill_core::clock::Span;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::{data, value};
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::executor::{Advice, Outcome, Registration, Report, Steady, Ticket};
@@ -95,6 +95,31 @@
     }
 }
 
+data! {
+    /// A reading of the store's clock, which all instances share.
+    #[derive(Copy)]
+    pub struct StoreClock {
+        /// Time that the clock showed, since a start of its own.
+        pub reading: Span,
+        /// When the call was sent whose answer gave the reading.
+        pub sent: Time,
+        /// When the answer arrived.
+        pub received: Time,
+    }
+}
+
+impl StoreClock {
+    /// Returns the latest time that the clock can show at `now`.
+    pub fn latest(&self, now: Time) -> Span {
+        self.reading + now.since(self.sent)
+    }
+
+    /// Returns the earliest time that the clock can show at `now`.
+    pub fn earliest(&self, now: Time) -> Span {
+        self.reading + now.since(self.received)
+    }
+}
+
 /// The reason why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -200,6 +225,9 @@
         wait: Span,
     ) -> impl Future<Output = Result<Changes, Error>>;
 
+    /// Returns the latest reading of the store's clock; returns none if no answer gave one yet.
+    fn store_clock(&self) -> Option<StoreClock>;
+
     /// Orders an executor to start a run.
     fn start(&self, target: Target, start: Start) -> impl Future<Output = Outcome>;
 
--- a/crates/node/src/shards/execute.rs
+++ b/crates/node/src/shards/execute.rs
@@ -1,6 +1,6 @@
 //! Executes the commands of a shard and reports their outcomes.
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::executor::Outcome;
 use sycamorerill_jobs::shard::{Command, Event};
 
@@ -11,6 +11,10 @@
 use crate::metrics::Hop;
 use crate::platform::{Platform, Probe, Start, Target};
 
+/// Time after a suspension of the process from which on leases are renewed though the claim was not
+/// confirmed since: the store is then unavailable, or it would have answered.
+const MIN_AWAKE_UNCONFIRMED: Span = Span::from_ms(1_500);
+
 /// Executes one command in a future and reports its outcome to the shard.
 ///
 /// `last_confirmed` is the time of the last confirmation of the claim; a start is not sent
@@ -44,6 +48,10 @@
     let target = |address, executor| Target { address, executor, epoch };
     // Another instance may have claimed the shard while this process was suspended.
     let stale = started.since(last_confirmed) > MAX_UNCONFIRMED;
+    context.suspension.observe(started);
+    let awake_since = context.suspension.awake_since();
+    let may_renew_leases =
+        last_confirmed >= awake_since || started.since(awake_since) >= MIN_AWAKE_UNCONFIRMED;
     match command {
         Command::Start { order, address, text, deadline, checkpoint, ticket } => {
             let outcome = if stale {
@@ -79,6 +87,7 @@
         }
         Command::Probe { probe, address, acknowledged, deadline, wait } => {
             let target = target(address, probe.executor.clone());
+            let deadline = deadline.filter(|_| may_renew_leases);
             let request = Probe { acknowledged, deadline, wait };
             Some(match platform.probe(target, request).await {
                 Ok(report) => Event::Probed(probe, report),
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit;
 mod execute;
+mod lease_row;
 mod load;
 mod logging;
 mod owner;
@@ -56,10 +57,15 @@
 /// Longest time after the last confirmation of a claim in which its owner starts runs.
 const MAX_UNCONFIRMED: Span = Span::from_ms(3_000);
 
+/// Longest time after an outage of the store in which a missing entry of an executor was removed
+/// by the outage: entries are removed after three heartbeats, of about a second each.
+const MAX_OUTAGE_AGE: Span = Span::from_ms(3_000);
+
 /// A message to the [`Manager`] actor.
 pub(crate) enum Message {
     Configured(Arc<Config>),
-    LayoutAgreed(Layout),
+    /// The layout, and whether the store was unavailable before it was read.
+    LayoutAgreed(Layout, bool),
     Claims(Update),
     Claimed(ShardId, Time, Result<(Claim, Version), Option<Row>>),
     ClaimRead(ShardId, Option<Row>),
@@ -142,13 +148,16 @@
         let now = clock::now();
         match message {
             Message::Configured(config) => self.configure(now, config),
-            Message::LayoutAgreed(layout) => self.set_layout(layout),
+            Message::LayoutAgreed(layout, after_outage) => {
+                self.set_layout(now, layout, after_outage);
+            }
             Message::Claims(update) => self.update_claims(now, update),
             Message::Claimed(shard, sent, outcome) => self.finish_claim(now, shard, sent, outcome),
             Message::ClaimRead(shard, row) => self.observe(now, shard, row.as_ref()),
             Message::Recovered(shard, epoch, recovered) => {
+                let after_outage = self.was_store_unavailable(now, shard);
                 if let Some(owner) = self.owner(shard, epoch) {
-                    owner.restore(now, *recovered);
+                    owner.restore(now, *recovered, after_outage);
                 }
             }
             Message::Rows(shard, epoch, table, update) => {
@@ -172,6 +181,7 @@
 
     /// Decides on the next action for each shard and updates the published status.
     pub(crate) fn turn(&mut self, _cx: CX![], now: Time) {
+        self.context.suspension.observe(now);
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
         for shard in shards {
             self.turn_shard(now, shard);
@@ -279,6 +289,12 @@
         }
     }
 
+    /// Returns whether entries of executors may be missing because of an outage of the store.
+    fn was_store_unavailable(&self, now: Time, shard: ShardId) -> bool {
+        let last = self.shards.get(&shard).and_then(|state| state.ownership.last_outage());
+        last.is_some_and(|at| now.since(at) <= MAX_OUTAGE_AGE)
+    }
+
     fn owner(&mut self, shard: ShardId, epoch: u64) -> Option<&mut Owner<P>> {
         let owner = self.shards.get_mut(&shard)?.owner.as_mut()?;
         (owner.epoch() == epoch).then_some(owner)
@@ -319,7 +335,7 @@
         self.config = Some(config);
     }
 
-    fn set_layout(&mut self, layout: Layout) {
+    fn set_layout(&mut self, now: Time, layout: Layout, after_outage: bool) {
         if self.layout.is_some() {
             return;
         }
@@ -328,12 +344,15 @@
         self.context.send(instance::Message::Frontend(message));
         for shard in layout.shards() {
             let spread_fraction = fastrand::f64();
-            let ownership = Ownership::new(
+            let mut ownership = Ownership::new(
                 self.settings.ownership,
                 self.name.clone(),
                 self.started_ms,
                 spread_fraction,
             );
+            if after_outage {
+                ownership.record_outage(now);
+            }
             let state = ShardState { ownership, version: Version(0), owner: None };
             self.shards.insert(shard, state);
         }
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -14,12 +14,13 @@
 use sycamorerill_jobs::spec::AcceptedJob;
 
 use super::commit::{Sequence, commit};
+use super::lease_row::LeaseRow;
 use super::recovery::{Recovered, recover};
 use super::{Message, execute, logging};
 use crate::clock;
 use crate::frontend::{StateRow, decode, encode};
 use crate::instance::{self, Context};
-use crate::layout::{self, AcceptedRow, CLAIM, Layout, MODEL, SEQUENCE};
+use crate::layout::{self, AcceptedRow, CLAIM, LEASES, Layout, MODEL, SEQUENCE};
 use crate::platform::{Platform, Row, Table, Transaction, Version};
 use crate::watch::{Subscription, Update};
 
@@ -115,12 +116,17 @@
     }
 
     /// Restores the recorded state of the shard and starts watching its tables.
-    pub(super) fn restore(&mut self, now: Time, recovered: Recovered) {
+    ///
+    /// `after_outage` tells whether the store was unavailable shortly before.
+    pub(super) fn restore(&mut self, now: Time, mut recovered: Recovered, after_outage: bool) {
         let wall_ms = clock::wall_ms();
         for registration in recovered.executors {
             self.executors.insert(registration.id.clone());
             self.shard.handle(now, wall_ms, Event::Listed(Box::new(registration)));
         }
+        let store_clock = self.context.platform.store_clock();
+        recovered.records.lease_ends = recovered.leases.lease_ends(store_clock, now);
+        recovered.records.after_outage = after_outage;
         self.shard.restore(now, wall_ms, recovered.records);
         self.restored = true;
         self.tasks.clear();
@@ -257,6 +263,10 @@
         if let Some(model) = batch.as_ref().and_then(|batch| batch.model.as_ref()) {
             transaction.writes.push((key(Table::Progress, MODEL), encode(model)));
         }
+        if let Some(ends) = batch.as_ref().and_then(|batch| batch.lease_ends.as_ref()) {
+            let row = LeaseRow::new(ends, self.context.platform.store_clock(), clock::now());
+            transaction.writes.push((key(Table::Progress, LEASES), encode(&row)));
+        }
         let renews = std::mem::take(&mut self.renew_due);
         if renews {
             let claim = ownership.next_claim();
--- a/crates/node/src/shards/recovery.rs
+++ b/crates/node/src/shards/recovery.rs
@@ -11,12 +11,13 @@
 use sycamorerill_jobs::spec::AcceptedJob;
 
 use super::Message;
+use super::lease_row::LeaseRow;
 use crate::frontend::{decode, encode};
 use crate::instance::{self, Context};
 use crate::layout::{self, AcceptedRow, Layout};
 use crate::log::{Code, Line};
 use crate::platform::{Error, Platform, Row, Table, Transaction, Version};
-use crate::watch::read_all;
+use crate::watch::{UNAVAILABLE_AFTER, read_all};
 
 /// Delay before a retry after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Recovered {
     pub(crate) records: Records,
+    pub(super) leases: LeaseRow,
     pub(crate) executors: Vec<Registration>,
     pub(crate) accepted_after: Version,
     pub(crate) executors_after: Version,
@@ -90,8 +92,10 @@
     let (accepted_after, executors_after) = (accepted.1, executors.1);
     let model = progress.0.iter().find(|row| row.name == layout::MODEL);
     records.model = model.and_then(decode);
+    let leases = progress.0.iter().find(|row| row.name == layout::LEASES);
+    let leases = leases.and_then(decode).unwrap_or_default();
     let executors = executors_of(platform, &executors.0, shard, layout);
-    Ok(Recovered { records, executors, accepted_after, executors_after })
+    Ok(Recovered { records, leases, executors, accepted_after, executors_after })
 }
 
 fn executors_of<P: Platform>(
@@ -115,6 +119,7 @@
 ///
 /// `max_executors` is the number of executors that this instance can manage.
 pub(crate) async fn agree_on_layout<P: Platform>(context: Context<P>, max_executors: u32) {
+    let mut failures = 0;
     loop {
         match read_or_create_layout(&*context.platform, max_executors).await {
             Ok(layout) => {
@@ -122,11 +127,12 @@
                     .number("shards", u64::from(layout.shards))
                     .number("executors", u64::from(layout.executors_per_shard * layout.shards))
                     .write();
-                let message = Message::LayoutAgreed(layout);
+                let message = Message::LayoutAgreed(layout, failures >= UNAVAILABLE_AFTER);
                 context.send(instance::Message::Manager(message));
                 return;
             }
             Err(_) => {
+                failures += 1;
                 Timer::after(RETRY_DELAY).await;
             }
         }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -21,7 +21,7 @@
 /// Number of rows requested per page.
 const PAGE_ROWS: u32 = 500;
 /// Consecutive failures after which the store is reported as unavailable.
-const UNAVAILABLE_AFTER: u32 = 2;
+pub(crate) const UNAVAILABLE_AFTER: u32 = 2;
 
 /// A result of watching a table.
 #[derive(Clone, Debug)]
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -151,6 +151,36 @@
     );
 }
 
+/// An owner that was suspended must not renew leases before its claim is confirmed: a successor may
+/// have concluded from its own clock that they have ended.
+#[test]
+fn leases_are_not_renewed_after_a_suspension_until_the_claim_is_confirmed() {
+    run_test(
+        |spawner, platform| async move {
+            let (a, _) = platform.start_instance(&spawner, "a");
+            wait_until_ready(&a).await;
+            platform.run_ms.set(LONG_RUN_MS);
+            submit_until_accepted(&a, JOB_ID, &job(8)).await;
+            while platform.running() < 8 || !platform.probes.borrow().contains(&true) {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            platform.refusals.set(u32::MAX);
+            // Longer than any probe waits, so that all are due when the process goes on.
+            std::thread::sleep(Duration::from_millis(2_300));
+            platform.probes.borrow_mut().clear();
+            while platform.probes.borrow().is_empty() {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            assert!(!platform.probes.borrow().contains(&true));
+            platform.refusals.set(0);
+            while !platform.probes.borrow().contains(&true) {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        },
+        2,
+    );
+}
+
 /// The load of an owner must not stay in the metrics of an instance that has released its shard.
 #[test]
 fn metrics_of_a_former_owner_show_no_late_ticks() {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use sycamorerill_core::clock::Span;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::config::{Config, Limits, Queue, Service};
 use sycamorerill_jobs::executor::{
     Advice, Availability, EndReason, Incarnation, Outcome, Refusal, Registration, Report, RunEnd,
@@ -24,7 +24,8 @@
 };
 use sycamorerill_jobs::spec::Resources;
 use sycamorerill_node::platform::{
-    Changes, Error, Key, Page, Platform, Probe, Row, Start, Table, Target, Transaction, Version,
+    Changes, Error, Key, Page, Platform, Probe, Row, Start, StoreClock, Table, Target, Transaction,
+    Version,
 };
 use sycamorerill_node::{Instance, ManagerSettings, Settings, Spawner, clock, start};
 
@@ -51,6 +52,8 @@
     /// Number of upcoming transactions that are refused.
     pub(crate) refusals: Cell<u32>,
     executors: RefCell<BTreeMap<ExecutorId, FakeExecutor>>,
+    /// For each probe that was sent, whether it renewed leases.
+    pub(crate) probes: RefCell<Vec<bool>>,
     /// Starts that executors have carried out.
     pub(crate) starts: RefCell<Vec<(TaskId, Run)>>,
 }
@@ -267,6 +270,11 @@
         }
     }
 
+    fn store_clock(&self) -> Option<StoreClock> {
+        let now = clock::now();
+        Some(StoreClock { reading: now.since(Time::ZERO), sent: now, received: now })
+    }
+
     async fn start(&self, target: Target, start: Start) -> Outcome {
         pause(1).await;
         let clock = match self.check_order(&target) {
@@ -305,6 +313,7 @@
 
     async fn probe(&self, target: Target, probe: Probe) -> Result<Report, Outcome> {
         let until = clock::now() + probe.wait;
+        self.platform.probes.borrow_mut().push(probe.deadline.is_some());
         loop {
             pause(1).await;
             let clock = self.check_order(&target)?;
