jobs: a restart ends no run that the new incarnation may have accepted

Callers saw tasks run twice, or again after they were done (TWICE), when an executor was killed and was back at once under its name.

Cause: an executor takes starts before its new entry is read, and its answer names no incarnation. Each confirmed run was ascribed to the incarnation known at its placement and closed as gone when the next one became known. On the same path: a report of the previous incarnation was taken for one of the present; a probe acknowledged the number of an end again and again, so a new numbering was discarded unseen; a refusal from a former address closed the runs at the present one; and a run that was placed before the restart was still started after it.

Change: confirmed runs stay open until a report of the new incarnation to a probe that was sent after the confirmation. It lists them, or they ended with the old one. Late reports are dropped by their incarnation, probes acknowledge only ends that wait for it, refusals count for the address that was called, placed runs are placed anew. The lease bound after a restart is the longest lease that executors grant, since a deadline by the old clock may have reached the new incarnation.

--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -123,7 +123,7 @@
         let open = found.open_runs.iter().find(|open| open.run == run)?;
         let executor = self.executors.get(&open.executor)?;
         match (open.stage, open.started_at) {
-            (_, Some(at)) if executor.last_answer.since(at) <= ATTRIBUTION_WINDOW => {
+            (_, Some(at)) if executor.last_answer_to(open).since(at) <= ATTRIBUTION_WINDOW => {
                 Some(Involvement::Started)
             }
             (Stage::Sent | Stage::Unknown, None) if open.stop == Stop::NotRequested => {
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -4,10 +4,9 @@
 
 use sycamorerill_core::clock::{Span, Time};
 
-use super::entry::{Entry, OpenRun, Stop};
-use super::message::{Decision, Order};
-use super::{Command, Shard};
-use crate::executor::{Availability, Incarnation, Registration, Steady};
+use super::Shard;
+use super::entry::{Entry, OpenRun};
+use crate::executor::{Availability, Registration, Steady};
 use crate::id::{ExecutorId, Image, JobId, TaskId};
 use crate::spec::{Resources, Step};
 
@@ -20,15 +19,14 @@
     pub(super) registration: Registration,
     /// Whether the executor's entry is in the list.
     pub(super) present: bool,
-    /// When the entry was first seen, the current incarnation was first seen, or the entry was
-    /// removed, whichever was last.
-    pub(super) presence_changed: Time,
     /// Earliest time of departure, if the executor is draining.
     pub(super) leaves_at: Option<Time>,
     /// Lower bound on the executor's clock, and the time at which it was valid.
-    clock: (Steady, Time),
+    pub(super) clock: (Steady, Time),
     /// When the executor last answered this owner.
     pub(super) last_answer: Time,
+    /// When the executor last answered before its latest restart was known.
+    pub(super) last_answer_before_restart: Time,
     /// When a run was last placed on the executor.
     pub(super) last_placed: Time,
     /// Time until which the executor gets no other work than a task that may crash it.
@@ -94,10 +92,10 @@
         let mut executor = Self {
             registration,
             present: true,
-            presence_changed: now,
             leaves_at: None,
             clock,
             last_answer: Time::ZERO,
+            last_answer_before_restart: Time::ZERO,
             last_placed: Time::ZERO,
             trial_until: Time::ZERO,
             deadline: Steady(0),
@@ -176,22 +174,6 @@
         !self.present && !self.fenced
     }
 
-    /// Resets the state for a new incarnation, which runs nothing and numbers run ends from 1.
-    pub(super) fn begin_incarnation(&mut self, now: Time, incarnation: Incarnation, clock: Steady) {
-        self.registration.incarnation = incarnation;
-        self.clock = (clock, now);
-        self.confirmed = false;
-        self.ends_processed = 0;
-        self.ends_recorded = 0;
-        self.ends_acknowledged = 0;
-        self.probe_acknowledges = 0;
-        self.probe_sent = None;
-        self.probe_after = now;
-        self.unreachable_since = None;
-        self.presence_changed = now;
-        self.tails.clear();
-    }
-
     /// Reserves the resources for a run of a step.
     pub(super) fn reserve(&mut self, task: TaskId, step: &Step) {
         self.used = self.used.plus(&step.reserved());
@@ -320,7 +302,6 @@
             return;
         };
         executor.present = false;
-        executor.presence_changed = now;
         if executor.open_tasks.is_empty() && executor.ends_acknowledged >= executor.ends_processed {
             self.executors.remove(id);
         } else if executor.probe_sent.is_none() {
@@ -329,103 +310,6 @@
         }
     }
 
-    /// Handles the start of a new incarnation of an executor, which ends the runs of the
-    /// previous one.
-    ///
-    /// An order that was not answered may still reach the new incarnation, so its run stays
-    /// open until a stop is answered there.
-    pub(super) fn handle_restart(
-        &mut self,
-        now: Time,
-        id: &ExecutorId,
-        incarnation: Incarnation,
-        clock: Steady,
-    ) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        let old = executor.registration.incarnation;
-        let was_fenced = executor.fenced;
-        executor.begin_incarnation(now, incarnation, clock);
-        let address = executor.registration.address;
-        self.attribute_lapsed(now, id, incarnation, address);
-        self.out.push(Command::Log(Decision::Restarted(id.clone(), incarnation)));
-        let Some(executor) = self.executors.get(id) else {
-            return;
-        };
-        let open: Vec<TaskId> = executor.open_tasks.iter().copied().collect();
-        let mut pending = false;
-        for task in open {
-            pending |= self.close_superseded_runs(now, id, &task, old, was_fenced);
-        }
-        if !pending && let Some(executor) = self.executors.get_mut(id) {
-            executor.deadline = Steady(0);
-        }
-        self.probe_candidates.insert(id.clone());
-        self.placement_due = true;
-    }
-
-    /// Closes the runs of a task that ended with the previous incarnation. Returns whether an
-    /// order for the task may still be carried out by the new one.
-    fn close_superseded_runs(
-        &mut self,
-        now: Time,
-        id: &ExecutorId,
-        task: &TaskId,
-        old: Incarnation,
-        fenced: bool,
-    ) -> bool {
-        let Some(found) = self.jobs.get_mut(&task.step.job).and_then(|e| e.task_mut(task)) else {
-            return false;
-        };
-        let mut pending = false;
-        let mut ended = Vec::new();
-        let mut unanswered = None;
-        for open in &mut found.open_runs {
-            if open.executor != *id || open.incarnation != old {
-                continue;
-            }
-            let may_arrive = matches!(
-                open.stage,
-                super::entry::Stage::Sent
-                    | super::entry::Stage::Unknown
-                    | super::entry::Stage::Inherited
-            );
-            if may_arrive || !fenced {
-                let is_unanswered =
-                    matches!(open.stage, super::entry::Stage::Sent | super::entry::Stage::Unknown);
-                if is_unanswered && open.stop == Stop::NotRequested {
-                    unanswered = Some(open.run);
-                }
-                open.stop = Stop::Requested;
-                pending = true;
-            } else if open.stage != super::entry::Stage::Recording {
-                ended.push(open.run);
-            }
-        }
-        for run in ended {
-            self.close(now, task, run, super::message::Closing::Gone);
-        }
-        if let Some(run) = unanswered {
-            let order = Order { executor: id.clone(), task: *task, run };
-            self.record_crash(now, &order, super::crash::Involvement::MayHaveStarted);
-        }
-        pending
-    }
-
-    /// Handles the answer of another executor that has taken over the address. The runs of the
-    /// old executor are over, and the new one refuses orders that arrive late.
-    pub(super) fn handle_replacement(&mut self, now: Time, id: &ExecutorId) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        executor.present = false;
-        let open: Vec<TaskId> = executor.open_tasks.iter().copied().collect();
-        for task in open {
-            self.close_runs_on(now, id, &task, super::message::Closing::Gone);
-        }
-    }
-
     /// Closes the runs of executors that are out of reach and whose leases have expired, and
     /// removes executors that are gone.
     ///
@@ -454,7 +338,7 @@
     }
 
     /// Closes the runs of `task` on executor `id` that are recorded.
-    fn close_runs_on(
+    pub(super) fn close_runs_on(
         &mut self,
         now: Time,
         id: &ExecutorId,
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -210,8 +210,8 @@
         Ended(EndReason),
         /// The executor refused the order to start the run.
         Refused(Refusal),
-        /// The order to start the run was never sent, as the connection failed or the executor may
-        /// get no lease.
+        /// The order to start the run was never sent, as the connection failed, or the executor
+        /// has restarted or may get no lease.
         NotSent,
         /// The order to start the run was never sent, as the executor's capacity has shrunk.
         NoCapacity,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -26,6 +26,7 @@
 mod ranking;
 mod rejections;
 mod relocate;
+mod restart;
 mod restore;
 mod score;
 mod settings;
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -87,7 +87,7 @@
             self.remove_ticket(order.task.step, &order.executor);
         }
         if refusal == Refusal::Incarnation {
-            self.handle_replacement(now, &order.executor);
+            self.handle_replaced_target(now, order);
             return;
         }
         let Some(open) = self.open_run_mut(order) else {
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Handles the refusal of an order by another executor at the address that it was sent to.
+    fn handle_replaced_target(&mut self, now: Time, order: &Order) {
+        let recorded = self.open_run_mut(order).and_then(|open| open.address);
+        let listed = self.executors.get(&order.executor).map(|found| found.registration.address);
+        if let Some(address) = recorded.or(listed) {
+            self.handle_replacement(now, &order.executor, address);
+        }
+    }
+
     /// Handles the outcome of an order to stop a run.
     pub(super) fn handle_stop_outcome(&mut self, now: Time, order: &Order, outcome: Outcome) {
         self.record_outcome(now, &order.executor, outcome);
@@ -131,9 +140,7 @@
                 }
                 self.schedule_probe(&order.executor);
             }
-            Outcome::Refused(Refusal::Incarnation, _) => {
-                self.handle_replacement(now, &order.executor)
-            }
+            Outcome::Refused(Refusal::Incarnation, _) => self.handle_replaced_target(now, order),
             Outcome::Refused(..) | Outcome::NotSent | Outcome::Unknown => {}
         }
     }
@@ -232,7 +239,8 @@
         };
         open.stop = Stop::Sent(now);
         let order = Order { executor: open.executor.clone(), task: *task, run };
-        self.out.push(Command::Stop { order, address: executor.registration.address });
+        let address = executor.registration.address;
+        self.out.push(Command::Stop { order, address });
     }
 
     /// Returns the open run that an order refers to.
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -81,8 +81,10 @@
         let extends = reports && executor.may_extend_lease();
         let deadline = extends.then(|| executor.extend_lease(now, settings.lease));
         let probe = Probe { executor: id.clone(), number: executor.latest_probe };
-        let acknowledged = executor.ends_recorded;
-        executor.probe_acknowledges = acknowledged;
+        executor.probe_acknowledges = executor.ends_recorded;
+        // An executor that has restarted unnoticed would discard ends of its new numbering, so a
+        // probe acknowledges nothing that was acknowledged before.
+        let acknowledged = if unacknowledged { executor.ends_recorded } else { 0 };
         let address = executor.registration.address;
         self.out.push(Command::Probe { probe, address, acknowledged, deadline, wait });
         true
@@ -98,10 +100,15 @@
             return;
         }
         executor.probe_sent = None;
-        if let Some(incarnation) = report.incarnation
-            && incarnation > executor.registration.incarnation
-        {
-            self.handle_restart(now, id, incarnation, report.clock);
+        let current = executor.registration.incarnation;
+        let reported = report.incarnation.unwrap_or(current);
+        if reported < current {
+            // A late answer of the previous incarnation.
+            self.probe_candidates.insert(id.clone());
+            return;
+        }
+        if reported > current {
+            self.handle_restart(now, id, reported, report.clock);
         }
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -153,7 +160,12 @@
     /// Handles a run that an executor reports as running.
     fn handle_listed_run(&mut self, now: Time, id: &ExecutorId, row: &RunReport) {
         let order = Order { executor: id.clone(), task: row.task, run: row.run };
-        let probe = self.executors.get(id).map_or(0, |executor| executor.latest_probe);
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let probe = executor.latest_probe;
+        let incarnation = executor.registration.incarnation;
+        let address = executor.registration.address;
         let found = self.jobs.get_mut(&row.task.step.job).and_then(|e| e.task_mut(&row.task));
         let open = found.and_then(|task| {
             if !row.checkpoint.is_empty() {
@@ -163,12 +175,11 @@
         });
         let Some(open) = open else {
             // No record has this run as open, so its end would be ignored: it is stopped.
-            let address = self.executors.get(id).map(|executor| executor.registration.address);
-            if let Some(address) = address {
-                self.out.push(Command::Stop { order, address });
-            }
+            self.out.push(Command::Stop { order, address });
             return;
         };
+        open.incarnation = incarnation;
+        open.address = Some(address);
         if !matches!(open.stage, Stage::Running { .. }) {
             open.confirm(now, probe);
             open.progress = (row.percent, now);
@@ -185,6 +196,7 @@
             return;
         };
         let first_under_epoch = !executor.fenced;
+        let current = executor.registration.incarnation;
         let mut unlisted = Vec::new();
         for PlacedRun { task, open, .. } in self.runs_on(executor) {
             if listed.contains(&(task, open.run)) {
@@ -198,11 +210,13 @@
             let stopped = matches!(open.stop, Stop::Answered { since_probe }
                 if probe.number >= since_probe);
             if missing || stopped {
-                unlisted.push((task, open.run));
+                let ended_with_incarnation = missing && open.incarnation < current;
+                let by = if ended_with_incarnation { Closing::Gone } else { Closing::NotListed };
+                unlisted.push((task, open.run, by));
             }
         }
-        for (task, run) in unlisted {
-            self.close(now, &task, run, Closing::NotListed);
+        for (task, run, by) in unlisted {
+            self.close(now, &task, run, by);
         }
     }
 
@@ -222,7 +236,8 @@
         self.probe_candidates.insert(id.clone());
         if let Outcome::Refused(refusal, _) = outcome {
             if refusal == Refusal::Incarnation {
-                self.handle_replacement(now, id);
+                let address = executor.registration.address;
+                self.handle_replacement(now, id, address);
                 return;
             }
             if refusal == Refusal::Unhealthy {
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -13,6 +13,8 @@
         pub sweep: Span,
         /// Duration of the lease that each probe and each start grants.
         pub lease: Span,
+        /// Longest lease that an executor grants, whatever deadline an order or a probe gives.
+        pub max_lease: Span,
         /// Time before the end of a lease from which on it is renewed even if run ends of the
         /// executor wait to be recorded.
         pub renewal_lead: Span,
@@ -51,6 +53,7 @@
             sweep: Span::from_ms(100),
             // More than twice the duration of a takeover of the shard, which is about 2 s.
             lease: Span::from_ms(5_000),
+            max_lease: Span::from_ms(10_000),
             // Leaves two attempts at a probe before the lease ends.
             renewal_lead: Span::from_ms(3_000),
             // The longest wait that executors offer, since each probe has a cost.
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -171,7 +171,9 @@
         let executor = self.executors.get(&open.executor);
         if executor.is_some_and(Executor::is_overcommitted) {
             self.close(now, task, run, Closing::NoCapacity);
-        } else if executor.is_none_or(|executor| !executor.may_extend_lease()) {
+        } else if executor.is_none_or(|executor| {
+            !executor.may_extend_lease() || executor.registration.incarnation != open.incarnation
+        }) {
             self.close(now, task, run, Closing::NotSent);
         } else {
             self.send_start(now, task, run);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -45,6 +45,8 @@
     pub(crate) states: BTreeMap<JobId, State>,
     /// Lease ends that are recorded, with the times at which all leases have ended.
     pub(crate) lease_ends: BTreeMap<ExecutorId, Time>,
+    /// Entries that the next successors read in place of the present ones.
+    pub(crate) stale_entries: BTreeMap<ExecutorId, Registration>,
     /// Whether the next successor takes over shortly after an outage of the store.
     pub(crate) after_outage: bool,
     /// Orders that are delivered later, each with the epoch of its sender.
@@ -59,7 +61,8 @@
     /// Decisions that the shard logged.
     pub(crate) log: Vec<String>,
     done_tasks: BTreeSet<TaskId>,
-    pending_probes: Vec<(Probe, Time)>,
+    /// Probes that wait at executors, with the incarnation that they wait at.
+    pending_probes: Vec<(Probe, u64, Time)>,
     /// Time that the answer to a probe takes beyond the probe's wait.
     pub(crate) probe_latency: Span,
     /// Whether the store accepts records.
@@ -120,6 +123,7 @@
             progress: BTreeMap::new(),
             states: BTreeMap::new(),
             lease_ends: BTreeMap::new(),
+            stale_entries: BTreeMap::new(),
             after_outage: false,
             delayed_orders: Vec::new(),
             violations: Vec::new(),
@@ -182,7 +186,8 @@
 
     /// Reports the list entry of an executor to the shard, as the platform's store does.
     pub(crate) fn list_executor(&mut self, id: &ExecutorId) {
-        let registration = self.registration(id);
+        let entry = self.stale_entries.get(id).cloned();
+        let registration = entry.unwrap_or_else(|| self.registration(id));
         self.handle(Event::Listed(Box::new(registration)));
     }
 
@@ -203,6 +208,11 @@
         }
     }
 
+    /// Returns the list entry of an executor.
+    pub(crate) fn registration_of(&self, id: &str) -> Registration {
+        self.registration(&ExecutorId::from(id))
+    }
+
     pub(crate) fn handle(&mut self, event: Event) {
         let wall_ms = self.wall_ms();
         self.shard.handle(self.now, wall_ms, event);
--- a/crates/jobs/tests/support/probe.rs
+++ b/crates/jobs/tests/support/probe.rs
@@ -41,15 +41,16 @@
         if let Some(deadline) = deadline {
             executor.deadline = executor.deadline.max(deadline.0);
         }
-        self.pending_probes.push((probe, now + wait + self.probe_latency));
+        let incarnation = executor.incarnation;
+        self.pending_probes.push((probe, incarnation, now + wait + self.probe_latency));
     }
 
     /// Answers the probes whose wait is over or for which a run has ended.
     pub(super) fn answer_probes(&mut self) {
         let now = self.now;
-        for (probe, until) in std::mem::take(&mut self.pending_probes) {
+        for (probe, incarnation, until) in std::mem::take(&mut self.pending_probes) {
             let executor = &self.executors[&probe.executor];
-            if !executor.reachable {
+            if !executor.reachable || executor.incarnation != incarnation {
                 self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
             } else if now >= until
                 || (!executor.ended.is_empty() && self.probe_latency == Span::ZERO)
@@ -57,7 +58,7 @@
                 let report = executor.report(now);
                 self.handle(Event::Probed(probe, report));
             } else {
-                self.pending_probes.push((probe, until));
+                self.pending_probes.push((probe, incarnation, until));
             }
         }
     }
