jobs: the end of leases is kept on the clock of the present incarnation

Callers saw jobs stand still (LOST): tasks of an executor that was lost for good were not started again for as long as an earlier process of it had been up.

Cause: after a restart with an unanswered order the latest lease end was not reset, so a deadline by the old clock was compared with the new one. Without such an order it was reset to 0, although deadlines of the old clock may have reached the new process, which then grants its longest lease, 10 s; the owner counted 5 s from its last call.

Change: a restart replaces the lease end by the longest lease that any call so far can have caused: 10 s, and 12 s more while a call without an answer may still be carried out. The same holds for runs of predecessors at executors that have restarted since. An answer whose clock went back shows a restart before any report does. Sums of clocks saturate.

Tests: jobs/tests/restarts.rs. tasks_move_when_an_executor_is_lost_after_a_restart... and the_longest_lease_is_waited_for... failed before; late_orders_to_a_new_incarnation... is red without the term for unanswered calls. Simulated executors shorten leases to 10 s.

--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -33,6 +33,10 @@
     pub(super) trial_until: Time,
     /// Latest end of any lease that the executor may have been granted, by its own clock.
     pub(super) deadline: Steady,
+    /// Time until which orders and probes without an answer may still be carried out.
+    pub(super) unanswered_until: Time,
+    /// When the clock was last replaced, so that deadlines sent before mean nothing on it.
+    pub(super) clock_reset_at: Time,
     /// Whether the end of the leases is recorded for a successor, or may be. They are not renewed
     /// then.
     pub(super) lease_end_recorded: bool,
@@ -44,6 +48,8 @@
     /// When all orders and leases of predecessors have expired, even without an answer from the
     /// executor.
     pub(super) inherited_until: Time,
+    /// Whether the executor has restarted since a predecessor placed a run there.
+    pub(super) inherited_restart: bool,
     /// Tasks with open runs on the executor.
     pub(super) open_tasks: BTreeSet<TaskId>,
     /// Resources reserved for open runs.
@@ -99,10 +105,13 @@
             last_placed: Time::ZERO,
             trial_until: Time::ZERO,
             deadline: Steady(0),
+            unanswered_until: Time::ZERO,
+            clock_reset_at: Time::ZERO,
             lease_end_recorded: false,
             fenced: true,
             confirmed: true,
             inherited_until: Time::ZERO,
+            inherited_restart: false,
             open_tasks: BTreeSet::new(),
             used: Resources::default(),
             best_effort_cpu: BTreeMap::new(),
@@ -131,7 +140,7 @@
     /// Returns a lower bound on the executor's clock at `now`.
     pub(super) fn clock(&self, now: Time) -> Steady {
         let elapsed = now.since(self.clock.1).scale(SLOWEST_CLOCK).as_ms();
-        Steady(self.clock.0.0 + elapsed)
+        Steady(self.clock.0.0.saturating_add(elapsed))
     }
 
     /// Raises the lower bound on the clock to a reading received at `now`.
@@ -144,7 +153,7 @@
     /// Returns the end of a lease of length `lease` from `now`, and records that it may be
     /// granted.
     pub(super) fn extend_lease(&mut self, now: Time, lease: Span) -> Steady {
-        let deadline = Steady(self.clock(now).0 + lease.as_ms());
+        let deadline = Steady(self.clock(now).0.saturating_add(lease.as_ms()));
         self.deadline = self.deadline.max(deadline);
         deadline
     }
@@ -159,7 +168,7 @@
 
     /// Returns whether a lease of the executor may end within `lead`.
     pub(super) fn lease_ends_within(&self, now: Time, lead: Span) -> bool {
-        self.clock(now).0 + lead.as_ms() >= self.deadline.0
+        self.clock(now).0.saturating_add(lead.as_ms()) >= self.deadline.0
     }
 
     /// Returns whether the expiry of leases has to be concluded from the local clock, since the
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -100,8 +100,14 @@
 
     /// Returns an upper bound on the time from the takeover until the leases that predecessors
     /// granted to an executor have ended.
-    pub(super) fn longest_inherited_lease(&self, id: &ExecutorId) -> Span {
+    ///
+    /// An executor that has restarted since may grant its longest lease for any deadline of theirs
+    /// that reaches it.
+    pub(super) fn longest_inherited_lease(&self, id: &ExecutorId, has_restarted: bool) -> Span {
         let settings = self.settings;
+        if has_restarted {
+            return settings.predecessor_grace + settings.max_order_delay + settings.max_lease;
+        }
         let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + LEASE_MARGIN;
         let longest = settings.predecessor_grace + lease;
         self.lease_ends.inherited.get(id).map_or(longest, |recorded| longest.min(*recorded))
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -53,13 +53,15 @@
             return;
         };
         let repeated = open.last_sent > open.first_sent;
+        let sent = open.last_sent;
         match outcome {
-            Outcome::Done(_) => {
+            Outcome::Done(clock) => {
                 if !matches!(open.stage, Stage::Running { .. }) {
                     open.confirm(now, since_probe);
                     open.progress = (0, now);
                 }
                 self.schedule_probe(&order.executor);
+                self.check_clock(now, &order.executor, sent, clock);
             }
             Outcome::NotSent if !repeated && open.stop == Stop::NotRequested => {
                 self.mark_unreachable(now, &order.executor);
@@ -69,6 +71,9 @@
                 if open.stage == Stage::Sent {
                     open.stage = Stage::Unknown;
                 }
+                if let Some(executor) = self.executors.get_mut(&order.executor) {
+                    executor.record_unanswered(now, sent, &self.settings);
+                }
             }
             Outcome::Refused(refusal, _) => {
                 self.handle_start_refusal(now, order, refusal, repeated)
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -4,10 +4,10 @@
 
 use sycamorerill_core::clock::{Span, Time};
 
-use super::Shard;
 use super::entry::{Stage, Stop};
 use super::executors::PlacedRun;
 use super::message::{Closing, Command, Decision, Order, Probe};
+use super::{Settings, Shard};
 use crate::executor::{Outcome, Refusal, Report, RunReport, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
@@ -99,7 +99,7 @@
         if executor.latest_probe != probe.number {
             return;
         }
-        executor.probe_sent = None;
+        let sent = executor.probe_sent.take().unwrap_or(now);
         let current = executor.registration.incarnation;
         let reported = report.incarnation.unwrap_or(current);
         if reported < current {
@@ -109,6 +109,8 @@
         }
         if reported > current {
             self.handle_restart(now, id, reported, report.clock);
+        } else {
+            self.correct_clock(now, id, sent, report.clock);
         }
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -143,14 +145,16 @@
         if complete {
             self.close_unlisted(now, probe, &listed);
         }
+        let Settings { lease, max_lease, .. } = self.settings;
         if let Some(executor) = self.executors.get_mut(id)
             && !executor.fenced
         {
+            let longest = if executor.inherited_restart { max_lease } else { lease };
             executor.fenced = true;
             self.released.insert(id.clone());
             // Leases granted by predecessors remain in force; none of them can end later than
             // this.
-            let longest = Steady(report.clock.0 + self.settings.lease.as_ms());
+            let longest = Steady(report.clock.0.saturating_add(longest.as_ms()));
             executor.deadline = executor.deadline.max(longest);
         }
         self.observe(now, id, &report.running);
@@ -223,6 +227,7 @@
     /// Handles a probe that was refused or not answered.
     pub(super) fn handle_probe_failure(&mut self, now: Time, probe: &Probe, outcome: Outcome) {
         let id = &probe.executor;
+        let settings = self.settings;
         self.record_outcome(now, id, outcome);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -230,7 +235,11 @@
         if executor.latest_probe != probe.number {
             return;
         }
-        executor.probe_sent = None;
+        if let Some(sent) = executor.probe_sent.take()
+            && outcome == Outcome::Unknown
+        {
+            executor.record_unanswered(now, sent, &settings);
+        }
         executor.probe_failed = true;
         executor.probe_after = now + self.settings.probe_retry;
         self.probe_candidates.insert(id.clone());
--- a/crates/jobs/src/shard/restart.rs
+++ b/crates/jobs/src/shard/restart.rs
@@ -6,36 +6,92 @@
 
 use std::net::SocketAddr;
 
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 
 use super::entry::{OpenRun, Stage, Stop};
 use super::executors::Executor;
 use super::message::{Closing, Command, Decision, Order};
-use super::{Shard, crash};
+use super::{Settings, Shard, crash};
 use crate::executor::{Incarnation, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
+/// Fastest rate of an executor's clock relative to the local clock.
+const FASTEST_CLOCK: f64 = 1.02;
+/// Tolerance of comparisons between readings of an executor's clock, which are rounded.
+const CLOCK_MARGIN: Span = Span::from_ms(5);
+
 impl Executor {
     /// Resets the state for a new incarnation, which numbers run ends from 1.
     ///
     /// It takes no work until it has answered a probe: it has seen no epoch yet.
-    fn begin_incarnation(&mut self, now: Time, incarnation: Incarnation, clock: Steady) {
+    fn begin_incarnation(
+        &mut self,
+        now: Time,
+        incarnation: Incarnation,
+        clock: Steady,
+        settings: &Settings,
+    ) {
         self.registration.incarnation = incarnation;
-        self.clock = (clock, now);
+        self.reset_clock(now, clock, settings);
         self.confirmed = false;
-        self.ends_processed = 0;
-        self.ends_recorded = 0;
-        self.ends_acknowledged = 0;
-        self.probe_acknowledges = 0;
+        self.reset_ends();
         // A probe in flight was sent to the previous incarnation; its outcome is ignored.
         self.latest_probe += 1;
         self.probe_sent = None;
         self.probe_after = now;
         self.unreachable_since = None;
         self.last_answer_before_restart = self.last_answer;
+        self.inherited_restart |= !self.fenced;
         self.tails.clear();
     }
 
+    fn reset_ends(&mut self) {
+        self.ends_processed = 0;
+        self.ends_recorded = 0;
+        self.ends_acknowledged = 0;
+        self.probe_acknowledges = 0;
+    }
+
+    /// Replaces the clock by a reading received at `now`, on which earlier deadlines mean nothing.
+    fn reset_clock(&mut self, now: Time, clock: Steady, settings: &Settings) {
+        if let Some(sent) = self.probe_sent {
+            self.unanswered_until = self.unanswered_until.max(sent + settings.max_order_delay);
+        }
+        self.clock = (clock, now);
+        self.clock_reset_at = now;
+        self.deadline = Steady(0);
+        self.extend_for_unanswered(now, settings);
+    }
+
+    /// Extends the bound on leases to the longest ones that deadlines of an earlier clock can cause.
+    ///
+    /// They may reach the executor until `unanswered_until`. It then grants its longest lease.
+    fn extend_for_unanswered(&mut self, now: Time, settings: &Settings) {
+        let longest = self.unanswered_until.since(now) + settings.max_lease;
+        let end = Steady(self.clock(now).0.saturating_add(longest.as_ms()));
+        self.deadline = self.deadline.max(end);
+    }
+
+    /// Records at `now` that an order or a probe that was sent at `sent` has no answer.
+    pub(super) fn record_unanswered(&mut self, now: Time, sent: Time, settings: &Settings) {
+        self.unanswered_until = self.unanswered_until.max(sent + settings.max_order_delay);
+        if sent < self.clock_reset_at {
+            self.extend_for_unanswered(now, settings);
+        }
+    }
+
+    /// Returns whether a reading of the clock, in the answer to a call that was sent at `sent`,
+    /// shows that the executor has restarted.
+    fn shows_restart(&self, sent: Time, clock: Steady) -> bool {
+        let (reading, at) = self.clock;
+        let least = if sent < at {
+            reading.0.saturating_sub(at.since(sent).scale(FASTEST_CLOCK).as_ms())
+        } else {
+            self.clock(sent).0
+        };
+        clock.0.saturating_add(CLOCK_MARGIN.as_ms()) < least
+    }
+
     /// Returns when the executor last answered in the incarnation of a run.
     pub(super) fn last_answer_to(&self, open: &OpenRun) -> Time {
         match open.incarnation < self.registration.incarnation {
@@ -58,42 +114,33 @@
         incarnation: Incarnation,
         clock: Steady,
     ) {
+        let settings = self.settings;
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        executor.begin_incarnation(now, incarnation, clock);
+        executor.begin_incarnation(now, incarnation, clock, &settings);
         let address = executor.registration.address;
         let open: Vec<TaskId> = executor.open_tasks.iter().copied().collect();
         self.attribute_lapsed(now, id, incarnation, address);
         self.out.push(Command::Log(Decision::Restarted(id.clone(), incarnation)));
-        let mut pending = false;
         for task in open {
-            pending |= self.stop_unanswered(now, id, &task);
-        }
-        let max_lease = self.settings.max_lease;
-        if !pending && let Some(executor) = self.executors.get_mut(id) {
-            // Deadlines by the clock of the previous incarnation may have reached the new one.
-            executor.deadline = Steady(executor.clock(now).0 + max_lease.as_ms());
+            self.stop_unanswered(now, id, &task);
         }
         self.probe_candidates.insert(id.clone());
         self.placement_due = true;
     }
 
     /// Requests a stop of the runs of a task whose orders were not answered before a restart of
-    /// the executor. Returns whether there are any, or any of a predecessor, about which the first
-    /// report under the current epoch decides.
-    fn stop_unanswered(&mut self, now: Time, id: &ExecutorId, task: &TaskId) -> bool {
+    /// the executor.
+    fn stop_unanswered(&mut self, now: Time, id: &ExecutorId, task: &TaskId) {
         let Some(found) = self.jobs.get_mut(&task.step.job).and_then(|e| e.task_mut(task)) else {
-            return false;
+            return;
         };
-        let mut pending = false;
         let mut unanswered = None;
         for open in found.open_runs.iter_mut().filter(|open| open.executor == *id) {
-            pending |= open.stage == Stage::Inherited;
             if !matches!(open.stage, Stage::Sent | Stage::Unknown) {
                 continue;
             }
-            pending = true;
             if open.stop == Stop::NotRequested {
                 unanswered = Some(open.run);
             }
@@ -103,7 +150,36 @@
             let order = Order { executor: id.clone(), task: *task, run };
             self.record_crash(now, &order, crash::Involvement::MayHaveStarted);
         }
-        pending
+    }
+
+    /// Replaces the clock of an executor that reports less than its entry did.
+    pub(super) fn correct_clock(&mut self, now: Time, id: &ExecutorId, sent: Time, clock: Steady) {
+        let settings = self.settings;
+        if let Some(executor) = self.executors.get_mut(id)
+            && executor.shows_restart(sent, clock)
+        {
+            executor.reset_clock(now, clock, &settings);
+        }
+    }
+
+    /// Handles a reading of an executor's clock in the answer to an order that was sent at `sent`.
+    ///
+    /// A clock that went back shows a restart before any report does. The next probe tells which
+    /// runs the executor has.
+    pub(super) fn check_clock(&mut self, now: Time, id: &ExecutorId, sent: Time, clock: Steady) {
+        let settings = self.settings;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if clock > Steady(0) && executor.shows_restart(sent, clock) {
+            executor.reset_clock(now, clock, &settings);
+            executor.reset_ends();
+            executor.confirmed = false;
+            // The outcome of a probe in flight is ignored, so that the next one is sent at once.
+            executor.latest_probe += 1;
+            executor.probe_sent = None;
+            self.probe_candidates.insert(id.clone());
+        }
     }
 
     /// Handles the answer of another executor that has taken over `address`. The runs that were
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -129,7 +129,9 @@
     /// Marks the executor of a recorded run as one where that run may be active.
     fn inherit(&mut self, now: Time, task: &TaskId, record: &progress::OpenRun) {
         let id = &record.executor;
-        let lease_end = now + self.longest_inherited_lease(id);
+        let listed = self.executors.get(id).map(|found| found.registration.incarnation);
+        let has_restarted = listed.is_some_and(|listed| listed.0 > record.incarnation);
+        let lease_end = now + self.longest_inherited_lease(id, has_restarted);
         let job = self.jobs.get(&task.step.job).map(|entry| Arc::clone(&entry.job));
         let step = job.as_ref().and_then(|job| job.steps.get(task.step.step as usize));
         let Some(step) = step else {
@@ -138,6 +140,9 @@
         let executor =
             self.executors.entry(id.clone()).or_insert_with(|| Executor::unlisted(now, record));
         executor.inherit(record, lease_end);
+        executor.inherited_restart |= has_restarted;
+        let until = now + self.settings.predecessor_grace;
+        executor.record_unanswered(now, until, &self.settings);
         executor.reserve(*task, step);
         self.probe_candidates.insert(id.clone());
     }
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -15,6 +15,8 @@
         pub lease: Span,
         /// Longest lease that an executor grants, whatever deadline an order or a probe gives.
         pub max_lease: Span,
+        /// Longest time after which an order or a probe without an answer may still be carried out.
+        pub max_order_delay: Span,
         /// Time before the end of a lease from which on it is renewed even if run ends of the
         /// executor wait to be recorded.
         pub renewal_lead: Span,
@@ -54,6 +56,7 @@
             // More than twice the duration of a takeover of the shard, which is about 2 s.
             lease: Span::from_ms(5_000),
             max_lease: Span::from_ms(10_000),
+            max_order_delay: Span::from_ms(12_000),
             // Leaves two attempts at a probe before the lease ends.
             renewal_lead: Span::from_ms(3_000),
             // The longest wait that executors offer, since each probe has a cost.
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -140,6 +140,7 @@
     fn mark_end_recorded(&mut self, id: &ExecutorId, incarnation: Incarnation, end: u64) {
         if let Some(executor) = self.executors.get_mut(id)
             && executor.registration.incarnation == incarnation
+            && executor.confirmed
         {
             executor.ends_recorded = executor.ends_recorded.max(end);
             self.probe_candidates.insert(id.clone());
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use support::{Simulation, job, step};
-use sycamorerill_core::clock::Span;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::executor::{Outcome, Refusal};
 use sycamorerill_jobs::id::{ExecutorId, Run, StepId, TaskId};
 use sycamorerill_jobs::progress::State;
@@ -160,3 +160,76 @@
         assert_no_violations(&sim);
     }
 }
+
+/// After a restart with an unanswered order, the end of the leases stayed on the clock of the former
+/// incarnation, so tasks of an executor that was lost later waited for as long as that had been up.
+#[test]
+fn tasks_move_when_an_executor_is_lost_after_a_restart_with_an_unanswered_order() {
+    let mut sim = Simulation::new(2);
+    for executor in sim.executors.values_mut() {
+        executor.started = Time::ZERO;
+    }
+    list(&mut sim, "x0");
+    list(&mut sim, "x1");
+    sim.executor("x0").delays_orders = true;
+    sim.submit(job(1), vec![spread(2)]);
+    sim.advance(Span::from_ms(50));
+    sim.executor("x0").delays_orders = false;
+    restart(&mut sim, "x0");
+    list(&mut sim, "x0");
+    sim.advance(Span::from_secs(5));
+    assert_eq!(sim.state(1), Some(State::Completed));
+    sim.submit(job(2), vec![Step { long_running: true, ..step(12) }]);
+    sim.advance(Span::from_secs(10));
+    assert_eq!(sim.run_count(), 12);
+    sim.executor("x0").reachable = false;
+    sim.advance(Span::from_secs(12));
+    assert_eq!(sim.executor("x1").running.len(), 8);
+    assert_no_violations(&sim);
+}
+
+/// An executor that accepted a start before its restart was known is out of reach from then on. It
+/// grants its longest lease, since the deadline was one of its former clock.
+#[test]
+fn the_longest_lease_is_waited_for_if_only_an_answer_shows_a_restart() {
+    let mut sim = Simulation::new(3);
+    sim.advance(Span::from_secs(30));
+    restart(&mut sim, "x0");
+    sim.submit(job(1), vec![Step { long_running: true, ..spread(2) }]);
+    sim.advance(Span::from_ms(20));
+    assert_eq!(sim.executor("x0").running.len(), 1);
+    sim.executor("x0").reachable = false;
+    sim.advance(Span::from_secs(40));
+    assert_eq!(sim.executor("x2").running.len(), 1);
+    assert_no_violations(&sim);
+}
+
+/// An order of the former incarnation's time is carried out late by the new one, which then grants
+/// its longest lease to all that runs there.
+#[test]
+fn late_orders_to_a_new_incarnation_extend_its_leases() {
+    let mut sim = Simulation::new(2);
+    sim.advance(Span::from_secs(30));
+    sim.executor("x0").delays_orders = true;
+    sim.submit(job(1), vec![spread(2)]);
+    sim.advance(Span::from_ms(20));
+    sim.executor("x0").delays_orders = false;
+    restart(&mut sim, "x0");
+    list(&mut sim, "x0");
+    sim.advance(Span::from_secs(4));
+    set_cores(&mut sim, "x1", 0);
+    sim.submit(job(2), vec![Step { long_running: true, ..step(2) }]);
+    sim.advance(Span::from_secs(2));
+    assert_eq!(sim.executor("x0").running.len(), 2);
+    set_cores(&mut sim, "x1", 8);
+    sim.deliver_delayed_orders();
+    sim.executor("x0").reachable = false;
+    sim.advance(Span::from_secs(30));
+    assert_eq!(sim.executor("x1").running.len(), 2);
+    assert_no_violations(&sim);
+}
+
+fn set_cores(sim: &mut Simulation, id: &str, cores: u64) {
+    sim.executor(id).capacity.cpu = cores * 1_000;
+    list(sim, id);
+}
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -8,6 +8,9 @@
 use sycamorerill_jobs::id::{ExecutorId, Run, TaskId};
 use sycamorerill_jobs::spec::Resources;
 
+/// Longest lease that executors grant.
+const MAX_LEASE: Span = Span::from_ms(10_000);
+
 /// A run at a simulated executor.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveRun {
@@ -56,6 +59,12 @@
         Steady(now.since(self.started).as_ms())
     }
 
+    /// Extends the lease, which is at most [`MAX_LEASE`].
+    pub(crate) fn extend_lease(&mut self, now: Time, deadline: u64) {
+        let longest = (self.clock(now).0).saturating_add(MAX_LEASE.as_ms());
+        self.deadline = self.deadline.max(deadline.min(longest));
+    }
+
     pub(crate) fn end_run(&mut self, task: &TaskId, reason: EndReason) {
         if let Some(active) = self.running.remove(task) {
             self.end_count += 1;
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -442,7 +442,7 @@
         if clock.0 > deadline {
             return Outcome::Refused(Refusal::Late, Some(clock));
         }
-        executor.deadline = executor.deadline.max(deadline);
+        executor.extend_lease(now, deadline);
         if executor.running.get(&order.task).is_some_and(|active| active.run == order.run) {
             return Outcome::Done(clock);
         }
--- a/crates/jobs/tests/support/probe.rs
+++ b/crates/jobs/tests/support/probe.rs
@@ -39,7 +39,7 @@
         executor.fence = epoch;
         executor.ended.retain(|end| end.number > acknowledged);
         if let Some(deadline) = deadline {
-            executor.deadline = executor.deadline.max(deadline.0);
+            executor.extend_lease(now, deadline.0);
         }
         let incarnation = executor.incarnation;
         self.pending_probes.push((probe, incarnation, now + wait + self.probe_latency));
