--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod overload;
 pub mod ownership;
 pub mod progress;
+pub mod record;
 pub mod shard;
 pub mod spec;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -100,19 +100,22 @@
         /// Number of the step within the job.
         #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
         pub step: u32,
-        /// Indices of the done tasks; empty if all tasks are done.
+        /// Indices of the done tasks; empty if all tasks of the step are done.
         #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
         pub indices: Vec<u32>,
     }
 }
 
 data! {
-    /// Record of a job.
-    #[derive(Serialize, Deserialize)]
+    /// Record of a part of a job's tasks.
+    #[derive(Default, Serialize, Deserialize)]
     pub struct Progress {
-        /// State of the job when the record was written.
-        #[serde(rename = "s")]
-        pub state: State,
+        /// State of the job when the record was written; only in the first record of the job.
+        #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+        pub state: Option<State>,
+        /// First and last numbers of ranges of finished occurrences; only in the first record.
+        #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+        pub finished: Vec<(u32, u32)>,
         /// Done tasks, by step.
         #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
         pub done: Vec<DoneRecord>,
@@ -127,6 +130,13 @@
     *value == 0
 }
 
+impl Progress {
+    /// Returns whether the record holds nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 impl State {
     /// Returns whether a job in this state has ended.
     pub const fn is_terminal(self) -> bool {
--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -218,7 +218,7 @@
         task.not_before = now + MIN_BACKOFF;
         let (crashes, confirmed) = (task.crashes, task.confirmed_crashes);
         let exhausted = task.has_crashed_too_many(max_attempts, long_running);
-        self.dirty.insert(job);
+        self.mark_changed(&order.task);
         let decision = Decision::Crashed { order: order.clone(), crashes, confirmed };
         self.out.push(Command::Log(decision));
         if exhausted && !survives {
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -6,10 +6,12 @@
 
 use sycamorerill_core::clock::Time;
 
+use super::ranges::Ranges;
 use super::rank::Rank;
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, QueueName, Run, StepId, TaskId};
 use crate::progress::State;
+use crate::record::{MAX_CHECKPOINT_BYTES, json_bytes};
 use crate::spec::Job;
 
 /// State of one job.
@@ -28,7 +30,9 @@
     /// Occurrences that have begun and are not done, or that still have open runs.
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     /// Numbers of occurrences that are done.
-    pub(super) finished: BTreeSet<u32>,
+    pub(super) finished: Ranges,
+    /// Whether the store has rejected a record of the job, so that none of its tasks is placed.
+    pub(super) is_rejected: bool,
     /// Lowest number of an occurrence that has not begun.
     pub(super) next_occurrence: u32,
 }
@@ -164,13 +168,16 @@
 
     /// Returns whether tasks of the job may be placed.
     pub(super) fn is_active(&self) -> bool {
-        !self.cancelled && !self.state.is_terminal()
+        !self.cancelled && !self.is_rejected && !self.state.is_terminal()
     }
 
     /// Returns when occurrence `number` is to begin, in milliseconds since 1970.
     pub(super) fn begin_ms(&self, number: u32) -> u64 {
         match &self.job.schedule {
-            Some(schedule) => schedule.start_ms + u64::from(number) * schedule.period_ms,
+            Some(schedule) => {
+                let since_start = schedule.period_ms.saturating_mul(u64::from(number));
+                schedule.start_ms.saturating_add(since_start)
+            }
             None => self.accepted_ms,
         }
     }
@@ -199,6 +206,14 @@
 }
 
 impl Task {
+    /// Replaces the checkpoint by one that the task has saved, unless that is empty or too long to
+    /// be recorded.
+    pub(super) fn set_checkpoint(&mut self, checkpoint: &str) {
+        if !checkpoint.is_empty() && json_bytes(checkpoint) <= MAX_CHECKPOINT_BYTES {
+            checkpoint.clone_into(&mut self.checkpoint);
+        }
+    }
+
     /// Returns the open run with number `run`.
     pub(super) fn open_run_mut(&mut self, run: Run) -> Option<&mut OpenRun> {
         self.open_runs.iter_mut().find(|open| open.run == run)
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -15,13 +15,14 @@
 use super::Shard;
 use super::executors::{Executor, SLOWEST_CLOCK};
 use crate::id::ExecutorId;
+use crate::record::json_bytes;
 
 /// Margin for the end of a predecessor's last lease beyond its calculated end.
 const LEASE_MARGIN: Span = Span::from_ms(200);
 /// Time without an answer after which the lease end of an executor is recorded.
 const MIN_SILENCE: Span = Span::from_ms(500);
-/// Maximum number of lease ends in a record, which keeps it well below the size of a row.
-const MAX_RECORDED: usize = 500;
+/// Maximum number of bytes of a number in JSON, with the punctuation around it and its key.
+const MAX_NUMBER_BYTES: usize = 28;
 /// Time after the store's return within which the entries that its outage removed are back: two
 /// seconds by the platform's contract, and one for reading the list.
 const UNLISTED_GRACE: Span = Span::from_ms(3_000);
@@ -150,7 +151,13 @@
 
     fn silent_executors(&self, now: Time) -> impl Iterator<Item = (&ExecutorId, &Executor)> {
         let silent = self.executors.iter().filter(move |(_, executor)| executor.is_silent(now));
-        silent.take(MAX_RECORDED)
+        let mut left = self.settings.max_row_bytes / 2;
+        silent.take_while(move |(id, _)| {
+            let bytes = json_bytes(id.as_str()) + MAX_NUMBER_BYTES;
+            let fits = bytes <= left;
+            left = left.saturating_sub(bytes);
+            fits
+        })
     }
 
     /// Notes that the lease ends sent last are recorded, in place of all earlier ones.
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -1,17 +1,19 @@
 //! Life cycle of jobs, from acceptance to their end, and the closing of runs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
 
 use super::entry::{Entry, Stage, Stop};
 use super::message::{Closing, Decision, Order};
+use super::ranges::Ranges;
 use super::rank::Rank;
 use super::{Command, Shard};
 use crate::executor::{EndReason, RunEnd};
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::State;
+use crate::record::MAX_OPEN_OCCURRENCES;
 use crate::spec::AcceptedJob;
 
 /// Backoff before a failed task runs again; it doubles with each failure.
@@ -45,7 +47,7 @@
             self.begin_due(now);
             return;
         }
-        if !entry.occurrences.contains_key(&0) && !entry.finished.contains(&0) {
+        if !entry.occurrences.contains_key(&0) && !entry.finished.contains(0) {
             let occurrence = entry.occurrence(0, now);
             entry.occurrences.insert(0, occurrence);
             entry.next_occurrence = 1;
@@ -68,6 +70,9 @@
         let wall_ms = self.wall_ms;
         let entry = self.jobs.get_mut(&id)?;
         let number = entry.next_occurrence;
+        if entry.occurrences.len() >= MAX_OPEN_OCCURRENCES {
+            return None;
+        }
         if !entry.is_active() || number >= entry.job.occurrences() {
             self.scheduled.remove(&id);
             return None;
@@ -76,7 +81,7 @@
             return None;
         }
         entry.next_occurrence += 1;
-        if entry.finished.contains(&number) || entry.occurrences.contains_key(&number) {
+        if entry.finished.contains(number) || entry.occurrences.contains_key(&number) {
             return Some(number);
         }
         let occurrence = entry.occurrence(number, now);
@@ -176,7 +181,7 @@
         for (task, run) in dropped {
             self.close(now, &task, run, Closing::NotRecorded);
         }
-        self.dirty.insert(id);
+        self.mark_job_changed(id);
         let took = Span::from_ms(self.wall_ms.saturating_sub(accepted_ms));
         self.out.push(Command::Log(Decision::Finished { job: id, state, took }));
         self.send_requested_stops(now, id);
@@ -194,9 +199,7 @@
         if !known {
             return;
         }
-        if !ended.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&ended.checkpoint);
-        }
+        task.set_checkpoint(&ended.checkpoint);
         self.close(now, &ended.task, ended.run, Closing::Ended(ended.reason));
     }
 
@@ -208,7 +211,7 @@
         };
         let order = Order { executor: executor.clone(), task: *task, run };
         self.out.push(Command::Log(Decision::Closed { order: order.clone(), by }));
-        self.dirty.insert(task.step.job);
+        self.mark_changed(task);
         self.placement_due = true;
         match by {
             Closing::Ended(EndReason::Done) => self.task_done(now, task, &executor),
@@ -220,6 +223,7 @@
                 self.requeue(task);
             }
         }
+        self.remove_finished_occurrence(task.step.job, task.step.occurrence);
     }
 
     /// Removes a run from its task and releases its resources; returns the executor that it was on.
@@ -253,6 +257,7 @@
             return;
         };
         let mut others = Vec::new();
+        let mut done = Vec::new();
         for (index, task) in (0..).zip(&mut step.tasks) {
             let member = index == id.index || gang;
             if !member || task.done {
@@ -261,8 +266,12 @@
             task.done = true;
             step.left -= 1;
             step.waiting.remove(&index);
+            done.push(id.step.task(index));
             others.extend(task.open_runs.iter().map(|open| (id.step.task(index), open.run)));
         }
+        for task in &done {
+            self.mark_changed(task);
+        }
         for (task, run) in others {
             if gang {
                 // The members of a gang end together, so one reported end counts for all.
@@ -294,14 +303,33 @@
             self.begin_steps(now, id.job, id.occurrence);
             return;
         }
-        let has_open_runs =
-            occurrence.steps.iter().flat_map(|s| &s.tasks).any(|t| !t.open_runs.is_empty());
-        entry.finished.insert(id.occurrence);
-        if !has_open_runs {
-            entry.occurrences.remove(&id.occurrence);
+        entry.finished.insert(id.occurrence, id.occurrence);
+        self.remove_finished_occurrence(id.job, id.occurrence);
+        self.complete_if_done(now, id.job);
+    }
+
+    /// Removes an occurrence that is finished and has no open runs.
+    fn remove_finished_occurrence(&mut self, id: JobId, number: u32) {
+        let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.finished.contains(number))
+        else {
+            return;
+        };
+        let has_open_runs = |occurrence: &super::entry::Occurrence| {
+            occurrence.steps.iter().flat_map(|s| &s.tasks).any(|t| !t.open_runs.is_empty())
+        };
+        if entry.occurrences.get(&number).is_some_and(|found| !has_open_runs(found)) {
+            entry.occurrences.remove(&number);
+            self.mark_occurrence_changed(id, number);
         }
-        if entry.finished.len() as u32 == entry.job.occurrences() && entry.is_active() {
-            self.finish(now, id.job, State::Completed);
+    }
+
+    /// Completes a job of which all occurrences are finished.
+    pub(super) fn complete_if_done(&mut self, now: Time, id: JobId) {
+        let is_done = self.jobs.get(&id).is_some_and(|entry| {
+            entry.is_active() && entry.finished.len() >= u64::from(entry.job.occurrences())
+        });
+        if is_done {
+            self.finish(now, id, State::Completed);
         }
     }
 
@@ -366,7 +394,8 @@
         state: State::Queued,
         reported_state: State::Queued,
         occurrences: BTreeMap::new(),
-        finished: BTreeSet::new(),
+        finished: Ranges::default(),
+        is_rejected: false,
         next_occurrence: 0,
     }
 }
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -12,6 +12,7 @@
 };
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::{Progress, State};
+use crate::record::RecordId;
 use crate::spec::AcceptedJob;
 
 data! {
@@ -27,8 +28,9 @@
         Listed(Box<Registration>),
         /// An executor's entry was removed from the list.
         Unlisted(ExecutorId),
-        /// The batch of the latest [`Command::Record`] is recorded.
-        Recorded,
+        /// The batch of the latest [`Command::Record`] is recorded, but for the records that the
+        /// store rejects for good.
+        Recorded(Vec<RecordId>),
         /// Outcome of a [`Command::Start`].
         Started(Order, Outcome),
         /// Outcome of a [`Command::Stop`].
@@ -71,8 +73,8 @@
     /// Records that are written in one transaction.
     #[derive(Default)]
     pub struct Batch {
-        /// Progress of the jobs that have changed.
-        pub progress: Vec<(JobId, Progress)>,
+        /// Records that have changed; `None` if a record is to be removed.
+        pub progress: Vec<(RecordId, Option<Progress>)>,
         /// States of jobs that have changed, for callers.
         pub states: Vec<(JobId, State)>,
         /// Interference model, if it is due to be recorded.
@@ -188,6 +190,8 @@
             /// Longest time for which a task on the executor has been over its objective.
             over: Span,
         },
+        /// The store rejects a record of a job for good, so the job does not go on.
+        RecordRejected(RecordId),
         /// An executor crashed shortly after a task may have started there.
         Crashed {
             /// Run and executor.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -22,6 +22,7 @@
 mod pass;
 mod place;
 mod probe;
+mod ranges;
 mod rank;
 mod ranking;
 mod rejections;
@@ -44,6 +45,7 @@
 use crate::config::Config;
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::State;
+use crate::record::RecordId;
 
 pub use self::backlog::Backlog;
 pub use self::fit::FitReport;
@@ -65,9 +67,9 @@
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
     waiting: BTreeSet<(Rank, StepId)>,
-    /// Jobs that have changed since their last record.
-    dirty: BTreeSet<JobId>,
-    /// Jobs and run ends that the next batches record.
+    /// Records of which the tasks or the job have changed since they were last written.
+    dirty: BTreeSet<RecordId>,
+    /// Records and run ends that the next batches hold.
     round: write::Round,
     /// Lease ends that are recorded for a successor.
     lease_ends: lease_ends::Recorded,
@@ -163,7 +165,7 @@
             Event::Cancelled(job) => self.cancel(now, job),
             Event::Listed(registration) => self.handle_listed(now, *registration),
             Event::Unlisted(executor) => self.handle_unlisted(now, &executor),
-            Event::Recorded => self.handle_recorded(now),
+            Event::Recorded(rejected) => self.handle_recorded(now, &rejected),
             Event::Started(order, outcome) => self.handle_start_outcome(now, &order, outcome),
             Event::Stopped(order, outcome) => self.handle_stop_outcome(now, &order, outcome),
             Event::ThrottleCompleted(order, percent, outcome) => {
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -18,7 +18,10 @@
     PRIOR_IDLE_RATIO, PRIOR_WEIGHT, utilization,
 };
 use crate::id::{Image, JobId};
+use crate::record::json_bytes;
 
+/// Maximum number of bytes of a number in JSON, with the punctuation around it and its key.
+const MAX_NUMBER_BYTES: usize = 48;
 /// Minimum time between two solutions of a fit.
 const SOLVE_INTERVAL: Span = Span::from_ms(150);
 /// Load of a job's users before any report.
@@ -87,23 +90,33 @@
 }
 
 impl Model {
-    /// Returns the state that a successor starts from.
-    pub(super) fn snapshot(&self) -> Snapshot {
-        let record = |fit: &Fit| ImageSnapshot {
-            rest: fit.idle_ratio,
-            weights: self
-                .columns
-                .iter()
-                .map(|(i, p)| (i.clone(), round_weight(fit.weights[*p])))
-                .collect(),
+    /// Returns the state that a successor starts from, as much of it as fits into `max_bytes` of
+    /// JSON.
+    pub(super) fn snapshot(&self, max_bytes: usize) -> Snapshot {
+        let mut left = max_bytes;
+        let mut fits = |image: &Image| {
+            let bytes = json_bytes(image.as_str()) + MAX_NUMBER_BYTES;
+            let fits = bytes <= left;
+            left -= if fits { bytes } else { 0 };
+            fits
         };
-        let record = |(image, at): (&Image, &usize)| (image.clone(), record(&self.fits[*at]));
-        Snapshot { serving: self.fit_indices.iter().map(record).collect() }
+        let mut snapshot = Snapshot::default();
+        for (image, at) in &self.fit_indices {
+            if !fits(image) {
+                continue;
+            }
+            let fit = &self.fits[*at];
+            let columns = self.columns.iter().filter(|(image, _)| fits(image));
+            let weights = columns.map(|(i, p)| (i.clone(), round_weight(fit.weights[*p])));
+            let recorded = ImageSnapshot { rest: fit.idle_ratio, weights: weights.collect() };
+            snapshot.serving.insert(image.clone(), recorded);
+        }
+        snapshot
     }
 
     /// Returns all fits with their accuracy since the previous call.
     pub(super) fn take_fit_reports(&mut self) -> Vec<FitReport> {
-        let snapshot = self.snapshot();
+        let snapshot = self.snapshot(usize::MAX);
         let reports = snapshot.serving.into_iter().map(|(image, recorded)| {
             let Accuracy { reports, saturated, error_sum, load_sum } =
                 std::mem::take(&mut self.fit(&image).accuracy);
@@ -161,12 +174,21 @@
     }
 
     fn add_column(&mut self, image: &Image) -> usize {
-        let next = FIXED_INPUTS + self.columns.len().min(MAX_IMAGES - 1);
+        let last = FIXED_INPUTS + MAX_IMAGES - 1;
+        if self.columns.len() >= MAX_IMAGES {
+            // Further images share the last column.
+            return self.columns.get(image).copied().unwrap_or(last);
+        }
+        let next = FIXED_INPUTS + self.columns.len();
         *self.columns.entry(image.clone()).or_insert(next)
     }
 
     fn add_fit(&mut self, image: &Image) -> usize {
         let next = self.fits.len();
+        if next >= MAX_IMAGES {
+            // Further images share the last fit.
+            return self.fit_indices.get(image).copied().unwrap_or(MAX_IMAGES - 1);
+        }
         let at = *self.fit_indices.entry(image.clone()).or_insert(next);
         if at == next {
             self.fits.push(Fit::new());
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -327,7 +327,7 @@
             progress: (0, now),
         });
         self.placed.push((*task, run));
-        self.dirty.insert(task.step.job);
+        self.mark_changed(task);
         let order = Order { executor: id, task: *task, run };
         self.out.push(Command::Log(Decision::Placed { order, waited_ms }));
     }
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -172,9 +172,7 @@
         let address = executor.registration.address;
         let found = self.jobs.get_mut(&row.task.step.job).and_then(|e| e.task_mut(&row.task));
         let open = found.and_then(|task| {
-            if !row.checkpoint.is_empty() {
-                task.checkpoint.clone_from(&row.checkpoint);
-            }
+            task.set_checkpoint(&row.checkpoint);
             task.open_runs.iter_mut().find(|open| open.run == row.run && open.executor == *id)
         });
         let Some(open) = open else {
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -14,6 +14,7 @@
 use crate::executor::{Availability, Incarnation, Registration, Steady};
 use crate::id::{DomainName, JobId, Run, ServiceName, StepId, TaskId};
 use crate::progress::{self, Progress, State, TaskRecord};
+use crate::record::RecordId;
 use crate::spec::{AcceptedJob, Resources};
 
 /// Address of an executor whose address is not known.
@@ -29,8 +30,8 @@
         pub cancelled: Vec<JobId>,
         /// Interference model of the predecessors.
         pub model: Option<super::Snapshot>,
-        /// Progress of jobs.
-        pub progress: Vec<(JobId, Progress)>,
+        /// Progress of jobs; the first record of a job comes before its others.
+        pub progress: Vec<(RecordId, Progress)>,
         /// Time left of the leases of executors that did not answer the predecessor.
         pub lease_ends: Vec<LeaseEnd>,
         /// Whether the store was unavailable shortly before, so that entries of executors may have
@@ -51,40 +52,64 @@
         for (id, accepted) in records.jobs {
             self.jobs.insert(id, new_entry(accepted));
         }
-        for (id, progress) in records.progress {
-            self.restore_job(now, id, &progress);
+        for (id, progress) in &records.progress {
+            self.restore_record(now, *id, progress);
+        }
+        for (id, progress) in &records.progress {
+            self.restore_tasks(now, *id, progress);
         }
         for id in records.cancelled {
             self.cancel(now, id);
         }
         let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in jobs {
+            self.restore_finished(now, id);
             self.begin(now, id);
             self.send_requested_stops(now, id);
         }
         self.placement_due = true;
     }
 
-    fn restore_job(&mut self, now: Time, id: JobId, progress: &Progress) {
-        let Some(entry) = self.jobs.get_mut(&id) else {
+    fn restore_record(&mut self, now: Time, id: RecordId, progress: &Progress) {
+        let Some(entry) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        entry.state = progress.state;
-        entry.reported_state = progress.state;
-        for done in &progress.done {
+        if let Some(state) = progress.state.filter(|_| id.is_first()) {
+            entry.state = state;
+            entry.reported_state = state;
+        }
+        let last = entry.job.occurrences() - 1;
+        for (begin, end) in &progress.finished {
+            entry.finished.insert(*begin, (*end).min(last));
+        }
+        for done in progress.done.iter().filter(|done| done.occurrence <= last) {
             restore_done(entry, now, done.occurrence, done.step, &done.indices);
         }
-        let whole: Vec<u32> = entry
-            .occurrences
-            .iter()
-            .filter(|(_, found)| found.steps.iter().all(|step| step.left == 0))
-            .map(|(number, _)| *number)
-            .collect();
-        entry.finished.extend(whole);
-        let stop = if progress.state.is_terminal() { Stop::Requested } else { Stop::NotRequested };
-        for record in &progress.tasks {
-            self.restore_task(now, id, record, stop);
+    }
+
+    /// Restores the open runs of a record, after the done tasks of all records.
+    fn restore_tasks(&mut self, now: Time, id: RecordId, progress: &Progress) {
+        let Some(entry) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let last = entry.job.occurrences() - 1;
+        let stop = if entry.state.is_terminal() { Stop::Requested } else { Stop::NotRequested };
+        for record in progress.tasks.iter().filter(|record| record.occurrence <= last) {
+            self.restore_task(now, id.job, record, stop);
+        }
+    }
+
+    /// Notes which of a job's restored occurrences are finished.
+    fn restore_finished(&mut self, now: Time, id: JobId) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        for (number, occurrence) in &entry.occurrences {
+            if occurrence.steps.iter().all(|step| step.left == 0) {
+                entry.finished.insert(*number, *number);
+            }
         }
+        self.complete_if_done(now, id);
     }
 
     fn restore_task(&mut self, now: Time, job: JobId, record: &TaskRecord, stop: Stop) {
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -3,6 +3,8 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::data;
 
+use crate::record::{DEFAULT_ROW_BYTES, tasks_per_record};
+
 data! {
     /// Intervals and thresholds of a shard.
     #[derive(Copy)]
@@ -34,6 +36,10 @@
         pub order_retry: Span,
         /// How long after a takeover the predecessor may still extend leases, unaware of it.
         pub predecessor_grace: Span,
+        /// Maximum number of bytes in a row of the store.
+        pub max_row_bytes: usize,
+        /// Maximum number of tasks in one record of a job.
+        pub tasks_per_record: u32,
         /// Factor on the run time of a task that runs away from its data or from other tasks of
         /// its step.
         pub remote_penalty: f64,
@@ -69,6 +75,8 @@
             // A predecessor that is awake learns of the takeover from the store or from an
             // executor within this time, and one that was suspended extends no lease before.
             predecessor_grace: Span::from_ms(1_500),
+            max_row_bytes: DEFAULT_ROW_BYTES,
+            tasks_per_record: tasks_per_record(DEFAULT_ROW_BYTES),
             remote_penalty: 1.5,
             max_over_objective: Span::from_ms(4_000),
             max_placed_per_turn: 128,
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -5,22 +5,23 @@
 use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
-use super::entry::{Entry, Stage};
+use super::entry::{Entry, Stage, Task};
 use super::executors::Executor;
 use super::message::{Batch, Closing, Command, Decision};
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, JobId, Run, TaskId};
 use crate::progress::{DoneRecord, OpenRun, Progress, State, TaskRecord};
+use crate::record::RecordId;
 
-/// Maximum number of jobs in one batch. Each job takes up to two of the 100 entries of a
-/// transaction.
-const JOBS_PER_BATCH: usize = 45;
+/// Maximum number of records in one batch. Each takes up to two of the 100 entries of a
+/// transaction, as it may come with the state of its job.
+const RECORDS_PER_BATCH: usize = 45;
 
-/// Number of jobs from which on a batch is large. The next batch then waits `GATHER_INTERVAL`
-/// for more changes, since each batch holds the whole record of each of its jobs.
-const LARGE_BATCH_JOBS: usize = 8;
+/// Number of records from which on a batch is large. The next batch then waits `GATHER_INTERVAL`
+/// for more changes, since each record holds all of its tasks.
+const LARGE_BATCH_RECORDS: usize = 8;
 
-/// Minimum time between a batch of `LARGE_BATCH_JOBS` or more and the next one, unless that is
+/// Minimum time between a batch of `LARGE_BATCH_RECORDS` or more and the next one, unless that is
 /// full. It is a tenth of the time within which run ends are to be acknowledged, and short
 /// compared with the shortest objective, 250 ms.
 const GATHER_INTERVAL: Span = Span::from_ms(25);
@@ -37,44 +38,45 @@
     ends: Vec<(ExecutorId, Incarnation, u64)>,
 }
 
-/// Jobs that had changed when the round began, and the run ends that changed them. The ends
-/// count as recorded with the last of these jobs, however many other jobs have changed since.
+/// Records that had changed when the round began, and the run ends that changed them. The ends
+/// count as recorded with the last of these records, however many others have changed since.
 #[derive(Debug, Default)]
 pub(super) struct Round {
-    jobs: BTreeSet<JobId>,
+    records: BTreeSet<RecordId>,
     ends: Vec<(ExecutorId, Incarnation, u64)>,
 }
 
 impl Shard {
     /// Requests the recording of the next batch, if there are changes and no batch is pending.
     pub(super) fn write_batch(&mut self, now: Time) {
-        let full = self.round.jobs.len().max(self.dirty.len()) >= JOBS_PER_BATCH;
+        let full = self.round.records.len().max(self.dirty.len()) >= RECORDS_PER_BATCH;
         if self.pending_batch.is_some() || (now < self.write_after && !full) {
             return;
         }
-        if self.round.jobs.is_empty() {
+        if self.round.records.is_empty() {
             if self.dirty.is_empty() && !self.lease_ends.is_due() {
                 self.mark_ends_recorded();
                 return;
             }
             self.begin_round();
         }
-        let jobs = self.next_jobs(now);
+        let records = self.next_records(now);
         let mut batch = Batch::default();
         let mut pending = PendingBatch::default();
-        for job in &jobs {
-            self.write_job(*job, &mut batch);
+        for record in &records {
+            self.write_record(*record, &mut batch);
         }
         let placed = std::mem::take(&mut self.placed);
-        let (ready, later) = placed.into_iter().partition(|(t, _)| jobs.contains(&t.step.job));
+        let is_recorded = |(task, _): &(TaskId, Run)| records.contains(&self.record_of(task));
+        let (ready, later) = placed.into_iter().partition(is_recorded);
         pending.starts = ready;
         self.placed = later;
-        if self.round.jobs.is_empty() {
+        if self.round.records.is_empty() {
             pending.ends = std::mem::take(&mut self.round.ends);
         }
         if now.since(self.estimator.recorded_at) >= SNAPSHOT_INTERVAL {
             self.estimator.recorded_at = now;
-            batch.model = Some(self.estimator.model.snapshot());
+            batch.model = Some(self.estimator.model.snapshot(self.settings.max_row_bytes / 2));
             let reports = self.estimator.model.take_fit_reports();
             let log = |report| Command::Log(Decision::ModelRecorded(report));
             self.out.extend(reports.into_iter().map(log));
@@ -84,35 +86,86 @@
         self.out.push(Command::Record(batch));
     }
 
-    /// Removes the jobs of the next batch from the round.
-    fn next_jobs(&mut self, now: Time) -> BTreeSet<JobId> {
-        let jobs: BTreeSet<JobId> = self.round.jobs.iter().copied().take(JOBS_PER_BATCH).collect();
-        self.round.jobs.retain(|job| !jobs.contains(job));
-        self.dirty.retain(|job| !jobs.contains(job));
-        if jobs.len() >= LARGE_BATCH_JOBS {
+    /// Removes the records of the next batch from the round.
+    fn next_records(&mut self, now: Time) -> BTreeSet<RecordId> {
+        let changed = self.round.records.iter().copied();
+        let mut records: BTreeSet<RecordId> = changed.take(RECORDS_PER_BATCH).collect();
+        // The first record of a job that starts or ends comes no later than its others.
+        let first = |record: &RecordId| RecordId::first(record.job);
+        let missing: Vec<RecordId> = records
+            .iter()
+            .map(first)
+            .filter(|first| self.dirty.contains(first) || self.is_state_due(first.job))
+            .collect();
+        records.extend(missing);
+        self.round.records.retain(|record| !records.contains(record));
+        self.dirty.retain(|record| !records.contains(record));
+        if records.len() >= LARGE_BATCH_RECORDS {
             self.write_after = now + GATHER_INTERVAL;
         }
-        jobs
+        records
+    }
+
+    /// Returns whether a job has started and no record says so.
+    fn is_state_due(&self, job: JobId) -> bool {
+        self.jobs.get(&job).is_some_and(|entry| {
+            entry.state == State::Queued && entry.occurrences.values().any(has_started)
+        })
+    }
+
+    /// Returns the identifier of the record that covers a task.
+    fn record_of(&self, task: &TaskId) -> RecordId {
+        let first = RecordId::first(task.step.job);
+        let tasks_per_record = self.settings.tasks_per_record;
+        let entry = self.jobs.get(&task.step.job);
+        entry.map_or(first, |entry| RecordId::of_task(&entry.job, task, tasks_per_record))
+    }
+
+    /// Notes that a task has changed.
+    pub(super) fn mark_changed(&mut self, task: &TaskId) {
+        self.dirty.insert(self.record_of(task));
+    }
+
+    /// Notes that all tasks of an occurrence have changed, or that it is removed.
+    pub(super) fn mark_occurrence_changed(&mut self, id: JobId, occurrence: u32) {
+        let tasks_per_record = self.settings.tasks_per_record;
+        if let Some(entry) = self.jobs.get(&id) {
+            let records = RecordId::of_occurrence(id, &entry.job, occurrence, tasks_per_record);
+            self.dirty.extend(records);
+        }
+        self.dirty.insert(RecordId::first(id));
+    }
+
+    /// Notes that the state of a job has changed.
+    pub(super) fn mark_job_changed(&mut self, id: JobId) {
+        let occurrences = self.jobs.get(&id).map(|entry| entry.occurrences.keys().copied());
+        let occurrences: Vec<u32> = occurrences.into_iter().flatten().collect();
+        for occurrence in occurrences {
+            self.mark_occurrence_changed(id, occurrence);
+        }
+        self.dirty.insert(RecordId::first(id));
     }
 
     /// Begins a round of batches that records all changes up to now.
     fn begin_round(&mut self) {
-        self.round = Round { jobs: self.dirty.clone(), ends: self.unrecorded_ends() };
+        self.round = Round { records: self.dirty.clone(), ends: self.unrecorded_ends() };
         self.has_new_ends = false;
     }
 
-    fn write_job(&mut self, id: JobId, batch: &mut Batch) {
-        let Some(entry) = self.jobs.get_mut(&id) else {
+    fn write_record(&mut self, id: RecordId, batch: &mut Batch) {
+        let Some(entry) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let started = |entry: &Entry| entry.occurrences.values().any(has_started);
-        if entry.state == State::Queued && started(entry) {
+        let has_started = |entry: &Entry| entry.occurrences.values().any(has_started);
+        if id.is_first() && entry.state == State::Queued && has_started(entry) {
             entry.state = State::Running;
         }
-        batch.progress.push((id, progress_record(entry)));
-        if entry.reported_state != entry.state {
+        let progress = progress_record(entry, id, self.settings.tasks_per_record);
+        let is_removed = !id.is_first() && progress.is_empty();
+        batch.progress.push((id, (!is_removed).then_some(progress)));
+        if id.is_first() && entry.reported_state != entry.state {
             entry.reported_state = entry.state;
-            batch.states.push((id, entry.state));
+            batch.states.push((id.job, entry.state));
         }
     }
 
@@ -148,7 +201,10 @@
     }
 
     /// Handles the confirmation that the pending batch is recorded.
-    pub(super) fn handle_recorded(&mut self, now: Time) {
+    ///
+    /// Jobs of which the store has rejected a record do not go on, as no successor would know of
+    /// their runs.
+    pub(super) fn handle_recorded(&mut self, now: Time, rejected: &[RecordId]) {
         let Some(pending) = self.pending_batch.take() else {
             return;
         };
@@ -156,8 +212,18 @@
         for (id, incarnation, end) in pending.ends {
             self.mark_end_recorded(&id, incarnation, end);
         }
+        for record in rejected {
+            self.out.push(Command::Log(Decision::RecordRejected(*record)));
+            if let Some(entry) = self.jobs.get_mut(&record.job) {
+                entry.is_rejected = true;
+            }
+        }
         for (task, run) in pending.starts {
-            self.start_recorded(now, &task, run);
+            if rejected.iter().any(|record| record.job == task.step.job) {
+                self.close(now, &task, run, Closing::NotRecorded);
+            } else {
+                self.start_recorded(now, &task, run);
+            }
         }
     }
 
@@ -186,50 +252,48 @@
     occurrence.steps.iter().flat_map(|step| &step.tasks).any(|task| task.run > 0)
 }
 
-/// Returns the record of a job.
-fn progress_record(entry: &Entry) -> Progress {
-    let mut done = Vec::new();
-    let mut tasks = Vec::new();
-    let whole = |occurrence: u32| {
-        (0..entry.job.steps.len() as u32).map(move |step| DoneRecord {
-            occurrence,
-            step,
-            indices: Vec::new(),
-        })
+/// Returns the record `id` of a job. Of a job that has ended, only open runs are recorded.
+fn progress_record(entry: &Entry, id: RecordId, tasks_per_record: u32) -> Progress {
+    let mut progress = Progress::default();
+    let has_ended = entry.state.is_terminal();
+    if id.is_first() {
+        progress.state = Some(entry.state);
+        let finished = entry.finished.iter().filter(|_| !has_ended);
+        progress.finished = finished.collect();
+    }
+    let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
+        return progress;
     };
-    let not_in_memory = |number: &&u32| !entry.occurrences.contains_key(number);
-    done.extend(entry.finished.iter().filter(not_in_memory).copied().flat_map(whole));
-    for (occurrence, found) in &entry.occurrences {
-        for (number, step) in (0..).zip(&found.steps) {
+    let ranges = id.tasks(&entry.job, tasks_per_record);
+    for ((number, step), range) in (0..).zip(&occurrence.steps).zip(ranges) {
+        let tasks = || {
+            let covered = &step.tasks[range.start as usize..range.end as usize];
+            range.clone().zip(covered)
+        };
+        if !has_ended && !range.is_empty() {
             let all = step.left == 0;
-            let indices: Vec<u32> = (0..)
-                .zip(&step.tasks)
-                .filter(|(_, task)| task.done && !all)
-                .map(|(index, _)| index)
-                .collect();
+            let done = tasks().filter(|(_, task)| task.done && !all);
+            let indices: Vec<u32> = done.map(|(index, _)| index).collect();
             if all || !indices.is_empty() {
-                done.push(DoneRecord { occurrence: *occurrence, step: number, indices });
+                progress.done.push(DoneRecord { occurrence: id.occurrence, step: number, indices });
             }
-            let touched = (0..)
-                .zip(&step.tasks)
-                .filter(|(_, task)| (task.run > 0 && !task.done) || !task.open_runs.is_empty());
-            tasks.extend(touched.map(|(index, task)| TaskRecord {
-                occurrence: *occurrence,
-                step: number,
-                index,
-                run: task.run,
-                failed: task.failed,
-                crashes: task.crashes,
-                confirmed_crashes: task.confirmed_crashes,
-                checkpoint: task.checkpoint.clone(),
-                open: task.open_runs.iter().map(open_run_record).collect(),
-            }));
-        }
-    }
-    if entry.state.is_terminal() {
-        tasks.retain(|task| !task.open.is_empty());
-    }
-    Progress { state: entry.state, done, tasks }
+        }
+        let is_recorded =
+            |task: &Task| !task.open_runs.is_empty() || (!has_ended && task.run > 0 && !task.done);
+        let touched = tasks().filter(|(_, task)| is_recorded(task));
+        progress.tasks.extend(touched.map(|(index, task)| TaskRecord {
+            occurrence: id.occurrence,
+            step: number,
+            index,
+            run: task.run,
+            failed: task.failed,
+            crashes: task.crashes,
+            confirmed_crashes: task.confirmed_crashes,
+            checkpoint: task.checkpoint.clone(),
+            open: task.open_runs.iter().map(open_run_record).collect(),
+        }));
+    }
+    progress
 }
 
 fn open_run_record(open: &super::entry::OpenRun) -> OpenRun {
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -176,9 +176,9 @@
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            accelerators: self.accelerators + other.accelerators,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 }
@@ -220,7 +220,7 @@
         let mut end_ms: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let start = step.depends_on.iter().filter_map(|s| end_ms.get(*s as usize)).max();
-            end_ms.push(start.copied().unwrap_or(0) + step.estimate_ms);
+            end_ms.push(start.copied().unwrap_or(0).saturating_add(step.estimate_ms));
         }
         Span::from_ms(end_ms.into_iter().max().unwrap_or(0))
     }
@@ -233,7 +233,7 @@
             let dependencies =
                 step.depends_on.iter().filter_map(|s| end_ms.get(*s as usize).copied().flatten());
             let end = match dependencies.max() {
-                Some(end) => Some(end + step.estimate_ms),
+                Some(end) => Some(end.saturating_add(step.estimate_ms)),
                 None => (number == first as usize).then_some(step.estimate_ms),
             };
             end_ms.push(end);
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -7,6 +7,7 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
 use sycamorerill_jobs::progress::State;
+use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::spec::{Schedule, Step};
 
 fn task(id: u64, step: u32, index: u32) -> TaskId {
@@ -238,7 +239,7 @@
     assert!(sim.shard.is_superseded());
     sim.submit(job(2), vec![step(1)]);
     sim.advance(Span::from_ms(500));
-    assert!(!sim.progress.contains_key(&job(2)));
+    assert!(!sim.progress.contains_key(&RecordId::first(job(2))));
 }
 
 #[test]
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -48,6 +48,8 @@
     /// Whether another executor has taken over the address.
     pub(crate) replaced: bool,
     pub(crate) run_time: Span,
+    /// Checkpoint that runs have saved.
+    pub(crate) checkpoint: String,
     /// Tail latency that latency-critical tasks report, in milliseconds.
     pub(crate) tail_ms: u64,
     /// Age of the executor's entry in the list.
@@ -73,7 +75,7 @@
                 task: *task,
                 run: active.run,
                 reason,
-                checkpoint: String::new(),
+                checkpoint: self.checkpoint.clone(),
             });
         }
     }
@@ -103,7 +105,7 @@
         let running = self.running.iter().map(|(task, active)| RunReport {
             task: *task,
             run: active.run,
-            checkpoint: String::new(),
+            checkpoint: self.checkpoint.clone(),
             percent: 0,
             load: match (active.is_latency_critical, active.best_effort_cpu) {
                 (true, _) => Some(self.tail_ms),
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -19,6 +19,7 @@
 };
 use sycamorerill_jobs::id::{DomainName, ExecutorId, JobId, Label, QueueName, ServiceName, TaskId};
 use sycamorerill_jobs::progress::{Progress, State};
+use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::{
     Command, Event, LeaseEnd, Probe, Records, Settings, Shard, Snapshot,
 };
@@ -37,14 +38,17 @@
     pub(crate) now: Time,
     pub(crate) epoch: u64,
     pub(crate) shard: Shard,
+    pub(crate) settings: Settings,
     pub(crate) config: Arc<Config>,
     pub(crate) executors: BTreeMap<ExecutorId, FakeExecutor>,
     pub(crate) accepted: BTreeMap<JobId, AcceptedJob>,
     pub(crate) cancelled: BTreeSet<JobId>,
-    pub(crate) progress: BTreeMap<JobId, Progress>,
+    pub(crate) progress: BTreeMap<RecordId, Progress>,
     pub(crate) states: BTreeMap<JobId, State>,
     /// Lease ends that are recorded, with the times at which all leases have ended.
     pub(crate) lease_ends: BTreeMap<ExecutorId, Time>,
+    /// Largest number of tasks in a record.
+    pub(crate) largest_record: usize,
     /// Entries that the next successors read in place of the present ones.
     pub(crate) stale_entries: BTreeMap<ExecutorId, Registration>,
     /// Whether the next successor takes over shortly after an outage of the store.
@@ -116,6 +120,7 @@
             now: Time::from_ms(1_000_000),
             epoch: 1,
             shard: Shard::new(Settings::default(), Arc::clone(&config)),
+            settings: Settings::default(),
             config,
             executors: BTreeMap::new(),
             accepted: BTreeMap::new(),
@@ -123,6 +128,7 @@
             progress: BTreeMap::new(),
             states: BTreeMap::new(),
             lease_ends: BTreeMap::new(),
+            largest_record: 0,
             stale_entries: BTreeMap::new(),
             after_outage: false,
             delayed_orders: Vec::new(),
@@ -169,6 +175,7 @@
             refuses_probes: false,
             replaced: false,
             run_time: Span::from_ms(1_000),
+            checkpoint: String::new(),
             tail_ms: 20,
             list_age: Span::ZERO,
         };
@@ -246,12 +253,7 @@
         self.epoch += 1;
         self.pending_probes.clear();
         self.batch_pending = false;
-        self.shard = Shard::new(Settings::default(), Arc::clone(&self.config));
-        let listed = self.executors.values().filter(|executor| !executor.unlisted);
-        let ids: Vec<ExecutorId> = listed.map(|executor| executor.id.clone()).collect();
-        for id in ids {
-            self.list_executor(&id);
-        }
+        self.restart_shard();
         let records = Records {
             jobs: self.accepted.iter().map(|(id, job)| (*id, job.clone())).collect(),
             cancelled: self.cancelled.iter().copied().collect(),
@@ -264,6 +266,16 @@
         self.shard.restore(self.now, wall_ms, records);
     }
 
+    /// Begins with an empty shard and the executors that are listed.
+    pub(crate) fn restart_shard(&mut self) {
+        self.shard = Shard::new(self.settings, Arc::clone(&self.config));
+        let listed = self.executors.values().filter(|executor| !executor.unlisted);
+        let ids: Vec<ExecutorId> = listed.map(|executor| executor.id.clone()).collect();
+        for id in ids {
+            self.list_executor(&id);
+        }
+    }
+
     fn recorded_lease_ends(&self) -> Vec<LeaseEnd> {
         let left = |(id, end): (&ExecutorId, &Time)| LeaseEnd {
             executor: id.clone(),
@@ -337,7 +349,7 @@
         if self.batch_pending && self.store_available && !store_busy {
             self.last_recorded = self.now;
             self.batch_pending = false;
-            self.handle(Event::Recorded);
+            self.handle(Event::Recorded(Vec::new()));
             self.run_turns();
         }
     }
@@ -346,7 +358,17 @@
         match command {
             Command::Record(batch) => {
                 self.model = batch.model.or(self.model.take());
-                self.progress.extend(batch.progress);
+                let tasks = |record: &Option<Progress>| {
+                    record.as_ref().map_or(0, |record| record.tasks.len())
+                };
+                let most = batch.progress.iter().map(|(_, record)| tasks(record)).max();
+                self.largest_record = self.largest_record.max(most.unwrap_or(0));
+                for (id, record) in batch.progress {
+                    match record {
+                        Some(record) => self.progress.insert(id, record),
+                        None => self.progress.remove(&id),
+                    };
+                }
                 self.states.extend(batch.states);
                 if let Some(ends) = batch.lease_ends {
                     let ends = ends.into_iter().map(|end| (end.executor, self.now + end.left));
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -73,6 +73,8 @@
         NotAJob,
         /// The job can't be read or is invalid.
         Malformed,
+        /// The job is too large for a row of the store, so it can't be accepted.
+        TooLarge,
         /// A different job is stored under the same identifier.
         Taken,
         /// Nothing was done and nothing will be; the caller may retry after the span.
@@ -111,11 +113,14 @@
     config: Option<Arc<Config>>,
     layout: Option<Layout>,
     cache: Cache,
+    /// Maximum number of bytes in a row of the store.
+    max_row_bytes: usize,
 }
 
 impl<P: Platform> Frontend<P> {
-    pub(crate) fn start(_cx: CX![], context: Context<P>) -> Option<Self> {
-        Some(Self { context, config: None, layout: None, cache: Cache::default() })
+    pub(crate) fn start(_cx: CX![], context: Context<P>, max_row_bytes: usize) -> Option<Self> {
+        let cache = Cache::default();
+        Some(Self { context, config: None, layout: None, cache, max_row_bytes })
     }
 
     /// Handles one message.
@@ -176,9 +181,10 @@
         }
         let queue = queue.name.clone();
         let context = self.context.clone();
+        let max_row_bytes = self.max_row_bytes;
         self.context.spawner.spawn(async move {
             let received = clock::now();
-            let reply = submit::submit(&context, id, &queue, job, timeout).await;
+            let reply = submit::submit(&context, id, &queue, job, timeout, max_row_bytes).await;
             context.metrics.observe_hop(Hop::Accepted, clock::now().since(received));
             context.metrics.count_submission(reply);
             if reply == Reply::Accepted {
--- a/crates/node/src/frontend/submit.rs
+++ b/crates/node/src/frontend/submit.rs
@@ -30,13 +30,18 @@
     queue: &QueueName,
     job: Job,
     timeout: Option<Span>,
+    max_row_bytes: usize,
 ) -> Reply {
     let accepted = AcceptedJob { queue: queue.clone(), at_ms: clock::wall_ms(), job };
     let key = layout::accepted_key(id);
+    let value = encode(&accepted);
+    if value.len() > max_row_bytes {
+        return Reply::TooLarge;
+    }
     let transaction = Transaction {
         expected: vec![(key.clone(), Version(0))],
         writes: vec![
-            (key, encode(&accepted)),
+            (key, value),
             (layout::queued_key(id), encode(&QueuedRow { queue: queue.clone() })),
         ],
         removes: Vec::new(),
@@ -46,6 +51,7 @@
         // An earlier attempt by this function or by the caller was stored.
         Err(Error::Conflict(rows)) => reply_to_conflict(&rows, &accepted),
         Err(Error::Unknown | Error::Malformed(_)) => Reply::Unknown,
+        Err(error) if error.is_permanent() => Reply::TooLarge,
         Err(Error::Refused(_) | Error::NotSent | Error::HistoryGone) => Reply::NotDone(RETRY_AFTER),
     }
 }
@@ -54,8 +60,9 @@
 /// the stored job is the same.
 fn reply_to_conflict(rows: &[Row], accepted: &AcceptedJob) -> Reply {
     match rows.iter().find_map(decode::<AcceptedJob>) {
-        Some(stored) if stored.job != accepted.job => Reply::Taken,
-        _ => Reply::Accepted,
+        Some(stored) if stored.job == accepted.job => Reply::Accepted,
+        // Another job, or a row that no owner can read.
+        _ => Reply::Taken,
     }
 }
 
@@ -76,6 +83,7 @@
         let result = context.platform.transact(transaction, remaining.min(ATTEMPT_TIMEOUT)).await;
         match result {
             Ok(_) | Err(Error::Conflict(_)) => return result,
+            Err(ref error) if error.is_permanent() && !unknown => return result,
             Err(Error::Unknown | Error::Malformed(_)) => unknown = true,
             Err(_) => {
                 refused += 1;
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -217,7 +217,8 @@
         Instance { inbox, status: Rc::clone(&status), metrics, config: Rc::clone(&config) };
     spawner.spawn(watch_config(context.clone(), Rc::clone(&status)));
     let max_executors = settings.manager.ownership.max_executors;
-    spawner.spawn(shards::agree_on_layout(context.clone(), max_executors));
+    let max_row_bytes = settings.manager.shard.max_row_bytes;
+    spawner.spawn(shards::agree_on_layout(context.clone(), max_executors, max_row_bytes));
     spawner.spawn(send_ticks(context.clone(), Rc::clone(&status)));
     Line::new(Code::Started).text("instance", &settings.name).write();
     spawner.spawn(dispatch(context, messages, settings, status, config));
@@ -276,8 +277,9 @@
     let s = &mut stakker;
     let metrics = Rc::clone(&context.metrics);
     let frontend_context = context.clone();
+    let max_row_bytes = settings.manager.shard.max_row_bytes;
     let frontend: ActorOwn<Frontend<P>> =
-        actor!(s, <Frontend<P>>::start(frontend_context), ret_nop!());
+        actor!(s, <Frontend<P>>::start(frontend_context, max_row_bytes), ret_nop!());
     let manager: ActorOwn<Manager<P>> = actor!(
         s,
         <Manager<P>>::start(context, settings.name, settings.manager, Rc::clone(&status)),
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use sycamorerill_core::data;
 use sycamorerill_jobs::id::{JobId, Label, ShardId};
+use sycamorerill_jobs::record::{DEFAULT_ROW_BYTES, tasks_per_record};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::platform::{Key, Table};
@@ -40,6 +41,9 @@
         /// Number of executors per shard when the layout was agreed.
         #[serde(default, rename = "each")]
         pub(crate) executors_per_shard: u32,
+        /// Maximum number of tasks in one record of a job's progress.
+        #[serde(default = "default_tasks_per_record", rename = "tasks")]
+        pub(crate) tasks_per_record: u32,
     }
 }
 
@@ -65,10 +69,11 @@
 
 impl Layout {
     /// Returns the layout for a number of executors, of which one instance can manage
-    /// `max_executors`.
-    pub(crate) fn for_executors(executors: u32, max_executors: u32) -> Self {
+    /// `max_executors`, and for rows of `max_row_bytes`.
+    pub(crate) fn for_executors(executors: u32, max_executors: u32, max_row_bytes: usize) -> Self {
         let shards = executors.div_ceil(max_executors.max(1)).max(1);
-        Self { shards, executors_per_shard: executors.div_ceil(shards) }
+        let tasks_per_record = tasks_per_record(max_row_bytes);
+        Self { shards, executors_per_shard: executors.div_ceil(shards), tasks_per_record }
     }
 
     /// Returns the identifiers of all shards.
@@ -100,6 +105,10 @@
     }
 }
 
+fn default_tasks_per_record() -> u32 {
+    tasks_per_record(DEFAULT_ROW_BYTES)
+}
+
 /// Returns the key of the row with the layout.
 pub(crate) fn layout_key() -> Key {
     Key { table: Table::Claims, part: String::new(), name: LAYOUT.to_owned() }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -70,8 +70,10 @@
     Yielded,
     /// How well an owner of shards keeps up.
     Load,
-    /// The store became unavailable, or available again.
+    /// The store became unavailable or available again, or rejects a transaction for good.
     Store,
+    /// The store rejects a row for good; the job whose record it is does not go on.
+    Rejected,
     /// A configuration took effect or can't be read, or the settings file was read again.
     Config,
     /// The address for metrics can't be listened on.
@@ -80,7 +82,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -102,6 +104,7 @@
         Self::Yielded,
         Self::Load,
         Self::Store,
+        Self::Rejected,
         Self::Config,
         Self::Metrics,
     ];
@@ -130,6 +133,7 @@
             Self::Yielded => 1403,
             Self::Load => 1404,
             Self::Store => 1420,
+            Self::Rejected => 1421,
             Self::Config => 1500,
             Self::Metrics => 1501,
         }
@@ -159,6 +163,7 @@
             Self::Yielded => "shard.yielded",
             Self::Load => "shard.load",
             Self::Store => "store.state",
+            Self::Rejected => "row.rejected",
             Self::Config => "config.state",
             Self::Metrics => "metrics.failed",
         }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -187,6 +187,16 @@
     }
 }
 
+impl Error {
+    /// Returns whether the store would refuse the same call each time.
+    ///
+    /// A call that is too large or malformed gets a status of the 400s. Of these, 408 and 429 are
+    /// about the moment of the call.
+    pub const fn is_permanent(&self) -> bool {
+        matches!(self, Self::Refused(status) if *status / 100 == 4 && *status != 408 && *status != 429)
+    }
+}
+
 /// Gives an instance access to the platform.
 pub trait Platform: 'static {
     /// Commits a transaction within `timeout`.
--- a/crates/node/src/shards/commit.rs
+++ b/crates/node/src/shards/commit.rs
@@ -58,6 +58,8 @@
             /// New version of the claim, if the transaction renewed it.
             claim: Option<Version>,
         },
+        /// The store rejects the transaction for good.
+        Rejected(Error),
         /// Another instance or epoch owns the shard; holds the claim's row where it is known.
         Lost(Option<Row>),
     }
@@ -88,7 +90,7 @@
         match attempt(context, &transaction, &mut timeout).await {
             None => {}
             Some(Ok(version)) => return Ok((claim, version)),
-            Some(Err(rows)) => {
+            Some(Err(Error::Conflict(rows))) => {
                 let row = rows.into_iter().find(|row| row.name == CLAIM);
                 let is_own = row.as_ref().and_then(decode) == Some(claim.clone());
                 return match row {
@@ -96,6 +98,7 @@
                     row => Err(row),
                 };
             }
+            Some(Err(_)) => return Err(None),
         }
     }
     Err(None)
@@ -113,16 +116,18 @@
 
 /// Makes one attempt at an idempotent transaction.
 ///
-/// Returns the new version, or the rows that conflict with the transaction. Returns none
-/// if the attempt was refused or its outcome is unknown, so that it must be repeated.
+/// Returns the new version, the rows that conflict with the transaction, or that the store rejects
+/// it for good. Returns none if the attempt was refused for the moment or its outcome is unknown, so
+/// that it must be repeated.
 async fn attempt<P: Platform>(
     context: &Context<P>,
     transaction: &Transaction,
     timeout: &mut Span,
-) -> Option<Result<Version, Vec<Row>>> {
+) -> Option<Result<Version, Error>> {
     match context.platform.transact(transaction, *timeout).await {
         Ok(version) => return Some(Ok(version)),
-        Err(Error::Conflict(rows)) => return Some(Err(rows)),
+        Err(error @ Error::Conflict(_)) => return Some(Err(error)),
+        Err(error) if error.is_permanent() => return Some(Err(error)),
         Err(Error::Unknown) => *timeout = timeout.scale(TIMEOUT_FACTOR).min(MAX_TIMEOUT),
         Err(_) => {
             Timer::after(REFUSED_DELAY).await;
@@ -150,7 +155,12 @@
                 let claim = renews.then_some(version);
                 return Committed::Done { sent, sequence: version, claim };
             }
-            Some(Err(rows)) => return resolve_conflict(sent, &rows, own, renews),
+            Some(Err(Error::Conflict(rows))) => return resolve_conflict(sent, &rows, own, renews),
+            Some(Err(error)) => {
+                // Nothing is tried in quick succession, whatever the store rejects.
+                Timer::after(REFUSED_DELAY).await;
+                return Committed::Rejected(error);
+            }
         }
     }
 }
--- a/crates/node/src/shards/logging.rs
+++ b/crates/node/src/shards/logging.rs
@@ -42,6 +42,11 @@
                 .number("over_ms", over.as_ms())
                 .write()
         }
+        Decision::RecordRejected(record) => Line::new(Code::Rejected)
+            .text("shard", shard)
+            .text("record", record)
+            .text("job", record.job)
+            .write(),
         Decision::Crashed { order, crashes, confirmed } => run(Code::Crashed, shard, order)
             .number("crashes", u64::from(*crashes))
             .number("confirmed", u64::from(*confirmed))
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -7,6 +7,7 @@
 mod logging;
 mod owner;
 mod recovery;
+mod writes;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -277,10 +278,14 @@
                 let (Some(config), Some(layout)) = (&self.config, self.layout) else {
                     return;
                 };
+                let settings = shard::Settings {
+                    tasks_per_record: layout.tasks_per_record,
+                    ..self.settings.shard
+                };
                 state.owner = Some(Owner::start(
                     self.context.clone(),
                     owner::OwnedShard { shard, epoch, layout, claim_version: version },
-                    self.settings.shard,
+                    settings,
                     Arc::clone(config),
                 ));
             }
@@ -322,6 +327,7 @@
                     None => state.ownership.record_write(sent),
                 }
             }
+            Committed::Rejected(error) => owner.rejected(now, &error),
             Committed::Lost(row) => self.observe(now, shard, row.as_ref()),
         }
     }
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -10,18 +10,21 @@
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::id::{ExecutorId, ShardId};
 use sycamorerill_jobs::ownership::{Claim, Ownership};
+use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::{Backlog, Batch, Command, Event, Settings, Shard};
 use sycamorerill_jobs::spec::AcceptedJob;
 
 use super::commit::{Sequence, commit};
 use super::lease_row::LeaseRow;
 use super::recovery::{Recovered, recover};
+use super::writes::{Change, Writes, record_id};
 use super::{Message, execute, logging};
 use crate::clock;
 use crate::frontend::{StateRow, decode, encode};
 use crate::instance::{self, Context};
 use crate::layout::{self, AcceptedRow, CLAIM, LEASES, Layout, MODEL, SEQUENCE};
-use crate::platform::{Platform, Row, Table, Transaction, Version};
+use crate::log::{Code, Line};
+use crate::platform::{Error, Key, Platform, Row, Table, Transaction, Version};
 use crate::watch::{Subscription, Update};
 
 /// Delay in which updates of executors accumulate: each reports about once a second.
@@ -54,9 +57,11 @@
     pub(super) releasing: bool,
     written_claim: Option<Claim>,
     transaction_task: Option<Task<()>>,
-    /// Whether the transaction in progress holds a batch of the shard.
-    batch_in_flight: bool,
-    batch: Option<Batch>,
+    /// Changes of the shard's latest batch that are not all committed.
+    writes: Option<Writes>,
+    /// Records of the latest batch that the store rejects.
+    rejected: Vec<RecordId>,
+    max_row_bytes: usize,
     /// Futures that are cancelled when the ownership ends.
     tasks: Vec<Task<()>>,
 }
@@ -88,8 +93,9 @@
             releasing: false,
             written_claim: None,
             transaction_task: None,
-            batch_in_flight: false,
-            batch: None,
+            writes: None,
+            rejected: Vec::new(),
+            max_row_bytes: settings.max_row_bytes,
             tasks: vec![reading],
         }
     }
@@ -218,7 +224,10 @@
             self.shard.set_shortage(shortage);
             for command in self.shard.turn(now, clock::wall_ms()) {
                 match command {
-                    Command::Record(batch) => self.batch = Some(batch),
+                    Command::Record(batch) => {
+                        let changes = self.changes(&batch);
+                        self.writes = Some(Writes::new(changes, self.max_row_bytes));
+                    }
                     Command::Log(decision) => {
                         self.context.metrics.record_decision(&decision);
                         logging::decision(self.owned.shard, &decision);
@@ -233,44 +242,30 @@
         self.commit(ownership);
     }
 
-    /// Commits the pending batch and a renewal of the claim that is due.
+    /// Commits changes that wait and a renewal of the claim that is due.
     ///
     /// At most one transaction is in progress at a time.
     fn commit(&mut self, ownership: &Ownership) {
-        if self.transaction_task.is_some() || (self.batch.is_none() && !self.renew_due) {
+        if self.transaction_task.is_some() || (self.writes.is_none() && !self.renew_due) {
             return;
         }
         let owned = self.owned;
-        let key = |table, name: &str| layout::shard_key(table, owned.shard, name);
         let own = Sequence { epoch: owned.epoch, number: self.sequence.1 + 1 };
         let mut transaction = Transaction {
             expected: vec![
-                (key(Table::Claims, CLAIM), self.claim_version),
-                (key(Table::Progress, SEQUENCE), self.sequence.0),
+                (self.key(Table::Claims, CLAIM), self.claim_version),
+                (self.key(Table::Progress, SEQUENCE), self.sequence.0),
             ],
-            writes: vec![(key(Table::Progress, SEQUENCE), encode(&own))],
+            writes: vec![(self.key(Table::Progress, SEQUENCE), encode(&own))],
             removes: Vec::new(),
         };
-        let batch = self.batch.take();
-        self.batch_in_flight = batch.is_some();
-        for (job, progress) in batch.iter().flat_map(|batch| &batch.progress) {
-            transaction.writes.push((key(Table::Progress, &job.to_string()), encode(progress)));
-        }
-        for (job, state) in batch.iter().flat_map(|batch| &batch.states) {
-            let row = StateRow { state: *state };
-            transaction.writes.push((key(Table::States, &job.to_string()), encode(&row)));
-        }
-        if let Some(model) = batch.as_ref().and_then(|batch| batch.model.as_ref()) {
-            transaction.writes.push((key(Table::Progress, MODEL), encode(model)));
-        }
-        if let Some(ends) = batch.as_ref().and_then(|batch| batch.lease_ends.as_ref()) {
-            let row = LeaseRow::new(ends, self.context.platform.store_clock(), clock::now());
-            transaction.writes.push((key(Table::Progress, LEASES), encode(&row)));
+        if let Some(writes) = &mut self.writes {
+            writes.add_to(&mut transaction);
         }
         let renews = std::mem::take(&mut self.renew_due);
         if renews {
             let claim = ownership.next_claim();
-            transaction.writes.push((key(Table::Claims, CLAIM), encode(&claim)));
+            transaction.writes.push((self.key(Table::Claims, CLAIM), encode(&claim)));
             self.written_claim = Some(claim);
         }
         let context = self.context.clone();
@@ -281,12 +276,72 @@
         }));
     }
 
+    fn key(&self, table: Table, name: &str) -> Key {
+        layout::shard_key(table, self.owned.shard, name)
+    }
+
+    /// Returns the changes of rows that a batch makes. The states that callers see come after the
+    /// records.
+    fn changes(&self, batch: &Batch) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (record, progress) in &batch.progress {
+            let value = progress.as_ref().map(encode);
+            changes.push((self.key(Table::Progress, &record.to_string()), value));
+        }
+        for (job, state) in &batch.states {
+            let row = StateRow { state: *state };
+            changes.push((self.key(Table::States, &job.to_string()), Some(encode(&row))));
+        }
+        if let Some(model) = &batch.model {
+            changes.push((self.key(Table::Progress, MODEL), Some(encode(model))));
+        }
+        if let Some(ends) = &batch.lease_ends {
+            let row = LeaseRow::new(ends, self.context.platform.store_clock(), clock::now());
+            changes.push((self.key(Table::Progress, LEASES), Some(encode(&row))));
+        }
+        changes
+    }
+
     /// Handles the success of the transaction in progress.
     pub(super) fn committed(&mut self, now: Time, sequence: Version) {
         self.transaction_task = None;
         self.sequence = (sequence, self.sequence.1 + 1);
-        if std::mem::take(&mut self.batch_in_flight) {
-            self.handle_event(now, Event::Recorded);
+        if let Some(writes) = &mut self.writes {
+            writes.committed();
+        }
+        self.finish_batch(now);
+    }
+
+    /// Handles that the store rejects the transaction in progress for good.
+    ///
+    /// The rows that it rejects are given up, so that they do not hold up the others.
+    pub(super) fn rejected(&mut self, now: Time, error: &Error) {
+        self.transaction_task = None;
+        self.renew_due |= self.written_claim.take().is_some();
+        if let Some(writes) = &mut self.writes {
+            writes.refused();
+        }
+        Line::new(Code::Store).text("state", "rejects").text("error", error).write();
+        self.finish_batch(now);
+    }
+
+    /// Reports the batch to the shard as recorded once all of its changes are committed or given
+    /// up.
+    fn finish_batch(&mut self, now: Time) {
+        let Some(writes) = &mut self.writes else {
+            return;
+        };
+        for key in writes.take_rejected() {
+            Line::new(Code::Rejected)
+                .text("shard", self.owned.shard)
+                .text("row", &key.name)
+                .write();
+            self.rejected.extend(record_id(&key));
+        }
+        if writes.is_done() {
+            self.writes = None;
+            let rejected = std::mem::take(&mut self.rejected);
+            self.handle_event(now, Event::Recorded(rejected));
         }
     }
 
--- a/crates/node/src/shards/recovery.rs
+++ b/crates/node/src/shards/recovery.rs
@@ -5,8 +5,9 @@
 use async_io::Timer;
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::executor::Registration;
-use sycamorerill_jobs::id::{JobId, ShardId};
+use sycamorerill_jobs::id::ShardId;
 use sycamorerill_jobs::progress::Progress;
+use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::Records;
 use sycamorerill_jobs::spec::AcceptedJob;
 
@@ -110,18 +111,23 @@
         .collect()
 }
 
-fn read_progress(row: &Row) -> Option<(JobId, Progress)> {
+fn read_progress(row: &Row) -> Option<(RecordId, Progress)> {
     Some((row.name.parse().ok()?, decode(row)?))
 }
 
 /// Agrees with the other instances on the number of shards and sends the layout to the
 /// actors.
 ///
-/// `max_executors` is the number of executors that this instance can manage.
-pub(crate) async fn agree_on_layout<P: Platform>(context: Context<P>, max_executors: u32) {
+/// `max_executors` is the number of executors that this instance can manage, `max_row_bytes` the
+/// size of a row of the store.
+pub(crate) async fn agree_on_layout<P: Platform>(
+    context: Context<P>,
+    max_executors: u32,
+    max_row_bytes: usize,
+) {
     let mut failures = 0;
     loop {
-        match read_or_create_layout(&*context.platform, max_executors).await {
+        match read_or_create_layout(&*context.platform, max_executors, max_row_bytes).await {
             Ok(layout) => {
                 Line::new(Code::Layout)
                     .number("shards", u64::from(layout.shards))
@@ -143,6 +149,7 @@
 async fn read_or_create_layout<P: Platform>(
     platform: &P,
     max_executors: u32,
+    max_row_bytes: usize,
 ) -> Result<Layout, Error> {
     if let Some(layout) = read_layout(platform).await? {
         return Ok(layout);
@@ -156,7 +163,7 @@
         return Ok(layout);
     }
     let key = layout::layout_key();
-    let layout = Layout::for_executors(executors, max_executors);
+    let layout = Layout::for_executors(executors, max_executors, max_row_bytes);
     let transaction = Transaction {
         expected: vec![(key.clone(), Version(0))],
         writes: vec![(key, encode(&layout))],
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -32,6 +32,13 @@
 /// Default run time of a task, in milliseconds.
 const RUN_MS: u64 = 60;
 
+/// Maximum number of entries in a transaction.
+const MAX_ENTRIES: usize = 100;
+/// Maximum number of bytes in a call, as the store encodes values.
+const MAX_CALL_BYTES: usize = 1_000_000;
+/// Maximum number of bytes in a row.
+const ROW_BYTES: usize = 65_536;
+
 /// Time that a watch may take in addition to its wait before the platform adapter fails it.
 const WATCH_SLACK_MS: u64 = 500;
 
@@ -54,6 +61,10 @@
     executors: RefCell<BTreeMap<ExecutorId, FakeExecutor>>,
     /// For each probe that was sent, whether it renewed leases.
     pub(crate) probes: RefCell<Vec<bool>>,
+    /// Whether the store refuses transactions of owners for the moment.
+    pub(crate) store_refuses_records: Cell<bool>,
+    /// Name of a row of which the store rejects each write.
+    pub(crate) rejected_row: RefCell<Option<String>>,
     /// Starts that executors have carried out.
     pub(crate) starts: RefCell<Vec<(TaskId, Run)>>,
 }
@@ -111,8 +122,15 @@
             });
             return Err(Error::Conflict(found.collect()));
         }
+        if self.is_malformed(transaction) {
+            return Err(Error::Refused(400));
+        }
         let version = self.version.get() + 1;
         self.version.set(version);
+        for key in &transaction.removes {
+            self.rows.borrow_mut().remove(&row_key(key));
+            self.history.borrow_mut().push((row_key(key), None, version));
+        }
         for (key, value) in &transaction.writes {
             self.rows.borrow_mut().insert(row_key(key), (value.clone(), version));
             self.history.borrow_mut().push((row_key(key), Some(value.clone()), version));
@@ -120,6 +138,18 @@
         Ok(Version(version))
     }
 
+    /// Returns whether the store rejects a transaction whatever its conditions.
+    fn is_malformed(&self, transaction: &Transaction) -> bool {
+        let Transaction { expected, writes, removes } = transaction;
+        let rejected = self.rejected_row.borrow();
+        let bytes: usize = writes.iter().map(|(_, value)| value.len().div_ceil(3) * 4).sum();
+        expected.len() + writes.len() + removes.len() > MAX_ENTRIES
+            || bytes > MAX_CALL_BYTES
+            || writes.iter().any(|(key, value)| {
+                value.len() > ROW_BYTES || rejected.as_ref().is_some_and(|name| *name == key.name)
+            })
+    }
+
     /// Starts an instance on this platform.
     pub(crate) fn start_instance(
         self: &Rc<Self>,
@@ -219,6 +249,10 @@
 impl Platform for Connection {
     async fn transact(&self, transaction: &Transaction, timeout: Span) -> Result<Version, Error> {
         self.connect().await?;
+        let is_record = |(key, _): &(Key, Bytes)| key.table == Table::Progress;
+        if self.platform.store_refuses_records.get() && transaction.writes.iter().any(is_record) {
+            return Err(Error::Refused(503));
+        }
         if self.platform.refusals.get() > 0 {
             self.platform.refusals.set(self.platform.refusals.get() - 1);
             return Err(Error::Refused(503));
