platform, jobs, node: odd input of other writers ends no process and draws no work

Report of other operators: one odd entry among those of the executors (deeply nested, a number too large, a port out of range), and the machines that read the list ended again and again, or stopped following it.

Checked kind by kind. Nesting, numbers beyond a type, ports beyond 65,535 and bytes that cannot be read were already entries that name no executor. What could happen here, each shown by a test that failed before: - An entry drew work before its executor had answered anything. Executors now answer a probe under the owner's epoch first; one that never does is probed ever more rarely. - Capacities, clocks and starts near the largest integer, port 0, broadcast addresses and identifiers that no header holds were used. Readings that no clock can have reached are ignored, and a report goes before an entry. - An entry with a later start made a sound executor unusable for good. - A job or a row of a job with 2^32 tasks, or an endless schedule, took all memory; sums of resources and times overflowed. Jobs have at most 100,000 tasks. - A layout row with 0 shards ended each instance; a claim with the largest epoch could not be followed. - A progress row that cannot be read started its tasks again: TWICE.

The simulation counts a task as running twice also if both runs have one number. Tests of crashes let all executors answer a first probe before they begin; their bounds are as before.

--- a/crates/jobs/src/executor.rs
+++ b/crates/jobs/src/executor.rs
@@ -118,6 +118,9 @@
         pub running: Vec<RunReport>,
         /// Ends of runs that the executor keeps until it is told that they are recorded.
         pub ended: Vec<RunEnd>,
+        /// Highest number of an end that the executor keeps, also of runs that are no task's; 0 if
+        /// it keeps none.
+        pub latest_end: u64,
     }
 }
 
--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -41,6 +41,13 @@
     }
 }
 
+impl Claim {
+    /// Returns whether the claim can be one of an instance: its epoch can still rise.
+    pub const fn is_valid(&self) -> bool {
+        self.epoch < MAX_EPOCH
+    }
+}
+
 data! {
     /// Capacity of an instance and the times that govern its claims.
     #[derive(Copy)]
@@ -97,6 +104,9 @@
     }
 }
 
+/// Epoch that no number of claims reaches.
+const MAX_EPOCH: u64 = 1 << 53;
+
 /// Minimum delay before a claim or a read of the claim is repeated, so that its outcome can
 /// arrive first.
 const RETRY_DELAY: Span = Span::from_ms(400);
@@ -284,8 +294,8 @@
     pub fn next_claim(&self) -> Claim {
         let holder = Some(self.instance.clone());
         let (epoch, renewal) = match &self.claim {
-            Some(claim) if self.is_held() => (claim.epoch, claim.renewal + 1),
-            Some(claim) => (claim.epoch + 1, 0),
+            Some(claim) if self.is_held() => (claim.epoch, claim.renewal.saturating_add(1)),
+            Some(claim) => (claim.epoch.saturating_add(1), 0),
             None => (1, 0),
         };
         let max_executors = self.settings.max_executors;
@@ -320,7 +330,7 @@
         if yields > 0 && since < yield_interval(yields) {
             return None;
         }
-        let yields = if since < YIELD_MEMORY { yields + 1 } else { 1 };
+        let yields = if since < YIELD_MEMORY { yields.saturating_add(1) } else { 1 };
         Some(Claim { yielded_ms: wall_ms, yields, ..self.released_claim() })
     }
 
--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -212,8 +212,9 @@
         let Some(task) = entry.task_mut(&order.task) else {
             return;
         };
-        task.crashes += 1;
-        task.confirmed_crashes += u32::from(involvement == Involvement::Started);
+        task.crashes = task.crashes.saturating_add(1);
+        let started = u32::from(involvement == Involvement::Started);
+        task.confirmed_crashes = task.confirmed_crashes.saturating_add(started);
         task.avoided_executor = Some(order.executor.clone());
         task.not_before = now + MIN_BACKOFF;
         let (crashes, confirmed) = (task.crashes, task.confirmed_crashes);
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -13,6 +13,14 @@
 /// Slowest rate of an executor's clock relative to the local clock.
 pub(super) const SLOWEST_CLOCK: f64 = 0.98;
 
+/// Fastest rate of an executor's clock relative to the local clock.
+pub(super) const FASTEST_CLOCK: f64 = 1.02;
+/// Longest time from a reading of the clock until its answer is received: the longest wait of a
+/// probe and its timeout.
+const MAX_READING_DELAY: Span = Span::from_ms(3_000);
+/// Tolerance for the clock of an entry.
+const ENTRY_CLOCK_MARGIN: Span = Span::from_ms(100);
+
 /// State of one executor.
 #[derive(Debug)]
 pub(super) struct Executor {
@@ -42,8 +50,8 @@
     pub(super) lease_end_recorded: bool,
     /// Whether orders of predecessors can no longer take effect.
     pub(super) fenced: bool,
-    /// Whether the current incarnation has answered a probe. Always true for the incarnation
-    /// that was listed first.
+    /// Whether the current incarnation has answered a probe. An entry alone does not show that the
+    /// executor can be reached, or which incarnation is there.
     pub(super) confirmed: bool,
     /// When all orders and leases of predecessors have expired, even without an answer from the
     /// executor.
@@ -81,6 +89,8 @@
     pub(super) verify: bool,
     /// Whether the latest completed probe brought no report.
     pub(super) probe_failed: bool,
+    /// Number of probes in a row that brought no report.
+    pub(super) failed_probes: u32,
     /// Since when the executor has not answered.
     pub(super) unreachable_since: Option<Time>,
     pub(super) health: super::health::Health,
@@ -109,7 +119,7 @@
             clock_reset_at: Time::ZERO,
             lease_end_recorded: false,
             fenced: true,
-            confirmed: true,
+            confirmed: false,
             inherited_until: Time::ZERO,
             inherited_restart: false,
             open_tasks: BTreeSet::new(),
@@ -127,6 +137,7 @@
             probe_after: Time::ZERO,
             verify: false,
             probe_failed: false,
+            failed_probes: 0,
             unreachable_since: None,
             health: super::health::Health::default(),
             throttled_at: None,
@@ -143,13 +154,37 @@
         Steady(self.clock.0.0.saturating_add(elapsed))
     }
 
-    /// Raises the lower bound on the clock to a reading received at `now`.
+    /// Raises the lower bound on the clock to a reading that the executor has sent and that was
+    /// received at `now`. A reading that no clock can have reached is ignored.
     pub(super) fn update_clock(&mut self, now: Time, clock: Steady) {
-        if clock > self.clock(now) {
+        if clock > self.clock(now) && self.is_plausible(now, clock) {
+            self.clock = (clock, now);
+        }
+    }
+
+    /// Returns whether the executor's clock can have reached a reading that was received at `now`.
+    pub(super) fn is_plausible(&self, now: Time, clock: Steady) -> bool {
+        clock <= self.clock_limit(now, MAX_READING_DELAY)
+    }
+
+    /// Raises the lower bound on the clock to that of an entry, which may be of another writer.
+    fn update_clock_from_entry(&mut self, now: Time, clock: Steady) {
+        if clock > self.clock(now) && clock <= self.clock_limit(now, ENTRY_CLOCK_MARGIN) {
             self.clock = (clock, now);
         }
     }
 
+    /// Returns an upper bound on the executor's clock at `now`, if the latest reading was delayed
+    /// by `delay`. There is none before the first answer.
+    fn clock_limit(&self, now: Time, delay: Span) -> Steady {
+        if self.last_answer == Time::ZERO {
+            return Steady(u64::MAX);
+        }
+        let (reading, at) = self.clock;
+        let elapsed = now.since(at).scale(FASTEST_CLOCK) + delay;
+        Steady(reading.0.saturating_add(elapsed.as_ms()))
+    }
+
     /// Returns the end of a lease of length `lease` from `now`, and records that it may be
     /// granted.
     pub(super) fn extend_lease(&mut self, now: Time, lease: Span) -> Steady {
@@ -287,7 +322,8 @@
         let Some(executor) = self.executors.get_mut(&id) else {
             let executor = Executor::new(now, registration);
             let executor = Executor { lease_end_recorded: recorded, ..executor };
-            self.executors.insert(id, executor);
+            self.executors.insert(id.clone(), executor);
+            self.probe_candidates.insert(id);
             return;
         };
         if registration.incarnation < executor.registration.incarnation {
@@ -299,10 +335,11 @@
         let Some(executor) = self.executors.get_mut(&id) else {
             return;
         };
-        executor.update_clock(now, registration.clock);
+        executor.update_clock_from_entry(now, registration.clock);
         executor.registration = registration;
         executor.present = true;
         executor.update_departure(now);
+        self.probe_candidates.insert(id);
     }
 
     /// Handles the removal of an executor's entry.
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::State;
 use crate::record::MAX_OPEN_OCCURRENCES;
-use crate::spec::AcceptedJob;
+use crate::spec::{AcceptedJob, MAX_TASKS_PER_JOB};
 
 /// Backoff before a failed task runs again; it doubles with each failure.
 pub(super) const MIN_BACKOFF: Span = Span::from_ms(20);
@@ -24,7 +24,7 @@
 impl Shard {
     /// Adds an accepted job and begins it.
     pub(super) fn handle_accepted(&mut self, now: Time, id: JobId, accepted: AcceptedJob) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || accepted.job.validate().is_err() {
             return;
         }
         self.jobs.insert(id, new_entry(accepted));
@@ -70,7 +70,9 @@
         let wall_ms = self.wall_ms;
         let entry = self.jobs.get_mut(&id)?;
         let number = entry.next_occurrence;
-        if entry.occurrences.len() >= MAX_OPEN_OCCURRENCES {
+        let open = entry.occurrences.len();
+        let tasks = entry.job.task_count().saturating_mul(open as u64 + 1);
+        if open >= MAX_OPEN_OCCURRENCES || (open > 0 && tasks > MAX_TASKS_PER_JOB) {
             return None;
         }
         if !entry.is_active() || number >= entry.job.occurrences() {
@@ -347,7 +349,7 @@
         let Some(task) = entry.task_mut(id) else {
             return;
         };
-        task.failed += 1;
+        task.failed = task.failed.saturating_add(1);
         task.avoided_executor = Some(executor.clone());
         let factor = 1_u64 << task.failed.min(6).saturating_sub(1);
         let pause = if long_running { Span::ZERO } else { MIN_BACKOFF.saturating_mul(factor) };
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -190,7 +190,8 @@
             /// Longest time for which a task on the executor has been over its objective.
             over: Span,
         },
-        /// The store rejects a record of a job for good, so the job does not go on.
+        /// The store rejects a record of a job for good, or it cannot be read, so the job does not
+        /// go on.
         RecordRejected(RecordId),
         /// An executor crashed shortly after a task may have started there.
         Crashed {
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -39,6 +39,8 @@
 const MAX_EXTRAPOLATION: Span = Span::from_ms(1_500);
 /// Interference at which a report has half the confidence as an observation of the load.
 const HALF_CONFIDENCE_INTERFERENCE: f64 = 0.08;
+/// Lower bound on a recorded idle tail divided by the objective.
+const MIN_IDLE_RATIO: f64 = 1e-6;
 /// Upper bound on the idle tail, as a fraction of the lowest tail reported.
 const IDLE_RATIO_MARGIN: f64 = 0.9;
 
@@ -134,10 +136,10 @@
             let columns: Vec<(usize, f64)> = recorded
                 .weights
                 .iter()
-                .map(|(image, weight)| (self.add_column(image), *weight))
+                .map(|(image, weight)| (self.add_column(image), weight.clamp(0.0, MAX_WEIGHT)))
                 .collect();
             let fit = self.fit(&image);
-            fit.idle_ratio = recorded.rest;
+            fit.idle_ratio = recorded.rest.clamp(MIN_IDLE_RATIO, 1.0);
             for (column, weight) in columns {
                 fit.prior[column] = weight;
                 fit.weights[column] = weight;
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -282,7 +282,7 @@
             && executor.unreachable_since.is_none()
         {
             executor.unreachable_since = Some(now);
-            executor.probe_after = now + self.settings.probe_retry;
+            executor.probe_after = executor.probe_after.max(now + self.settings.probe_retry);
             self.probe_candidates.insert(id.clone());
             self.out.push(Command::Log(Decision::Unreachable(id.clone())));
         }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -200,7 +200,7 @@
 
     fn next_run(&self, task: &TaskId) -> Run {
         let found = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task));
-        Run(found.map_or(0, |task| task.run) + 1)
+        Run(found.map_or(0, |task| task.run).saturating_add(1))
     }
 
     /// Returns the inputs of the placement of a step.
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -5,7 +5,7 @@
 use sycamorerill_core::clock::{Span, Time};
 
 use super::entry::{Stage, Stop};
-use super::executors::PlacedRun;
+use super::executors::{Executor, PlacedRun};
 use super::message::{Closing, Command, Decision, Order, Probe};
 use super::{Settings, Shard};
 use crate::executor::{Outcome, Refusal, Report, RunReport, Steady};
@@ -14,9 +14,24 @@
 /// Maximum number of run ends in one report. A report with that many may omit others, so runs
 /// that it does not list may still have ended.
 const MAX_ENDS_PER_REPORT: usize = 500;
+/// Maximum number of times that the time until the next probe doubles.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// Wait of a probe whose answer is needed at once.
 const NO_WAIT: Span = Span::ZERO;
 
+impl Executor {
+    /// Returns the time until the next probe after one that failed.
+    ///
+    /// It doubles with each failure at an executor that has never answered and of which no run is
+    /// known: its entry may be that of another writer.
+    fn probe_backoff(&self, first: Span) -> Span {
+        if self.last_answer > Time::ZERO || !self.open_tasks.is_empty() {
+            return first;
+        }
+        first.saturating_mul(1 << self.failed_probes.min(MAX_BACKOFF_DOUBLINGS))
+    }
+}
+
 impl Shard {
     /// Sends the probes that are due.
     pub(super) fn send_due_probes(&mut self, now: Time) {
@@ -91,6 +106,8 @@
     }
 
     /// Handles the answer to a probe.
+    ///
+    /// The first one shows that the executor can be reached, so that it is used from then on.
     pub(super) fn handle_report(&mut self, now: Time, probe: &Probe, report: Report) {
         let id = &probe.executor;
         let Some(executor) = self.executors.get_mut(id) else {
@@ -102,14 +119,12 @@
         let sent = executor.probe_sent.take().unwrap_or(now);
         let current = executor.registration.incarnation;
         let reported = report.incarnation.unwrap_or(current);
-        if reported < current {
-            // A late answer of the previous incarnation.
-            self.probe_candidates.insert(id.clone());
-            return;
-        }
         if reported > current {
             self.handle_restart(now, id, reported, report.clock);
         } else {
+            // An answer to a probe that was sent before a restart was known is ignored above. So
+            // a lower incarnation shows that the entry was not that of the executor.
+            executor.registration.incarnation = reported;
             self.correct_clock(now, id, sent, report.clock);
         }
         let Some(executor) = self.executors.get_mut(id) else {
@@ -118,8 +133,12 @@
         executor.update_clock(now, report.clock);
         executor.last_answer = now;
         executor.probe_after = now;
-        executor.confirmed = true;
+        if !std::mem::replace(&mut executor.confirmed, true) {
+            self.released.insert(id.clone());
+            self.placement_due = true;
+        }
         executor.probe_failed = false;
+        executor.failed_probes = 0;
         if executor.unreachable_since.take().is_some() {
             self.released.insert(id.clone());
             self.out.push(Command::Log(Decision::Reachable(id.clone())));
@@ -138,6 +157,13 @@
                 self.handle_end(now, id, ended);
             }
         }
+        if let Some(executor) = self.executors.get_mut(id)
+            && report.latest_end > executor.ends_processed
+        {
+            // Unless they are acknowledged, ends of runs that are no task's are reported at once.
+            executor.ends_processed = report.latest_end;
+            self.has_new_ends = true;
+        }
         listed.extend(report.running.iter().map(|row| (row.task, row.run)));
         for row in &report.running {
             self.handle_listed_run(now, id, row);
@@ -239,7 +265,8 @@
             executor.record_unanswered(now, sent, &settings);
         }
         executor.probe_failed = true;
-        executor.probe_after = now + self.settings.probe_retry;
+        executor.probe_after = now + executor.probe_backoff(settings.probe_retry);
+        executor.failed_probes = executor.failed_probes.saturating_add(1);
         self.probe_candidates.insert(id.clone());
         if let Outcome::Refused(refusal, _) = outcome {
             if refusal == Refusal::Incarnation {
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -36,20 +36,23 @@
     ) -> Self {
         let (priority, stretch, objective) = queue
             .map_or((0, 1.0, 0), |queue| (queue.priority, queue.stretch, queue.objective.as_ms()));
-        let span = entry.job.critical_path().scale(stretch).as_ms() + objective;
-        let due_ms = begin_ms + span;
+        let path_ms = entry.job.critical_path().scale(stretch).as_ms();
+        let span = path_ms.saturating_add(objective);
+        let due_ms = begin_ms.saturating_add(span);
         let remaining = entry.job.critical_path_from(step).scale(CERTAIN_FRACTION).as_ms();
+        let ahead = priority.saturating_mul(2).min(EXPIRED - 3);
+        let behind = ahead + 1;
         let group = if entry.long_running {
             // Behind other tasks of the same priority: those have several times the value per
             // core and second, and release their resources again.
-            2 * priority + 1
-        } else if wall_ms > begin_ms + EXPIRY_FACTOR * span {
+            behind
+        } else if wall_ms > begin_ms.saturating_add(span.saturating_mul(EXPIRY_FACTOR)) {
             EXPIRED
-        } else if wall_ms + remaining > due_ms {
+        } else if wall_ms.saturating_add(remaining) > due_ms {
             // The job will be late in any case, so it must not make others late.
-            2 * priority + 1
+            behind
         } else {
-            2 * priority
+            ahead
         };
         Self { group, due_ms }
     }
--- a/crates/jobs/src/shard/restart.rs
+++ b/crates/jobs/src/shard/restart.rs
@@ -9,14 +9,12 @@
 use sycamorerill_core::clock::{Span, Time};
 
 use super::entry::{OpenRun, Stage, Stop};
-use super::executors::Executor;
+use super::executors::{Executor, FASTEST_CLOCK};
 use super::message::{Closing, Command, Decision, Order};
 use super::{Settings, Shard, crash};
 use crate::executor::{Incarnation, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
-/// Fastest rate of an executor's clock relative to the local clock.
-const FASTEST_CLOCK: f64 = 1.02;
 /// Tolerance of comparisons between readings of an executor's clock, which are rounded.
 const CLOCK_MARGIN: Span = Span::from_ms(5);
 
@@ -152,12 +150,14 @@
         }
     }
 
-    /// Replaces the clock of an executor that reports less than its entry did.
+    /// Replaces the clock of an executor whose report contradicts earlier readings, as after an
+    /// entry of another writer.
     pub(super) fn correct_clock(&mut self, now: Time, id: &ExecutorId, sent: Time, clock: Steady) {
         let settings = self.settings;
-        if let Some(executor) = self.executors.get_mut(id)
-            && executor.shows_restart(sent, clock)
-        {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if executor.shows_restart(sent, clock) || !executor.is_plausible(now, clock) {
             executor.reset_clock(now, clock, &settings);
         }
     }
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -11,10 +11,11 @@
 use super::executors::Executor;
 use super::lease_ends::LeaseEnd;
 use super::lifecycle::new_entry;
+use super::message::{Command, Decision};
 use crate::executor::{Availability, Incarnation, Registration, Steady};
 use crate::id::{DomainName, JobId, Run, ServiceName, StepId, TaskId};
 use crate::progress::{self, Progress, State, TaskRecord};
-use crate::record::RecordId;
+use crate::record::{MAX_OPEN_OCCURRENCES, RecordId};
 use crate::spec::{AcceptedJob, Resources};
 
 /// Address of an executor whose address is not known.
@@ -32,6 +33,8 @@
         pub model: Option<super::Snapshot>,
         /// Progress of jobs; the first record of a job comes before its others.
         pub progress: Vec<(RecordId, Progress)>,
+        /// Records that cannot be read; their jobs do not go on, since runs may be active.
+        pub unreadable: Vec<RecordId>,
         /// Time left of the leases of executors that did not answer the predecessor.
         pub lease_ends: Vec<LeaseEnd>,
         /// Whether the store was unavailable shortly before, so that entries of executors may have
@@ -50,6 +53,9 @@
         }
         self.restore_lease_ends(now, &records.lease_ends, records.after_outage);
         for (id, accepted) in records.jobs {
+            if accepted.job.validate().is_err() {
+                continue;
+            }
             self.jobs.insert(id, new_entry(accepted));
         }
         for (id, progress) in &records.progress {
@@ -58,6 +64,12 @@
         for (id, progress) in &records.progress {
             self.restore_tasks(now, *id, progress);
         }
+        for record in &records.unreadable {
+            if let Some(entry) = self.jobs.get_mut(&record.job) {
+                entry.is_rejected = true;
+                self.out.push(Command::Log(Decision::RecordRejected(*record)));
+            }
+        }
         for id in records.cancelled {
             self.cancel(now, id);
         }
@@ -218,7 +230,8 @@
 }
 
 fn begin_occurrence(entry: &mut Entry, now: Time, number: u32) {
-    if !entry.occurrences.contains_key(&number) {
+    let is_full = entry.occurrences.len() > MAX_OPEN_OCCURRENCES;
+    if !entry.occurrences.contains_key(&number) && !is_full {
         let occurrence = entry.occurrence(number, now);
         entry.occurrences.insert(number, occurrence);
     }
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -8,6 +8,8 @@
 
 /// Maximum number of tasks in one step.
 pub const MAX_TASKS_PER_STEP: u32 = 10_000;
+/// Maximum number of tasks in all steps of one job: an instance holds the state of each in memory.
+pub const MAX_TASKS_PER_JOB: u64 = 100_000;
 /// Maximum number of steps in one job.
 pub const MAX_STEPS: usize = 256;
 /// Maximum length of [`Job::text`], in bytes.
@@ -141,6 +143,12 @@
         /// Number of tasks in the step.
         found: u32,
     },
+    /// The steps have more than [`MAX_TASKS_PER_JOB`] tasks together.
+    #[error("the job has {found} tasks, expected at most {MAX_TASKS_PER_JOB}")]
+    JobSize {
+        /// Number of tasks in all steps.
+        found: u64,
+    },
     /// A step depends on itself or a later step.
     #[error("step {step} depends on step {dependency}, expected an earlier one")]
     DependencyOrder {
@@ -206,7 +214,14 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Error::StepCount { found: self.steps.len() });
         }
-        self.steps.iter().enumerate().try_for_each(|(number, step)| validate_step(number, step))
+        self.steps.iter().enumerate().try_for_each(|(number, step)| validate_step(number, step))?;
+        let found = self.task_count();
+        if found > MAX_TASKS_PER_JOB { Err(Error::JobSize { found }) } else { Ok(()) }
+    }
+
+    /// Returns the number of tasks in all steps.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
     /// Returns the number of times that the steps run, at least 1.
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -42,6 +42,8 @@
         for id in ids {
             sim.list_executor(&id);
         }
+        // All executors answer their first probe.
+        sim.advance(Span::from_ms(20));
         let deadly = deadly.iter().copied().collect();
         let (crashes, down) = (BTreeMap::new(), BTreeMap::new());
         Self { sim, downtime: DOWNTIME, deadly, crashes, down }
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -48,6 +48,8 @@
     /// Whether another executor has taken over the address.
     pub(crate) replaced: bool,
     pub(crate) run_time: Span,
+    /// Number of an end that is kept of a run that is no task's; 0 if there is none.
+    pub(crate) foreign_end: u64,
     /// Checkpoint that runs have saved.
     pub(crate) checkpoint: String,
     /// Tail latency that latency-critical tasks report, in milliseconds.
@@ -118,6 +120,7 @@
             clock: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
+            latest_end: self.ended.last().map_or(0, |end| end.number).max(self.foreign_end),
         }
     }
 }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -51,6 +51,8 @@
     pub(crate) largest_record: usize,
     /// Entries that the next successors read in place of the present ones.
     pub(crate) stale_entries: BTreeMap<ExecutorId, Registration>,
+    /// Records that the next successors cannot read.
+    pub(crate) unreadable: Vec<RecordId>,
     /// Whether the next successor takes over shortly after an outage of the store.
     pub(crate) after_outage: bool,
     /// Orders that are delivered later, each with the epoch of its sender.
@@ -130,6 +132,7 @@
             lease_ends: BTreeMap::new(),
             largest_record: 0,
             stale_entries: BTreeMap::new(),
+            unreadable: Vec::new(),
             after_outage: false,
             delayed_orders: Vec::new(),
             violations: Vec::new(),
@@ -175,6 +178,7 @@
             refuses_probes: false,
             replaced: false,
             run_time: Span::from_ms(1_000),
+            foreign_end: 0,
             checkpoint: String::new(),
             tail_ms: 20,
             list_age: Span::ZERO,
@@ -259,6 +263,7 @@
             cancelled: self.cancelled.iter().copied().collect(),
             model: self.model.clone(),
             progress: self.progress.iter().map(|(id, record)| (*id, record.clone())).collect(),
+            unreadable: self.unreadable.clone(),
             lease_ends: self.recorded_lease_ends(),
             after_outage: self.after_outage,
         };
@@ -445,7 +450,8 @@
         };
         let runs_elsewhere = self.checks_all_executors
             && self.executors.values().any(|executor| {
-                executor.running.get(&order.task).is_some_and(|active| active.run != order.run)
+                let found = executor.running.get(&order.task);
+                found.is_some_and(|active| executor.id != order.executor || active.run != order.run)
             });
         let executor = self.executors.get_mut(&order.executor).expect("known executor");
         let clock = executor.clock(now);
--- a/crates/jobs/tests/support/probe.rs
+++ b/crates/jobs/tests/support/probe.rs
@@ -38,6 +38,9 @@
         }
         executor.fence = epoch;
         executor.ended.retain(|end| end.number > acknowledged);
+        if executor.foreign_end <= acknowledged {
+            executor.foreign_end = 0;
+        }
         if let Some(deadline) = deadline {
             executor.extend_lease(now, deadline.0);
         }
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -19,6 +19,8 @@
 const EXECUTORS_PER_MBIT: f64 = 40.0;
 /// Lower bound on the number of executors that an instance is assumed to manage.
 const MIN_EXECUTORS: f64 = 20.0;
+/// Maximum number of shards.
+const MAX_SHARDS: u32 = 10_000;
 /// Name of the row with the claim on a shard.
 pub(crate) const CLAIM: &str = "owner";
 /// Name of the row that each transaction of an owner rewrites.
@@ -76,6 +78,11 @@
         Self { shards, executors_per_shard: executors.div_ceil(shards), tasks_per_record }
     }
 
+    /// Returns whether the layout can be used. Its row may be one of another writer.
+    pub(crate) fn is_valid(&self) -> bool {
+        (1..=MAX_SHARDS).contains(&self.shards) && self.tasks_per_record > 0
+    }
+
     /// Returns the identifiers of all shards.
     pub(crate) fn shards(self) -> impl Iterator<Item = ShardId> {
         (0..self.shards).map(ShardId)
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -413,7 +413,7 @@
         if version < state.version {
             return;
         }
-        let claim: Option<Claim> = row.and_then(decode);
+        let claim: Option<Claim> = row.and_then(decode).filter(Claim::is_valid);
         state.version = version;
         state.ownership.observe(now, claim);
         let epoch = state.owner.as_ref().map(Owner::epoch);
--- a/crates/node/src/shards/recovery.rs
+++ b/crates/node/src/shards/recovery.rs
@@ -6,7 +6,6 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::executor::Registration;
 use sycamorerill_jobs::id::ShardId;
-use sycamorerill_jobs::progress::Progress;
 use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::Records;
 use sycamorerill_jobs::spec::AcceptedJob;
@@ -22,6 +21,8 @@
 
 /// Delay before a retry after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
+/// Number of failures in a row from one log line to the next.
+const FAILURES_PER_LINE: u32 = 50;
 /// Timeout of the transaction that stores the layout.
 const LAYOUT_TIMEOUT: Span = Span::from_ms(800);
 
@@ -89,7 +90,15 @@
             _ => {}
         }
     }
-    records.progress = progress.0.iter().filter_map(read_progress).collect();
+    for row in &progress.0 {
+        let Ok(id) = row.name.parse::<RecordId>() else {
+            continue;
+        };
+        match decode(row) {
+            Some(progress) => records.progress.push((id, progress)),
+            None => records.unreadable.push(id),
+        }
+    }
     let (accepted_after, executors_after) = (accepted.1, executors.1);
     let model = progress.0.iter().find(|row| row.name == layout::MODEL);
     records.model = model.and_then(decode);
@@ -111,10 +120,6 @@
         .collect()
 }
 
-fn read_progress(row: &Row) -> Option<(RecordId, Progress)> {
-    Some((row.name.parse().ok()?, decode(row)?))
-}
-
 /// Agrees with the other instances on the number of shards and sends the layout to the
 /// actors.
 ///
@@ -137,7 +142,10 @@
                 context.send(instance::Message::Manager(message));
                 return;
             }
-            Err(_) => {
+            Err(error) => {
+                if failures % FAILURES_PER_LINE == 0 {
+                    Line::new(Code::Layout).text("error", &error).write();
+                }
                 failures += 1;
                 Timer::after(RETRY_DELAY).await;
             }
@@ -171,7 +179,9 @@
     };
     match platform.transact(&transaction, LAYOUT_TIMEOUT).await {
         Ok(_) => Ok(layout),
-        Err(Error::Conflict(rows)) => rows.iter().find_map(decode).ok_or(Error::Unknown),
+        Err(Error::Conflict(rows)) => {
+            rows.iter().find_map(decode).filter(Layout::is_valid).ok_or(Error::Unknown)
+        }
         Err(error) => Err(error),
     }
 }
@@ -180,7 +190,13 @@
 async fn read_layout<P: Platform>(platform: &P) -> Result<Option<Layout>, Error> {
     let key = layout::layout_key();
     let page = platform.read(key.table, &key.part, &key.name, 1).await?;
-    Ok(page.rows.iter().find(|row| row.name == key.name).and_then(decode))
+    let row = page.rows.iter().find(|row| row.name == key.name);
+    match row.map(|row| decode::<Layout>(row).filter(Layout::is_valid)) {
+        None => Ok(None),
+        Some(Some(layout)) => Ok(Some(layout)),
+        // The shards of running instances are not known, so no other layout is stored.
+        Some(None) => Err(Error::Malformed("the layout cannot be read".to_owned())),
+    }
 }
 
 /// Counts the executors once two counts in a row are equal and not 0.
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -516,3 +516,27 @@
         1,
     );
 }
+
+/// Rows of another writer among those of the system: a layout that would divide by zero, and a claim
+/// whose epoch cannot rise. Instances wait for the former to be corrected and replace the latter.
+#[test]
+fn odd_rows_of_another_writer_end_no_instance() {
+    run_test(
+        |spawner, platform| async move {
+            let odd = Bytes::from_static(br#"{"shards":0,"tasks":0}"#);
+            platform.put(Table::Claims, "", "layout", odd);
+            let claim = Bytes::from_static(br#"{"e":18446744073709551615,"h":"z"}"#);
+            platform.put(Table::Claims, "s0", "owner", claim);
+            let (a, _) = platform.start_instance(&spawner, "a");
+            wait_until_ready(&a).await;
+            submit_until_accepted(&a, JOB_ID, &job(2)).await;
+            Timer::after(Duration::from_millis(300)).await;
+            let reply = a.handle(request(JOB_ID, Action::Query)).await;
+            assert_eq!(reply, Reply::State(State::Queued));
+            let sound = Bytes::from_static(br#"{"shards":1,"each":2}"#);
+            platform.put(Table::Claims, "", "layout", sound);
+            wait_for_state(&a, JOB_ID, State::Completed).await;
+        },
+        2,
+    );
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -97,7 +97,7 @@
         Rc::new(platform)
     }
 
-    fn put(&self, table: Table, part: &str, name: &str, value: Bytes) {
+    pub(crate) fn put(&self, table: Table, part: &str, name: &str, value: Bytes) {
         let version = self.version.get() + 1;
         self.version.set(version);
         let row_key = (table, part.to_owned(), name.to_owned());
@@ -364,7 +364,9 @@
                     load: None,
                 });
                 let (running, ended) = (running.collect(), executor.ended.clone());
-                return Ok(Report { incarnation: Some(Incarnation(1)), clock, running, ended });
+                let latest_end = executor.end_count;
+                let incarnation = Some(Incarnation(1));
+                return Ok(Report { incarnation, clock, running, ended, latest_end });
             }
         }
     }
