--- a/crates/jobs/tests/records.rs
+++ b/crates/jobs/tests/records.rs
@@ -159,3 +159,28 @@
     assert!(first.tasks.iter().all(|task| task.checkpoint.is_empty()));
     assert_eq!(first.tasks.len(), 2);
 }
+
+/// A shard goes on from rows that an earlier version has written: all tasks of a job in one row,
+/// without addresses.
+#[test]
+fn rows_of_earlier_versions_are_read() {
+    let mut sim = Simulation::new(2);
+    sim.submit(job(1), vec![step(2), Step { depends_on: vec![0], long_running: true, ..step(3) }]);
+    sim.advance(Span::from_ms(1_500));
+    assert_eq!(sim.run_count(), 3);
+    let mut open = Vec::new();
+    for index in 0..3 {
+        let at = sim.executors_running(&task(1, index))[0].clone();
+        let born = sim.executor(&at).incarnation;
+        open.push(format!(r#"{{"s":1,"i":{index},"n":1,"o":[{{"r":1,"x":"{at}","b":{born}}}]}}"#));
+    }
+    let row = format!(r#"{{"s":"Running","d":[{{}}],"t":[{}]}}"#, open.join(","));
+    let progress: Progress = serde_json::from_str(&row).expect("a record of an earlier version");
+    sim.progress.clear();
+    sim.progress.insert(RecordId::first(job(1)), progress);
+    sim.take_over();
+    sim.advance(Span::from_secs(3));
+    assert_eq!(sim.run_count(), 3);
+    assert_eq!(sim.executors.values().map(|executor| executor.end_count).sum::<u64>(), 2);
+    assert_no_violations(&sim);
+}
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -436,3 +436,40 @@
     sim.advance(Span::from_ms(100));
     assert_eq!(sim.run_count(), 6);
 }
+
+/// The members of a gang end `done` together, so one reported end closes the runs of all.
+#[test]
+fn one_end_of_a_gang_closes_the_runs_of_all_members() {
+    let mut sim = Simulation::new(3);
+    let spread = Some(1);
+    sim.submit(job(1), vec![Step { gang: true, max_per_executor: spread, ..step(3) }]);
+    sim.advance(Span::from_ms(900));
+    assert_eq!(sim.run_count(), 3);
+    // Only one executor is reached when the members end.
+    sim.executor("x1").reachable = false;
+    sim.executor("x2").reachable = false;
+    sim.advance(Span::from_ms(400));
+    assert_eq!(sim.state(1), Some(State::Completed));
+    sim.executor("x1").reachable = true;
+    sim.executor("x2").reachable = true;
+    sim.advance(Span::from_secs(8));
+    assert_eq!(sim.executors.values().map(|executor| executor.end_count).sum::<u64>(), 3);
+    assert_no_violations(&sim);
+}
+
+/// An idle executor that is not listed is forgotten; listed again, it is asked before it gets work.
+#[test]
+fn a_forgotten_executor_is_asked_before_it_gets_work() {
+    let mut sim = Simulation::new(1);
+    sim.advance(Span::from_secs(1));
+    let id = ExecutorId::from("x0");
+    sim.handle(sycamorerill_jobs::shard::Event::Unlisted(id.clone()));
+    sim.executor("x0").reachable = false;
+    sim.list_executor(&id);
+    sim.submit(job(1), vec![step(1)]);
+    sim.advance(Span::from_secs(2));
+    assert!(!sim.log.iter().any(|line| line.contains("Placed")));
+    sim.executor("x0").reachable = true;
+    sim.advance(Span::from_secs(6));
+    assert_eq!(sim.state(1), Some(State::Completed));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::expect_used, reason = "an unknown name is a fault of the test")]
 
 mod executor;
+mod orders;
 mod policy;
 mod probe;
 
@@ -15,7 +16,7 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::config::{Config, Limits, Queue, Service};
 use sycamorerill_jobs::executor::{
-    Availability, EndReason, Incarnation, Outcome, Refusal, Registration, Steady,
+    Availability, EndReason, Incarnation, Outcome, Registration, Steady,
 };
 use sycamorerill_jobs::id::{
     DomainName, ExecutorId, JobId, Label, QueueName, Run, ServiceName, TaskId,
@@ -27,7 +28,7 @@
 };
 use sycamorerill_jobs::spec::{AcceptedJob, Job, Resources, Schedule, Step};
 
-pub(crate) use executor::{ActiveRun, FakeExecutor};
+pub(crate) use executor::FakeExecutor;
 
 /// Wall-clock time at the start of a simulation, in milliseconds since 1970.
 const WALL_MS: u64 = 1_790_000_000_000;
@@ -420,119 +421,6 @@
         }
     }
 
-    fn deliver(&mut self, id: &ExecutorId, address: SocketAddr, command: Command) -> Outcome {
-        let epoch = self.epoch;
-        let Some(executor) = self.executors.get(id).filter(|found| found.address == address) else {
-            return Outcome::NotSent;
-        };
-        if executor.replaced {
-            return Outcome::Refused(Refusal::Incarnation, None);
-        }
-        if !executor.reachable {
-            return Outcome::Unknown;
-        }
-        if executor.delays_orders {
-            self.delayed_orders.push((epoch, command));
-            return Outcome::Unknown;
-        }
-        self.apply_order(epoch, &command)
-    }
-
-    /// Delivers the orders that were delayed.
-    pub(crate) fn deliver_delayed_orders(&mut self) {
-        self.delivers_late = true;
-        for (epoch, command) in std::mem::take(&mut self.delayed_orders) {
-            self.apply_order(epoch, &command);
-        }
-        self.delivers_late = false;
-    }
-
-    /// Drops the delayed orders to an executor, as a crash of the executor does.
-    pub(crate) fn drop_delayed_orders(&mut self, id: &ExecutorId) {
-        self.delayed_orders.retain(|(_, command)| match command {
-            Command::Start { order, .. } | Command::Stop { order, .. } => order.executor != *id,
-            _ => true,
-        });
-    }
-
-    fn apply_order(&mut self, epoch: u64, command: &Command) -> Outcome {
-        let now = self.now;
-        let (order, deadline) = match command {
-            Command::Start { order, deadline, .. } => (order, Some(deadline.0)),
-            Command::Stop { order, .. } => (order, None),
-            _ => return Outcome::Unknown,
-        };
-        let has_ticket = match command {
-            Command::Start { order, ticket, .. } => self.has_ticket(order, ticket.as_ref()),
-            _ => true,
-        };
-        let runs_elsewhere = self.checks_all_executors
-            && self.executors.values().any(|executor| {
-                let found = executor.running.get(&order.task);
-                found.is_some_and(|active| executor.id != order.executor || active.run != order.run)
-            });
-        let executor = self.executors.get_mut(&order.executor).expect("known executor");
-        let clock = executor.clock(now);
-        if epoch < executor.fence {
-            return Outcome::Refused(Refusal::Fence, Some(clock));
-        }
-        executor.fence = epoch;
-        let Some(deadline) = deadline else {
-            let highest_run = executor.highest_runs.entry(order.task).or_default();
-            *highest_run = (*highest_run).max(order.run);
-            if executor.running.get(&order.task).is_some_and(|active| active.run == order.run) {
-                executor.end_run(&order.task, EndReason::Stopped);
-            }
-            return Outcome::Done(clock);
-        };
-        if clock.0 > deadline {
-            return Outcome::Refused(Refusal::Late, Some(clock));
-        }
-        executor.extend_lease(now, deadline);
-        if executor.running.get(&order.task).is_some_and(|active| active.run == order.run) {
-            return Outcome::Done(clock);
-        }
-        if executor
-            .highest_runs
-            .get(&order.task)
-            .is_some_and(|highest_run| *highest_run >= order.run)
-        {
-            return Outcome::Refused(Refusal::Old, Some(clock));
-        }
-        if !has_ticket {
-            self.tickets_refused += 1;
-            return Outcome::Refused(Refusal::Ticket, Some(clock));
-        }
-        if runs_elsewhere {
-            self.violations.push(format!("{} runs twice at once", order.task));
-        }
-        if self.noted_ends.contains(&order.task) {
-            self.violations.push(format!("{} runs after it was done", order.task));
-        }
-        self.latest_runs.insert(order.task, order.run);
-        // An order that an executor carries out late may come after the cancellation; the run is then
-        // stopped.
-        if self.cancelled.contains(&order.task.step.job) && !self.delivers_late {
-            self.violations.push(format!("{} starts after its job was cancelled", order.task));
-        }
-        let executor = self.executors.get_mut(&order.executor).expect("known executor");
-        executor.highest_runs.insert(order.task, order.run);
-        let long_running = self.accepted[&order.task.step.job].job.steps
-            [order.task.step.step as usize]
-            .long_running;
-        let ends_at = (!long_running).then(|| now + executor.run_time);
-        let step = &self.accepted[&order.task.step.job].job.steps[order.task.step.step as usize];
-        let active = ActiveRun {
-            run: order.run,
-            ends_at,
-            limit_percent: 100,
-            best_effort_cpu: step.best_effort.then_some(step.resources.cpu),
-            is_latency_critical: step.objective_ms.is_some(),
-        };
-        executor.running.insert(order.task, active);
-        Outcome::Done(clock)
-    }
-
     /// Returns the share of an executor's processors that best-effort tasks use.
     pub(crate) fn best_effort_share(&self, id: &str) -> f64 {
         let executor = &self.executors[&ExecutorId::from(id)];
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -4,65 +4,25 @@
 
 mod support;
 
-use std::future::Future;
-use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::{Timer, block_on};
+use async_io::Timer;
 use bytes::Bytes;
 use support::MemoryPlatform;
-use sycamorerill_core::clock::Span;
-use sycamorerill_jobs::id::Label;
+use support::run::{
+    JOB_ID, LONG_RUN_MS, job, request, run_test, start_pair, submit_until_accepted, wait_for_state,
+    wait_until_ready,
+};
 use sycamorerill_jobs::ownership::Claim;
 use sycamorerill_jobs::progress::State;
-use sycamorerill_jobs::spec::{Job, Resources, Step};
+
 use sycamorerill_node::frontend::{Action, Reply, Request};
 use sycamorerill_node::platform::Table;
-use sycamorerill_node::{Instance, Spawner};
 
-/// Time after which a test fails.
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time within which a cancellation must take effect.
 ///
 /// It is well below the 3 s after which no task of the job may start any more.
 const CANCEL_DEADLINE: Duration = Duration::from_millis(2_300);
-/// Run time of tasks that run longer than a test, in milliseconds.
-const LONG_RUN_MS: u64 = 60_000;
-const JOB_ID: &str = "00000000000000a1";
-
-fn job(count: u32) -> Job {
-    let resources = Resources { cpu: 1_000, memory: 100, accelerators: 0 };
-    let step = Step { count, resources, estimate_ms: 60, ..Step::default() };
-    let second = Step { depends_on: vec![0], ..step.clone() };
-    Job { text: "text".to_owned(), steps: vec![step, second], schedule: None }
-}
-
-fn request(name: &str, action: Action) -> Request {
-    Request {
-        host: "h".to_owned(),
-        path: format!("/q/{name}"),
-        action,
-        timeout: Some(Span::from_secs(5)),
-    }
-}
-
-/// Runs a test on a platform with the given number of executors, and fails it after
-/// [`TEST_TIMEOUT`].
-fn run_test<F: Future<Output = ()>>(
-    test: impl FnOnce(Spawner, Rc<MemoryPlatform>) -> F,
-    executors: u32,
-) {
-    let spawner = Spawner::default();
-    let platform = MemoryPlatform::new(executors);
-    let test_future = test(spawner.clone(), platform);
-    block_on(spawner.run(async move {
-        let timeout = Timer::after(TEST_TIMEOUT);
-        futures::pin_mut!(test_future);
-        let first = futures::future::select(test_future, timeout).await;
-        assert!(matches!(first, futures::future::Either::Left(_)), "the test took too long");
-    }));
-}
-
 /// Returns the epochs of the claims on all shards.
 fn claim_epochs(platform: &MemoryPlatform) -> Vec<u64> {
     let claims = platform.values(Table::Claims, "owner");
@@ -70,43 +30,6 @@
     claims.iter().map(read).collect()
 }
 
-async fn wait_until_ready(instance: &Instance) {
-    while !instance.is_ready() {
-        Timer::after(Duration::from_millis(5)).await;
-    }
-}
-
-/// Submits a job until it is accepted, as a caller does after a response of 503 or 504.
-async fn submit_until_accepted(instance: &Instance, name: &str, job: &Job) {
-    loop {
-        let reply = instance.handle(request(name, Action::Submit(Ok(job.clone())))).await;
-        match reply {
-            Reply::Accepted => return,
-            other => assert!(matches!(other, Reply::NotDone(_) | Reply::Unknown), "{other:?}"),
-        }
-        Timer::after(Duration::from_millis(20)).await;
-    }
-}
-
-/// Starts the instances `a` and `b` and waits until both are ready.
-async fn start_pair(spawner: &Spawner, platform: &Rc<MemoryPlatform>) -> (Instance, Instance) {
-    let (a, _) = platform.start_instance(spawner, "a");
-    let (b, _) = platform.start_instance(spawner, "b");
-    wait_until_ready(&a).await;
-    wait_until_ready(&b).await;
-    (a, b)
-}
-
-async fn wait_for_state(instance: &Instance, name: &str, state: State) {
-    loop {
-        let reply = instance.handle(request(name, Action::Query)).await;
-        if reply == Reply::State(state) {
-            return;
-        }
-        Timer::after(Duration::from_millis(20)).await;
-    }
-}
-
 /// A job must be visible at an instance that did not accept it, and each task must start once.
 #[test]
 fn a_job_submitted_at_one_instance_completes_at_all() {
@@ -436,107 +359,3 @@
         2,
     );
 }
-
-/// Returns a job of `count` tasks that are so small that hundreds run on one executor.
-fn job_of_small_tasks(count: u32) -> Job {
-    let resources = Resources { cpu: 10, memory: 1, accelerators: 0 };
-    let step = Step { count, resources, estimate_ms: 60, ..Step::default() };
-    Job { text: "text".to_owned(), steps: vec![step], schedule: None }
-}
-
-/// A job whose progress is larger than a row of the store stopped its shard: the owner repeated the
-/// rejected transaction for ever, and so did its successors.
-#[test]
-fn a_large_job_does_not_hold_up_its_shard() {
-    run_test(
-        |spawner, platform| async move {
-            let (a, b) = start_pair(&spawner, &platform).await;
-            platform.run_ms.set(LONG_RUN_MS);
-            submit_until_accepted(&a, JOB_ID, &job_of_small_tasks(1_400)).await;
-            while platform.running() < 1_400 {
-                Timer::after(Duration::from_millis(20)).await;
-            }
-            platform.run_ms.set(60);
-            submit_until_accepted(&a, "00000000000000a2", &job(2)).await;
-            wait_for_state(&b, "00000000000000a2", State::Completed).await;
-            a.drain();
-            submit_until_accepted(&b, "00000000000000a3", &job(2)).await;
-            wait_for_state(&b, "00000000000000a3", State::Completed).await;
-            assert_eq!(platform.running(), 1_400);
-            assert_eq!(platform.starts.borrow().len(), 1_400 + 8);
-        },
-        4,
-    );
-}
-
-/// A row that the store rejects for any other reason must not hold up the rest of its batch.
-#[test]
-fn a_rejected_row_does_not_hold_up_other_jobs() {
-    run_test(
-        |spawner, platform| async move {
-            let (a, _) = platform.start_instance(&spawner, "a");
-            wait_until_ready(&a).await;
-            let names = (0xa2..0xaa).map(|id| format!("{id:016x}"));
-            let names: Vec<String> = std::iter::once(JOB_ID.to_owned()).chain(names).collect();
-            let row = |name: &String| a.handle(request(name, Action::Submit(Ok(job(2)))));
-            platform.store_refuses_records.set(true);
-            for reply in futures::future::join_all(names.iter().map(row)).await {
-                assert_eq!(reply, Reply::Accepted);
-            }
-            // The row of the accepted job has the same name, and was written before.
-            *platform.rejected_row.borrow_mut() = Some(JOB_ID.to_owned());
-            platform.store_refuses_records.set(false);
-            for name in &names[1..] {
-                wait_for_state(&a, name, State::Completed).await;
-            }
-            assert_ne!(
-                a.handle(request(JOB_ID, Action::Query)).await,
-                Reply::State(State::Completed)
-            );
-        },
-        4,
-    );
-}
-
-/// A job that no row can hold is rejected at once, and not as one that may be tried again.
-#[test]
-fn a_job_that_no_row_can_hold_is_rejected() {
-    run_test(
-        |spawner, platform| async move {
-            let (a, _) = platform.start_instance(&spawner, "a");
-            wait_until_ready(&a).await;
-            let label = Some(Label::from("x".repeat(70_000).as_str()));
-            let step = Step { label, ..job(1).steps[0].clone() };
-            let large = Job { steps: vec![step], ..job(1) };
-            let reply = a.handle(request(JOB_ID, Action::Submit(Ok(large)))).await;
-            assert_eq!(reply, Reply::TooLarge);
-            let reply = a.handle(request(JOB_ID, Action::Query)).await;
-            assert_eq!(reply, Reply::NoJob);
-        },
-        1,
-    );
-}
-
-/// Rows of another writer among those of the system: a layout that would divide by zero, and a claim
-/// whose epoch cannot rise. Instances wait for the former to be corrected and replace the latter.
-#[test]
-fn odd_rows_of_another_writer_end_no_instance() {
-    run_test(
-        |spawner, platform| async move {
-            let odd = Bytes::from_static(br#"{"shards":0,"tasks":0}"#);
-            platform.put(Table::Claims, "", "layout", odd);
-            let claim = Bytes::from_static(br#"{"e":18446744073709551615,"h":"z"}"#);
-            platform.put(Table::Claims, "s0", "owner", claim);
-            let (a, _) = platform.start_instance(&spawner, "a");
-            wait_until_ready(&a).await;
-            submit_until_accepted(&a, JOB_ID, &job(2)).await;
-            Timer::after(Duration::from_millis(300)).await;
-            let reply = a.handle(request(JOB_ID, Action::Query)).await;
-            assert_eq!(reply, Reply::State(State::Queued));
-            let sound = Bytes::from_static(br#"{"shards":1,"each":2}"#);
-            platform.put(Table::Claims, "", "layout", sound);
-            wait_for_state(&a, JOB_ID, State::Completed).await;
-        },
-        2,
-    );
-}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the platform")]
 
+pub(crate) mod run;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
