--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 #![allow(clippy::expect_used, reason = "an unknown name is a fault of the test")]
 
-mod executor;
+pub(crate) mod executor;
 mod orders;
 mod policy;
 mod probe;
--- a/crates/jobs/tests/throttling.rs
+++ b/crates/jobs/tests/throttling.rs
@@ -150,7 +150,7 @@
 fn set_tails(sim: &mut Simulation, images: u64) {
     for executor in sim.executors.values_mut() {
         let capacity = executor.capacity.cpu as f64;
-        let added = |(task, active): (&TaskId, &support::ActiveRun)| {
+        let added = |(task, active): (&TaskId, &support::executor::ActiveRun)| {
             let share = active.best_effort_cpu? as f64 / capacity;
             let limit = f64::from(active.limit_percent) / 100.0;
             Some(share * limit * weight_of(task.step.job.0 % images))
