jobs: a gang that waits for room is not recorded as running

Cause: the placement of a gang opens a run for each member and takes them back if one finds no executor, but left the raised number of the run, by which a job counts as started.

Change: the number is set back; no record or order had it.

Test: a_gang_that_waits_for_room_is_not_shown_as_running failed before.

--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -149,13 +149,14 @@
         for index in waiting {
             let task = id.task(*index);
             let Some(executor) = ranking.pop(self.avoided_executor(&task)) else {
-                for task in placed {
-                    self.revert_placement(&task, run);
+                for (task, previous) in placed {
+                    self.revert_placement(&task, run, previous);
                 }
                 return Placed::Blocked;
             };
+            let previous = self.latest_run(&task);
             self.open_run(now, &task, run, executor.clone(), request.step);
-            placed.push(task);
+            placed.push((task, previous));
             let all = Scope::All;
             rack = self.update_ranking(now, request, all, pass, &mut ranking, &executor, rack);
         }
@@ -180,8 +181,10 @@
         }
     }
 
-    /// Reverts a placement of which no record was requested.
-    fn revert_placement(&mut self, task: &TaskId, run: Run) {
+    /// Reverts a placement of which no record was requested; `previous` is the run before it.
+    ///
+    /// A task that has only been placed so has not started, which the number of its run tells.
+    fn revert_placement(&mut self, task: &TaskId, run: Run, previous: Run) {
         self.placed.retain(|placed| *placed != (*task, run));
         let found = self
             .jobs
@@ -189,6 +192,7 @@
             .and_then(|entry| entry.step_mut(task.step.occurrence, task.step.step));
         if let Some(step) = found {
             step.waiting.insert(task.index);
+            step.tasks[task.index as usize].run = previous.0;
         }
         self.remove_run(task, run);
     }
@@ -198,9 +202,13 @@
         found.map_or(Time::ZERO, |task| task.not_before)
     }
 
-    fn next_run(&self, task: &TaskId) -> Run {
+    fn latest_run(&self, task: &TaskId) -> Run {
         let found = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task));
-        Run(found.map_or(0, |task| task.run).saturating_add(1))
+        Run(found.map_or(0, |task| task.run))
+    }
+
+    fn next_run(&self, task: &TaskId) -> Run {
+        Run(self.latest_run(task).0.saturating_add(1))
     }
 
     /// Returns the inputs of the placement of a step.
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -473,3 +473,20 @@
     sim.advance(Span::from_secs(6));
     assert_eq!(sim.state(1), Some(State::Completed));
 }
+
+/// A gang that finds no executor for one of its members was recorded as running, and so not counted
+/// among the jobs that wait.
+#[test]
+fn a_gang_that_waits_for_room_is_not_shown_as_running() {
+    let mut sim = Simulation::new(2);
+    sim.submit(job(1), vec![Step { gang: true, max_per_executor: Some(1), ..step(3) }]);
+    sim.advance(Span::from_secs(1));
+    assert_eq!(sim.state(1), None);
+    sim.take_over();
+    sim.advance(Span::from_secs(1));
+    assert_eq!((sim.state(1), sim.run_count()), (None, 0));
+    sim.submit(job(2), vec![Step { gang: true, ..step(2) }]);
+    sim.advance(Span::from_secs(2));
+    assert_eq!(sim.state(2), Some(State::Completed));
+    assert_no_violations(&sim);
+}
