jobs: reports of executors of unknown capacity teach the model nothing

Found on reading the changes again: a successor now probes executors that are not listed, of which it knows no capacity. Their reports counted as of an executor of a thousandth of a core, so a processor share of 1 became thousands, in the fit of all images. Such reports are left out, and shares are bounded.

Test: reports_of_unlisted_executors_teach_the_model_nothing, red without the check.

The bounds on clocks have a module of their own; the entry of a job builds itself.

--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -12,7 +12,7 @@
 use crate::id::{ExecutorId, QueueName, Run, StepId, TaskId};
 use crate::progress::State;
 use crate::record::{MAX_CHECKPOINT_BYTES, json_bytes};
-use crate::spec::Job;
+use crate::spec::{AcceptedJob, Job};
 
 /// State of one job.
 #[derive(Debug)]
@@ -145,6 +145,24 @@
 }
 
 impl Entry {
+    /// Returns the entry of a job of which no occurrence has begun.
+    pub(super) fn new(accepted: AcceptedJob) -> Self {
+        Self {
+            text: Arc::from(accepted.job.text.as_str()),
+            long_running: accepted.job.is_long_running(),
+            job: Arc::new(accepted.job),
+            queue: accepted.queue,
+            accepted_ms: accepted.at_ms,
+            cancelled: false,
+            state: State::Queued,
+            reported_state: State::Queued,
+            occurrences: BTreeMap::new(),
+            finished: Ranges::default(),
+            is_rejected: false,
+            next_occurrence: 0,
+        }
+    }
+
     /// Returns a task of the job, if its occurrence is in memory.
     pub(super) fn task(&self, id: &TaskId) -> Option<&Task> {
         self.step(id.step)?.tasks.get(id.index as usize)
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -10,17 +10,6 @@
 use crate::id::{ExecutorId, Image, JobId, TaskId};
 use crate::spec::{Resources, Step};
 
-/// Slowest rate of an executor's clock relative to the local clock.
-pub(super) const SLOWEST_CLOCK: f64 = 0.98;
-
-/// Fastest rate of an executor's clock relative to the local clock.
-pub(super) const FASTEST_CLOCK: f64 = 1.02;
-/// Longest time from a reading of the clock until its answer is received: the longest wait of a
-/// probe and its timeout.
-const MAX_READING_DELAY: Span = Span::from_ms(3_000);
-/// Tolerance for the clock of an entry.
-const ENTRY_CLOCK_MARGIN: Span = Span::from_ms(100);
-
 /// State of one executor.
 #[derive(Debug)]
 pub(super) struct Executor {
@@ -148,43 +137,6 @@
         executor
     }
 
-    /// Returns a lower bound on the executor's clock at `now`.
-    pub(super) fn clock(&self, now: Time) -> Steady {
-        let elapsed = now.since(self.clock.1).scale(SLOWEST_CLOCK).as_ms();
-        Steady(self.clock.0.0.saturating_add(elapsed))
-    }
-
-    /// Raises the lower bound on the clock to a reading that the executor has sent and that was
-    /// received at `now`. A reading that no clock can have reached is ignored.
-    pub(super) fn update_clock(&mut self, now: Time, clock: Steady) {
-        if clock > self.clock(now) && self.is_plausible(now, clock) {
-            self.clock = (clock, now);
-        }
-    }
-
-    /// Returns whether the executor's clock can have reached a reading that was received at `now`.
-    pub(super) fn is_plausible(&self, now: Time, clock: Steady) -> bool {
-        clock <= self.clock_limit(now, MAX_READING_DELAY)
-    }
-
-    /// Raises the lower bound on the clock to that of an entry, which may be of another writer.
-    fn update_clock_from_entry(&mut self, now: Time, clock: Steady) {
-        if clock > self.clock(now) && clock <= self.clock_limit(now, ENTRY_CLOCK_MARGIN) {
-            self.clock = (clock, now);
-        }
-    }
-
-    /// Returns an upper bound on the executor's clock at `now`, if the latest reading was delayed
-    /// by `delay`. There is none before the first answer.
-    fn clock_limit(&self, now: Time, delay: Span) -> Steady {
-        if self.last_answer == Time::ZERO {
-            return Steady(u64::MAX);
-        }
-        let (reading, at) = self.clock;
-        let elapsed = now.since(at).scale(FASTEST_CLOCK) + delay;
-        Steady(reading.0.saturating_add(elapsed.as_ms()))
-    }
-
     /// Returns the end of a lease of length `lease` from `now`, and records that it may be
     /// granted.
     pub(super) fn extend_lease(&mut self, now: Time, lease: Span) -> Steady {
@@ -384,7 +336,7 @@
     }
 
     /// Closes the runs of `task` on executor `id` that are recorded.
-    pub(super) fn close_runs_on(
+    fn close_runs_on(
         &mut self,
         now: Time,
         id: &ExecutorId,
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -13,7 +13,8 @@
 use sycamorerill_core::data;
 
 use super::Shard;
-use super::executors::{Executor, SLOWEST_CLOCK};
+use super::clock::SLOWEST_CLOCK;
+use super::executors::Executor;
 use crate::id::ExecutorId;
 use crate::record::json_bytes;
 
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -1,13 +1,9 @@
 //! Life cycle of jobs, from acceptance to their end, and the closing of runs.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
 use sycamorerill_core::clock::{Span, Time};
 
 use super::entry::{Entry, Stage, Stop};
 use super::message::{Closing, Decision, Order};
-use super::ranges::Ranges;
 use super::rank::Rank;
 use super::{Command, Shard};
 use crate::executor::{EndReason, RunEnd};
@@ -27,7 +23,7 @@
         if self.jobs.contains_key(&id) || accepted.job.validate().is_err() {
             return;
         }
-        self.jobs.insert(id, new_entry(accepted));
+        self.jobs.insert(id, Entry::new(accepted));
         if self.cancelled_early.remove(&id) {
             self.cancel(now, id);
         }
@@ -383,21 +379,3 @@
         }
     }
 }
-
-/// Returns the entry of a job of which no occurrence has begun.
-pub(super) fn new_entry(accepted: AcceptedJob) -> Entry {
-    Entry {
-        text: Arc::from(accepted.job.text.as_str()),
-        long_running: accepted.job.is_long_running(),
-        job: Arc::new(accepted.job),
-        queue: accepted.queue,
-        accepted_ms: accepted.at_ms,
-        cancelled: false,
-        state: State::Queued,
-        reported_state: State::Queued,
-        occurrences: BTreeMap::new(),
-        finished: Ranges::default(),
-        is_rejected: false,
-        next_occurrence: 0,
-    }
-}
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod backlog;
+mod clock;
 mod crash;
 mod drain;
 mod entry;
--- a/crates/jobs/src/shard/restart.rs
+++ b/crates/jobs/src/shard/restart.rs
@@ -6,18 +6,15 @@
 
 use std::net::SocketAddr;
 
-use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::clock::Time;
 
 use super::entry::{OpenRun, Stage, Stop};
-use super::executors::{Executor, FASTEST_CLOCK};
+use super::executors::Executor;
 use super::message::{Closing, Command, Decision, Order};
 use super::{Settings, Shard, crash};
 use crate::executor::{Incarnation, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
-/// Tolerance of comparisons between readings of an executor's clock, which are rounded.
-const CLOCK_MARGIN: Span = Span::from_ms(5);
-
 impl Executor {
     /// Resets the state for a new incarnation, which numbers run ends from 1.
     ///
@@ -78,18 +75,6 @@
         }
     }
 
-    /// Returns whether a reading of the clock, in the answer to a call that was sent at `sent`,
-    /// shows that the executor has restarted.
-    fn shows_restart(&self, sent: Time, clock: Steady) -> bool {
-        let (reading, at) = self.clock;
-        let least = if sent < at {
-            reading.0.saturating_sub(at.since(sent).scale(FASTEST_CLOCK).as_ms())
-        } else {
-            self.clock(sent).0
-        };
-        clock.0.saturating_add(CLOCK_MARGIN.as_ms()) < least
-    }
-
     /// Returns when the executor last answered in the incarnation of a run.
     pub(super) fn last_answer_to(&self, open: &OpenRun) -> Time {
         match open.incarnation < self.registration.incarnation {
@@ -171,6 +156,7 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
+        // An answer without a clock counts as 0.
         if clock > Steady(0) && executor.shows_restart(sent, clock) {
             executor.reset_clock(now, clock, &settings);
             executor.reset_ends();
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -10,7 +10,6 @@
 use super::entry::{Entry, OpenRun, Stage, Stop};
 use super::executors::Executor;
 use super::lease_ends::LeaseEnd;
-use super::lifecycle::new_entry;
 use super::message::{Command, Decision};
 use crate::executor::{Availability, Incarnation, Registration, Steady};
 use crate::id::{DomainName, JobId, Run, ServiceName, StepId, TaskId};
@@ -56,7 +55,7 @@
             if accepted.job.validate().is_err() {
                 continue;
             }
-            self.jobs.insert(id, new_entry(accepted));
+            self.jobs.insert(id, Entry::new(accepted));
         }
         for (id, progress) in &records.progress {
             self.restore_record(now, *id, progress);
--- a/crates/jobs/src/shard/throttle.rs
+++ b/crates/jobs/src/shard/throttle.rs
@@ -58,6 +58,9 @@
 /// How far ahead throttling predicts the load: until the next report.
 const THROTTLE_HORIZON: Span = Span::from_ms(400);
 
+/// Upper bound on the share of an executor's processors that a run reports: reports are rough.
+const MAX_SHARE: f64 = 2.0;
+
 /// Latest tail latency of the tasks of a latency-critical job on an executor.
 #[derive(Clone, Debug)]
 pub(super) struct Tail {
@@ -94,7 +97,12 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let capacity = executor.registration.capacity.cpu.max(1) as f64;
+        if executor.registration.capacity.cpu == 0 {
+            // The capacity of an executor that is not listed is not known.
+            return;
+        }
+        let capacity = executor.registration.capacity.cpu as f64;
+        let share_of = |load: f64| (load / capacity).min(MAX_SHARE);
         let mut shares = Shares::new();
         let mut others = 0.0;
         let mut samples: BTreeMap<JobId, Sample> = BTreeMap::new();
@@ -112,8 +120,8 @@
                     kept.ratio = kept.ratio.max(ratio);
                 }
                 (Some(_), _) => {}
-                (None, true) => *shares.entry(image(step)).or_default() += load / capacity,
-                (None, false) => others += load / capacity,
+                (None, true) => *shares.entry(image(step)).or_default() += share_of(load),
+                (None, false) => others += share_of(load),
             }
         }
         for sample in samples.values() {
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use support::{Simulation, job, step};
 use sycamorerill_core::clock::Span;
-use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
+use sycamorerill_jobs::id::{ExecutorId, Image, StepId, TaskId};
 use sycamorerill_jobs::spec::Step;
 
 fn task(index: u32) -> TaskId {
@@ -164,3 +164,32 @@
     assert_eq!(ended(&sim), 0);
     assert_no_violations(&sim);
 }
+
+/// The capacity of an executor that is not listed is not known, so its reports would seem to be of
+/// many times the processors that there are.
+#[test]
+fn reports_of_unlisted_executors_teach_the_model_nothing() {
+    let mut sim = Simulation::new(1);
+    let image = |name: &str| Some(Image::from(name));
+    let serving = Step { long_running: true, image: image("s"), objective_ms: Some(50), ..step(2) };
+    sim.submit(job(1), vec![serving]);
+    sim.submit(job(2), vec![Step { best_effort: true, image: image("f"), ..step(2) }]);
+    sim.executor("x0").run_time = Span::from_secs(60);
+    sim.advance(Span::from_secs(5));
+    // The model is recorded together with a change of a job.
+    sim.cancel(job(3));
+    sim.submit(job(3), vec![step(1)]);
+    sim.advance(Span::from_secs(1));
+    assert_eq!(sim.run_count(), 4);
+    let before = sim.model.clone();
+    assert!(before.as_ref().is_some_and(|model| !model.serving.is_empty()));
+    unlist(&mut sim, "x0");
+    sim.take_over();
+    sim.executor("x0").tail_ms = 45;
+    sim.advance(Span::from_secs(10));
+    sim.cancel(job(4));
+    sim.submit(job(4), vec![step(1)]);
+    sim.advance(Span::from_secs(1));
+    assert_eq!(sim.run_count(), 4);
+    assert_eq!(sim.model, before);
+}
