jobs: a row of an earlier version is split before it is replaced

Found on reading the change as a newcomer. After an upgrade over running jobs a successor would have started tasks again that run (TWICE), or occurrences that are done.

Cause: rows of earlier versions hold all tasks of a job.

Change: the other records of such a job are written and confirmed before its first one is replaced (shard/split.rs). Finished occurrences become ranges as they are read. Besides: one bound on the bytes of a field in place of two, the number of a job's tasks counted in one place.

Tests: a_large_row_of_an_earlier_version_is_split_before_it_is_replaced and finished_occurrences_in_a_row_of_an_earlier_version_do_not_run_again, both red before.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -23,6 +23,8 @@
 
 /// Maximum length of the record of one task with one open run, in bytes of its JSON form.
 const MAX_TASK_BYTES: usize = 710;
+/// Maximum number of bytes of a number in JSON, with the punctuation around it and its name.
+const MAX_NUMBER_BYTES: usize = 48;
 /// Bytes of a row for what a record holds besides tasks: the state, numbers of done tasks and
 /// ranges of finished occurrences.
 const RESERVED_BYTES: usize = 7 * 1_024;
@@ -69,8 +71,7 @@
         occurrence: u32,
         tasks_per_record: u32,
     ) -> impl Iterator<Item = Self> + use<> {
-        let tasks: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
-        let parts = tasks.div_ceil(u64::from(tasks_per_record.max(1))).max(1);
+        let parts = job.task_count().div_ceil(u64::from(tasks_per_record.max(1))).max(1);
         (0..parts as u32).map(move |part| Self { job: id, occurrence, part })
     }
 
@@ -122,6 +123,11 @@
     u32::try_from(tasks).unwrap_or(u32::MAX).max(1)
 }
 
+/// Returns an upper bound on the bytes of an object's field in JSON that holds a number.
+pub fn json_field_bytes(name: &str) -> usize {
+    json_bytes(name) + MAX_NUMBER_BYTES
+}
+
 /// Returns the number of bytes of a text in JSON, without its quotes.
 pub fn json_bytes(text: &str) -> usize {
     let bytes = |c: char| match c {
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -31,7 +31,8 @@
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     /// Numbers of occurrences that are done.
     pub(super) finished: Ranges,
-    /// Whether the store has rejected a record of the job, so that none of its tasks is placed.
+    /// Whether a record of the job was rejected by the store or cannot be read, so that none of its
+    /// tasks is placed.
     pub(super) is_rejected: bool,
     /// Lowest number of an occurrence that has not begun.
     pub(super) next_occurrence: u32,
@@ -184,6 +185,12 @@
         self.occurrences.get_mut(&occurrence)?.steps.get_mut(step as usize)
     }
 
+    /// Returns whether all tasks of an occurrence in memory are done.
+    pub(super) fn is_occurrence_done(&self, number: u32) -> bool {
+        let found = self.occurrences.get(&number);
+        found.is_some_and(|found| found.steps.iter().all(|step| step.left == 0))
+    }
+
     /// Returns whether tasks of the job may be placed.
     pub(super) fn is_active(&self) -> bool {
         !self.cancelled && !self.is_rejected && !self.state.is_terminal()
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -16,14 +16,12 @@
 use super::clock::SLOWEST_CLOCK;
 use super::executors::Executor;
 use crate::id::ExecutorId;
-use crate::record::json_bytes;
+use crate::record::json_field_bytes;
 
 /// Margin for the end of a predecessor's last lease beyond its calculated end.
 const LEASE_MARGIN: Span = Span::from_ms(200);
 /// Time without an answer after which the lease end of an executor is recorded.
 const MIN_SILENCE: Span = Span::from_ms(500);
-/// Maximum number of bytes of a number in JSON, with the punctuation around it and its key.
-const MAX_NUMBER_BYTES: usize = 28;
 /// Time after the store's return within which the entries that its outage removed are back: two
 /// seconds by the platform's contract, and one for reading the list.
 const UNLISTED_GRACE: Span = Span::from_ms(3_000);
@@ -154,7 +152,7 @@
         let silent = self.executors.iter().filter(move |(_, executor)| executor.is_silent(now));
         let mut left = self.settings.max_row_bytes / 2;
         silent.take_while(move |(id, _)| {
-            let bytes = json_bytes(id.as_str()) + MAX_NUMBER_BYTES;
+            let bytes = json_field_bytes(id.as_str());
             let fits = bytes <= left;
             left = left.saturating_sub(bytes);
             fits
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -32,6 +32,7 @@
 mod restore;
 mod score;
 mod settings;
+mod split;
 mod throttle;
 mod write;
 
@@ -72,6 +73,8 @@
     dirty: BTreeSet<RecordId>,
     /// Records and run ends that the next batches hold.
     round: write::Round,
+    /// Jobs whose records of earlier versions are not split yet.
+    unsplit: split::Unsplit,
     /// Lease ends that are recorded for a successor.
     lease_ends: lease_ends::Recorded,
     /// Batch that was sent to the store and is not confirmed yet.
@@ -129,6 +132,7 @@
             waiting: BTreeSet::new(),
             dirty: BTreeSet::new(),
             round: write::Round::default(),
+            unsplit: split::Unsplit::default(),
             lease_ends: lease_ends::Recorded::default(),
             pending_batch: None,
             advice: BTreeMap::new(),
--- a/crates/jobs/src/shard/model.rs
+++ b/crates/jobs/src/shard/model.rs
@@ -18,10 +18,8 @@
     PRIOR_IDLE_RATIO, PRIOR_WEIGHT, utilization,
 };
 use crate::id::{Image, JobId};
-use crate::record::json_bytes;
+use crate::record::json_field_bytes;
 
-/// Maximum number of bytes of a number in JSON, with the punctuation around it and its key.
-const MAX_NUMBER_BYTES: usize = 48;
 /// Minimum time between two solutions of a fit.
 const SOLVE_INTERVAL: Span = Span::from_ms(150);
 /// Load of a job's users before any report.
@@ -97,7 +95,7 @@
     pub(super) fn snapshot(&self, max_bytes: usize) -> Snapshot {
         let mut left = max_bytes;
         let mut fits = |image: &Image| {
-            let bytes = json_bytes(image.as_str()) + MAX_NUMBER_BYTES;
+            let bytes = json_field_bytes(image.as_str());
             let fits = bytes <= left;
             left -= if fits { bytes } else { 0 };
             fits
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -244,8 +244,7 @@
         };
         open.stop = Stop::Sent(now);
         let order = Order { executor: open.executor.clone(), task: *task, run };
-        let address = executor.registration.address;
-        self.out.push(Command::Stop { order, address });
+        self.out.push(Command::Stop { order, address: executor.registration.address });
     }
 
     /// Returns the open run that an order refers to.
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -62,6 +62,7 @@
         }
         for (id, progress) in &records.progress {
             self.restore_tasks(now, *id, progress);
+            self.split_record(*id, progress);
         }
         for record in &records.unreadable {
             if let Some(entry) = self.jobs.get_mut(&record.job) {
@@ -95,6 +96,13 @@
         }
         for done in progress.done.iter().filter(|done| done.occurrence <= last) {
             restore_done(entry, now, done.occurrence, done.step, &done.indices);
+            // Earlier versions recorded each finished occurrence by its steps.
+            let is_whole = done.occurrence != id.occurrence
+                && progress.tasks.iter().all(|task| task.occurrence != done.occurrence);
+            if is_whole && entry.is_occurrence_done(done.occurrence) {
+                entry.occurrences.remove(&done.occurrence);
+                entry.finished.insert(done.occurrence, done.occurrence);
+            }
         }
     }
 
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -32,6 +32,8 @@
 /// A batch that was sent to the store and is not confirmed yet.
 #[derive(Debug, Default)]
 pub(super) struct PendingBatch {
+    /// Records in the batch.
+    records: BTreeSet<RecordId>,
     /// Runs that are started once the batch is recorded.
     starts: Vec<(TaskId, Run)>,
     /// Run ends that count as recorded with the batch: the highest number for each executor.
@@ -81,6 +83,7 @@
             let log = |report| Command::Log(Decision::ModelRecorded(report));
             self.out.extend(reports.into_iter().map(log));
         }
+        pending.records = records;
         batch.lease_ends = self.next_lease_ends(now);
         self.pending_batch = Some(pending);
         self.out.push(Command::Record(batch));
@@ -88,7 +91,9 @@
 
     /// Removes the records of the next batch from the round.
     fn next_records(&mut self, now: Time) -> BTreeSet<RecordId> {
+        let unsplit = &self.unsplit;
         let changed = self.round.records.iter().copied();
+        let changed = changed.filter(|record| !unsplit.is_held_back(*record));
         let mut records: BTreeSet<RecordId> = changed.take(RECORDS_PER_BATCH).collect();
         // The first record of a job that starts or ends comes no later than its others.
         let first = |record: &RecordId| RecordId::first(record.job);
@@ -96,6 +101,7 @@
             .iter()
             .map(first)
             .filter(|first| self.dirty.contains(first) || self.is_state_due(first.job))
+            .filter(|first| !self.unsplit.is_held_back(*first))
             .collect();
         records.extend(missing);
         self.round.records.retain(|record| !records.contains(record));
@@ -208,6 +214,9 @@
         let Some(pending) = self.pending_batch.take() else {
             return;
         };
+        for record in pending.records {
+            self.unsplit.record_written(record);
+        }
         self.end_record_of_lease_ends();
         for (id, incarnation, end) in pending.ends {
             self.mark_end_recorded(&id, incarnation, end);
--- a/crates/jobs/tests/records.rs
+++ b/crates/jobs/tests/records.rs
@@ -184,3 +184,59 @@
     assert_eq!(sim.executors.values().map(|executor| executor.end_count).sum::<u64>(), 2);
     assert_no_violations(&sim);
 }
+
+/// Runs in a row of an earlier version that takes several records now were lost with the first
+/// record that was written anew.
+#[test]
+fn a_large_row_of_an_earlier_version_is_split_before_it_is_replaced() {
+    let mut sim = Simulation::new(4);
+    let lasting = Step { long_running: true, ..step(9) };
+    let after = Step { depends_on: vec![0], ..lasting.clone() };
+    sim.submit(job(1), vec![step(8), after]);
+    sim.advance(Span::from_ms(2_500));
+    assert_eq!(sim.run_count(), 9);
+    let whole = sim.progress[&RecordId::first(job(1))].clone();
+    assert_eq!(whole.tasks.len(), 9);
+    sim.settings.tasks_per_record = 3;
+    sim.slow_store = true;
+    for takeover_ms in (10..200).step_by(10) {
+        sim.progress.clear();
+        sim.progress.insert(RecordId::first(job(1)), whole.clone());
+        // Many other jobs change, so that the records come in several batches.
+        for number in 0..60 {
+            sim.submit(job(1_000 * takeover_ms + number), vec![step(1)]);
+        }
+        sim.take_over();
+        sim.cancel(job(1_000 * takeover_ms));
+        sim.advance(Span::from_ms(takeover_ms));
+        sim.take_over();
+        sim.advance(Span::from_secs(1));
+        assert_eq!(
+            (0..9).filter(|index| { sim.executors_running(&task(1, *index)).len() == 1 }).count(),
+            9,
+            "takeover after {takeover_ms} ms"
+        );
+        assert_no_violations(&sim);
+    }
+}
+
+/// Earlier versions recorded the steps of each finished occurrence; none of them runs again.
+#[test]
+fn finished_occurrences_in_a_row_of_an_earlier_version_do_not_run_again() {
+    const FINISHED: u32 = 400;
+    let mut sim = Simulation::new(2);
+    let start_ms = sim.wall_ms() - u64::from(FINISHED) * 1_000;
+    let schedule = Schedule { start_ms, period_ms: 1_000, times: FINISHED + 3 };
+    let steps = vec![step(1), Step { depends_on: vec![0], ..step(1) }];
+    sim.submit_scheduled(job(1), steps, Some(schedule));
+    let done: Vec<String> =
+        (0..FINISHED).map(|k| format!(r#"{{"k":{k}}},{{"k":{k},"s":1}}"#)).collect();
+    let row = format!(r#"{{"s":"Running","d":[{}]}}"#, done.join(","));
+    let progress: Progress = serde_json::from_str(&row).expect("a record of an earlier version");
+    sim.progress.insert(RecordId::first(job(1)), progress);
+    sim.take_over();
+    sim.advance(Span::from_secs(8));
+    assert_eq!(sim.state(1), Some(State::Completed));
+    assert_eq!(sim.executors.values().map(|executor| executor.end_count).sum::<u64>(), 6);
+    assert_no_violations(&sim);
+}
