--- /dev/null
+++ b/crates/jobs/tests/support/owners.rs
@@ -0,0 +1,191 @@
+//! Owners that are suspended or cut off from the store, and former owners that go on beside their
+//! successors.
+
+use std::mem;
+use std::sync::Arc;
+
+use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_jobs::executor::Outcome;
+use sycamorerill_jobs::shard::{Batch, Command, Event, Probe, Shard};
+
+use super::Simulation;
+
+/// Time after its last confirmed write from which on an owner sends no start.
+pub(crate) const MAX_UNCONFIRMED: Span = Span::from_ms(3_000);
+/// Least time from the last confirmed write of an owner that has failed to a successor's claim.
+pub(crate) const RENEWAL_TIMEOUT: Span = Span::from_ms(1_500);
+/// Time after a suspension from which on an owner without an answer of the store renews leases.
+const MIN_AWAKE_UNCONFIRMED: Span = Span::from_ms(1_500);
+
+/// How an owner's process and its path to the store are.
+#[derive(Default)]
+pub(crate) struct Link {
+    /// When the last confirmed write was sent; `None` while writes are confirmed.
+    pub(crate) last_confirmed: Option<Time>,
+    /// Whether the process is suspended.
+    pub(crate) is_suspended: bool,
+    /// Whether the process is suspended as soon as its next batch is in the store.
+    pub(crate) suspends_at_record: bool,
+    /// When the process went on after its last suspension.
+    awake_since: Time,
+    /// Whether the confirmation of a batch waits for the process to go on.
+    confirmation_waits: bool,
+    /// Commands that the process carries out when it goes on.
+    held: Vec<Command>,
+    /// Batch that has not reached the store.
+    unsent: Option<Batch>,
+    /// When the process learns from the store that it has lost its claim.
+    learns_at: Option<Time>,
+}
+
+/// An owner that a successor has replaced.
+pub(crate) struct FormerOwner {
+    pub(crate) epoch: u64,
+    shard: Shard,
+    pending_probes: Vec<(Probe, u64, Time)>,
+    batch_pending: bool,
+    link: Link,
+}
+
+impl Simulation {
+    /// Suspends the owner's process.
+    pub(crate) fn suspend_owner(&mut self) {
+        self.link.suspends_at_record = false;
+        self.link.is_suspended = true;
+        self.link.last_confirmed.get_or_insert(self.now);
+    }
+
+    /// Cuts the owner off from the store; it goes on otherwise.
+    pub(crate) fn cut_owner_from_store(&mut self) {
+        self.link.last_confirmed.get_or_insert(self.now);
+    }
+
+    /// Lets the owner go on and reach the store. It has not been replaced.
+    pub(crate) fn heal_owner(&mut self) {
+        self.wake();
+        self.link.last_confirmed = None;
+        if let Some(batch) = self.link.unsent.take() {
+            self.execute_command(Command::Record(batch));
+        }
+    }
+
+    /// Replaces the owner, which does not know of it and goes on as it was.
+    pub(crate) fn take_over_from_unaware(&mut self) {
+        self.link.last_confirmed.get_or_insert(self.now);
+        let former = FormerOwner {
+            epoch: self.epoch,
+            shard: mem::replace(
+                &mut self.shard,
+                Shard::new(self.settings, Arc::clone(&self.config)),
+            ),
+            pending_probes: mem::take(&mut self.pending_probes),
+            batch_pending: mem::take(&mut self.batch_pending),
+            link: mem::take(&mut self.link),
+        };
+        self.former.push(former);
+        self.take_over();
+    }
+
+    /// Lets all suspended former owners go on. Those that reach the store learn of their
+    /// successors after the given time.
+    pub(crate) fn resume_former_owners(&mut self, learn_after: Option<Span>) {
+        let learns_at = learn_after.map(|after| self.now + after);
+        self.with_former_owners(|sim| {
+            if sim.link.is_suspended {
+                sim.link.learns_at = learns_at;
+                sim.wake();
+            }
+        });
+    }
+
+    /// Advances the former owners, and forgets those that know of their successors.
+    pub(super) fn turn_former_owners(&mut self) {
+        self.with_former_owners(|sim| {
+            sim.answer_probes();
+            sim.run_turns();
+        });
+        let now = self.now;
+        self.former.retain(|former| {
+            !former.shard.is_superseded() && former.link.learns_at.is_none_or(|at| at > now)
+        });
+    }
+
+    /// Calls `act` with each former owner in place of the present one.
+    fn with_former_owners(&mut self, act: impl Fn(&mut Self)) {
+        let mut former = mem::take(&mut self.former);
+        for owner in &mut former {
+            self.swap_owner(owner);
+            self.acts_as_former = true;
+            act(self);
+            self.acts_as_former = false;
+            self.swap_owner(owner);
+        }
+        self.former = former;
+    }
+
+    fn swap_owner(&mut self, other: &mut FormerOwner) {
+        mem::swap(&mut self.epoch, &mut other.epoch);
+        mem::swap(&mut self.shard, &mut other.shard);
+        mem::swap(&mut self.pending_probes, &mut other.pending_probes);
+        mem::swap(&mut self.batch_pending, &mut other.batch_pending);
+        mem::swap(&mut self.link, &mut other.link);
+    }
+
+    /// Lets the process go on after a suspension.
+    fn wake(&mut self) {
+        self.link.suspends_at_record = false;
+        if !mem::take(&mut self.link.is_suspended) {
+            return;
+        }
+        self.link.awake_since = self.now;
+        for command in mem::take(&mut self.link.held) {
+            self.execute_command(command);
+        }
+        if mem::take(&mut self.link.confirmation_waits) {
+            self.batch_pending = false;
+            self.handle(Event::Recorded(Vec::new()));
+        }
+    }
+
+    /// Returns the command as the owner's process carries it out now, if it does.
+    pub(super) fn admit(&mut self, command: Command) -> Option<Command> {
+        if self.link.is_suspended {
+            self.link.held.push(command);
+            return None;
+        }
+        let Some(last_confirmed) = self.link.last_confirmed else {
+            return Some(command);
+        };
+        // An executor's refusal ends an ownership; no further command is sent.
+        if self.shard.is_superseded() {
+            return None;
+        }
+        match command {
+            Command::Record(batch) => {
+                self.batch_pending = true;
+                self.link.unsent = Some(batch);
+                None
+            }
+            Command::Start { order, .. } if self.now.since(last_confirmed) > MAX_UNCONFIRMED => {
+                self.handle(Event::Started(order, Outcome::NotSent));
+                None
+            }
+            Command::Probe { probe, address, acknowledged, deadline, wait } => {
+                let awake_since = self.link.awake_since;
+                let renews = last_confirmed >= awake_since
+                    || self.now.since(awake_since) >= MIN_AWAKE_UNCONFIRMED;
+                let deadline = deadline.filter(|_| renews);
+                Some(Command::Probe { probe, address, acknowledged, deadline, wait })
+            }
+            _ => Some(command),
+        }
+    }
+
+    /// Notes that a batch is in the store.
+    pub(super) fn note_record(&mut self) {
+        if mem::take(&mut self.link.suspends_at_record) {
+            self.suspend_owner();
+            self.link.confirmation_waits = true;
+        }
+    }
+}
