jobs, node, platform: starts and deadlines go only to the incarnation that they name

Callers saw tasks run on two executors after takeovers and restarts.

Cause: an order names an executor, and a new incarnation has the same name. It has forgotten the epoch, the runs and the clock by which the order would be refused. Class: evidence used for another incarnation; the mends before treated it after the order had arrived.

Change: a start, and a probe with a deadline, are sent only on a connection on which their incarnation has answered. A connection ends with the processes at its ends, so no later incarnation can receive what was sent on it, however late it arrives. A new connection is first asked which incarnation it reaches; if it is another one, nothing is sent. The first probe of an incarnation extends no lease.

--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -95,6 +95,8 @@
             order: Order,
             /// Address of the executor.
             address: SocketAddr,
+            /// Incarnation that the run is recorded with; no other one may receive the order.
+            incarnation: Incarnation,
             /// Text of the job as submitted.
             text: Arc<str>,
             /// End of the lease, by the executor's clock.
@@ -133,6 +135,8 @@
             probe: Probe,
             /// Address of the executor.
             address: SocketAddr,
+            /// Incarnation to whose clock the deadline belongs; no other one may receive it.
+            incarnation: Incarnation,
             /// Number up to which run ends are recorded, so that the executor may discard them.
             acknowledged: u64,
             /// New end of the leases by the executor's clock; `None` leaves them unchanged.
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -41,8 +41,17 @@
         let order = Order { executor: open.executor.clone(), task: *task, run };
         let deadline = executor.extend_lease(now, lease);
         let address = executor.registration.address;
+        let incarnation = open.incarnation;
         self.probe_candidates.insert(order.executor.clone());
-        self.out.push(Command::Start { order, address, text, deadline, checkpoint, ticket });
+        self.out.push(Command::Start {
+            order,
+            address,
+            incarnation,
+            text,
+            deadline,
+            checkpoint,
+            ticket,
+        });
     }
 
     /// Handles the outcome of an order to start a run.
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -8,7 +8,7 @@
 use super::executors::{Executor, PlacedRun};
 use super::message::{Closing, Command, Decision, Order, Probe};
 use super::{Settings, Shard};
-use crate::executor::{Outcome, Refusal, Report, RunReport, Steady};
+use crate::executor::{Outcome, Refusal, Registration, Report, RunReport, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
 /// Maximum number of run ends in one report. A report with that many may omit others, so runs
@@ -93,15 +93,15 @@
         // An unanswered probe may extend leases all the same. Probes of executors that do not
         // report therefore extend none, or their leases would never expire.
         let reports = executor.unreachable_since.is_none() && !executor.probe_failed;
-        let extends = reports && executor.may_extend_lease();
+        let extends = reports && executor.confirmed && executor.may_extend_lease();
         let deadline = extends.then(|| executor.extend_lease(now, settings.lease));
         let probe = Probe { executor: id.clone(), number: executor.latest_probe };
         executor.probe_acknowledges = executor.ends_recorded;
         // An executor that has restarted unnoticed would discard ends of its new numbering, so a
         // probe acknowledges nothing that was acknowledged before.
         let acknowledged = if unacknowledged { executor.ends_recorded } else { 0 };
-        let address = executor.registration.address;
-        self.out.push(Command::Probe { probe, address, acknowledged, deadline, wait });
+        let Registration { address, incarnation, .. } = executor.registration;
+        self.out.push(Command::Probe { probe, address, incarnation, acknowledged, deadline, wait });
         true
     }
 
--- a/crates/jobs/tests/restarts.rs
+++ b/crates/jobs/tests/restarts.rs
@@ -1,4 +1,7 @@
 //! Executors that restart under their names, before and after their restart is known.
+//!
+//! Where `binds_orders` is off, a start reaches whichever incarnation is there, as if the platform's
+//! adapter did not bind it to the one that it names: the shard must cope with that by itself.
 
 mod support;
 
@@ -41,6 +44,7 @@
 fn a_run_that_a_new_incarnation_has_accepted_goes_on() {
     for listed_after_ms in [20, 300, 800] {
         let mut sim = Simulation::new(3);
+        sim.binds_orders = false;
         sim.advance(Span::from_secs(2));
         restart(&mut sim, "x1");
         sim.submit(job(1), vec![Step { long_running: true, ..spread(3) }]);
@@ -60,6 +64,7 @@
 fn the_end_of_a_run_that_a_new_incarnation_has_accepted_counts() {
     for listed_after_ms in [20, 300, 800] {
         let mut sim = Simulation::new(3);
+        sim.binds_orders = false;
         sim.submit(job(1), vec![step(20)]);
         sim.advance(Span::from_secs(2));
         assert_eq!(sim.state(1), Some(State::Completed));
@@ -120,6 +125,7 @@
 fn a_successor_goes_on_with_a_run_that_a_new_incarnation_has_accepted() {
     for is_listed in [false, true] {
         let mut sim = Simulation::new(3);
+        sim.binds_orders = false;
         sim.advance(Span::from_secs(2));
         let before = sim.registration_of("x1");
         restart(&mut sim, "x1");
@@ -193,6 +199,7 @@
 #[test]
 fn the_longest_lease_is_waited_for_if_only_an_answer_shows_a_restart() {
     let mut sim = Simulation::new(3);
+    sim.binds_orders = false;
     sim.advance(Span::from_secs(30));
     restart(&mut sim, "x0");
     sim.submit(job(1), vec![Step { long_running: true, ..spread(2) }]);
@@ -209,6 +216,7 @@
 #[test]
 fn late_orders_to_a_new_incarnation_extend_its_leases() {
     let mut sim = Simulation::new(2);
+    sim.binds_orders = false;
     sim.advance(Span::from_secs(30));
     sim.executor("x0").delays_orders = true;
     sim.submit(job(1), vec![spread(2)]);
--- a/crates/jobs/tests/support/orders.rs
+++ b/crates/jobs/tests/support/orders.rs
@@ -26,6 +26,10 @@
         if !executor.is_reached_by(epoch) {
             return Outcome::Unknown;
         }
+        if let Some(outcome) = self.identify(id, &command) {
+            return outcome;
+        }
+        let executor = &self.executors[id];
         let loses_answer = executor.loses_answers;
         if executor.delays_orders {
             self.delayed_orders.push((epoch, command));
@@ -35,10 +39,39 @@
         if loses_answer { Outcome::Unknown } else { outcome }
     }
 
+    /// Returns why a start is not sent, if the executor is not in the incarnation that it names.
+    /// The executor is asked first, under the epoch of the owner.
+    fn identify(&mut self, id: &ExecutorId, command: &Command) -> Option<Outcome> {
+        let now = self.now;
+        let is_right = self.reaches(id, command);
+        let executor = self.executors.get_mut(id).expect("known executor");
+        if is_right {
+            return None;
+        }
+        if self.epoch < executor.fence && !executor.loses_answers {
+            return Some(Outcome::Refused(Refusal::Fence, Some(executor.clock(now))));
+        }
+        executor.fence = executor.fence.max(self.epoch);
+        Some(Outcome::NotSent)
+    }
+
+    /// Returns whether a command can reach the present incarnation of an executor.
+    fn reaches(&self, id: &ExecutorId, command: &Command) -> bool {
+        let Command::Start { incarnation, .. } = command else {
+            return true;
+        };
+        !self.binds_orders || self.executors[id].incarnation == incarnation.0
+    }
+
     /// Delivers the orders that were delayed.
     pub(crate) fn deliver_delayed_orders(&mut self) {
         self.delivers_late = true;
         for (epoch, command) in std::mem::take(&mut self.delayed_orders) {
+            if let Command::Start { order, .. } = &command
+                && !self.reaches(&order.executor, &command)
+            {
+                continue;
+            }
             self.apply_order(epoch, &command);
         }
         self.delivers_late = false;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -8,7 +8,9 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::{data, value};
 use sycamorerill_jobs::config::Config;
-use sycamorerill_jobs::executor::{Advice, Outcome, Registration, Report, Steady, Ticket};
+use sycamorerill_jobs::executor::{
+    Advice, Incarnation, Outcome, Registration, Report, Steady, Ticket,
+};
 use sycamorerill_jobs::id::{ExecutorId, Run, StepId, TaskId};
 
 value! {
@@ -156,9 +158,22 @@
     }
 }
 
+data! {
+    /// To whom and until when a message may be sent.
+    #[derive(Copy)]
+    pub struct Delivery {
+        /// Incarnation of the executor; no other one may receive the message.
+        pub incarnation: Incarnation,
+        /// Latest time at which the message is sent.
+        pub before: Time,
+    }
+}
+
 data! {
     /// A run to start.
     pub struct Start {
+        /// To whom and until when the order may be sent.
+        pub delivery: Delivery,
         /// Task that the run belongs to.
         pub task: TaskId,
         /// Number of the run within the task.
@@ -178,6 +193,9 @@
     /// A request for an executor's running and ended runs.
     #[derive(Copy)]
     pub struct Probe {
+        /// To whom and until when the deadline may be sent. The probe goes without it to any other
+        /// incarnation.
+        pub delivery: Delivery,
         /// Number of the last recorded end; the executor may discard ends up to it.
         pub acknowledged: u64,
         /// New end of all leases, on the executor's clock; none leaves the leases unchanged.
--- a/crates/node/src/shards/execute.rs
+++ b/crates/node/src/shards/execute.rs
@@ -1,7 +1,7 @@
 //! Executes the commands of a shard and reports their outcomes.
 
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_jobs::executor::Outcome;
+use sycamorerill_jobs::id::ExecutorId;
 use sycamorerill_jobs::shard::{Command, Event};
 
 use super::owner::OwnedShard;
@@ -9,7 +9,7 @@
 use crate::clock;
 use crate::instance::{self, Context};
 use crate::metrics::Hop;
-use crate::platform::{Platform, Probe, Start, Target};
+use crate::platform::{Delivery, Platform, Probe, Start, Target};
 
 /// Time after a suspension of the process from which on leases are renewed though the claim was not
 /// confirmed since: the store is then unavailable, or it would have answered.
@@ -44,37 +44,37 @@
 ) -> Option<Event> {
     let (platform, metrics) = (&*context.platform, &*context.metrics);
     let started = clock::now();
-    let epoch = owned.epoch;
-    let target = |address, executor| Target { address, executor, epoch };
-    // Another instance may have claimed the shard while this process was suspended.
-    let stale = started.since(last_confirmed) > MAX_UNCONFIRMED;
     context.suspension.observe(started);
     let awake_since = context.suspension.awake_since();
     let may_renew_leases =
         last_confirmed >= awake_since || started.since(awake_since) >= MIN_AWAKE_UNCONFIRMED;
+    let target = |executor: &ExecutorId, address| Target {
+        address,
+        executor: executor.clone(),
+        epoch: owned.epoch,
+    };
     match command {
-        Command::Start { order, address, text, deadline, checkpoint, ticket } => {
-            let outcome = if stale {
-                Outcome::NotSent
-            } else {
-                let (task, run) = (order.task, order.run);
-                let start = Start { task, run, text, deadline, checkpoint, ticket };
-                platform.start(target(address, order.executor.clone()), start).await
-            };
+        Command::Start { order, address, incarnation, text, deadline, checkpoint, ticket } => {
+            let target = target(&order.executor, address);
+            // Another instance may have claimed the shard since.
+            let delivery = Delivery { incarnation, before: last_confirmed + MAX_UNCONFIRMED };
+            let (task, run) = (order.task, order.run);
+            let start = Start { delivery, task, run, text, deadline, checkpoint, ticket };
+            let outcome = platform.start(target, start).await;
             metrics.observe_hop(Hop::Started, clock::now().since(started));
             metrics.count_order("start", outcome);
             logging::outcome("start", &order, outcome);
             Some(Event::Started(order, outcome))
         }
         Command::Stop { order, address } => {
-            let target = target(address, order.executor.clone());
+            let target = target(&order.executor, address);
             let outcome = platform.stop(target, order.task, order.run).await;
             metrics.count_order("stop", outcome);
             logging::outcome("stop", &order, outcome);
             Some(Event::Stopped(order, outcome))
         }
         Command::Throttle { order, address, percent } => {
-            let target = target(address, order.executor.clone());
+            let target = target(&order.executor, address);
             let outcome = platform.throttle(target, order.task, order.run, percent).await;
             metrics.count_order("pace", outcome);
             logging::outcome("pace", &order, outcome);
@@ -85,10 +85,11 @@
             logging::advice(step, &executors, advice.as_ref());
             Some(Event::Advised(step, executors, advice))
         }
-        Command::Probe { probe, address, acknowledged, deadline, wait } => {
-            let target = target(address, probe.executor.clone());
+        Command::Probe { probe, address, incarnation, acknowledged, deadline, wait } => {
+            let target = target(&probe.executor, address);
             let deadline = deadline.filter(|_| may_renew_leases);
-            let request = Probe { acknowledged, deadline, wait };
+            let delivery = Delivery { incarnation, before: Time::MAX };
+            let request = Probe { delivery, acknowledged, deadline, wait };
             Some(match platform.probe(target, request).await {
                 Ok(report) => Event::Probed(probe, report),
                 Err(outcome) => Event::ProbeFailed(probe, outcome),
