jobs, node: the log tells each run's evidence, its age and the clocks used

- run.placed has the epoch and the executor's incarnation; run.closed has the epoch, the stage of the order, the incarnation of the run and the latest known, the age of the evidence, and for ends of leases the clock and the deadline, or how long was waited and what for.
- Closing::Lapsed is divided into Lapsed, LapsedInherited and UnlistedAfterOutage, and the replacement of an executor at an address, which was Gone, is Replaced.
Members of a gang that end with another are logged as GangDone; they had no line.
Nothing else is decided than before.
- New lines: executor.inherited and executor.fenced, one for each executor with open runs at a takeover, and run.unknown for a run that no record has as open.
- shard.lost says why, and how long the last confirmed write is ago; order.failed and failed probes have the epoch; a start that is withheld, as the claim is not confirmed, says so.

--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -101,6 +101,18 @@
     }
 }
 
+/// Returns whether a run that is closed on the evidence `by` may have crashed its executor.
+const fn may_be_crash(by: Closing) -> bool {
+    matches!(
+        by,
+        Closing::Gone
+            | Closing::Replaced
+            | Closing::Lapsed { .. }
+            | Closing::LapsedInherited { .. }
+            | Closing::UnlistedAfterOutage { .. }
+    )
+}
+
 impl Shard {
     /// Returns whether a task may crash the executors on which it starts.
     pub(super) fn is_suspect(&self, task: &TaskId) -> bool {
@@ -116,7 +128,7 @@
         run: Run,
         by: Closing,
     ) -> Option<Involvement> {
-        if !matches!(by, Closing::Gone | Closing::Lapsed) {
+        if !may_be_crash(by) {
             return None;
         }
         let found = self.jobs.get(&task.step.job)?.task(task)?;
@@ -142,7 +154,7 @@
         by: Closing,
         involvement: Involvement,
     ) {
-        if by == Closing::Gone {
+        if matches!(by, Closing::Gone | Closing::Replaced) {
             self.record_crash(now, order, involvement);
             return;
         }
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -128,6 +128,19 @@
     Inherited,
 }
 
+impl Stage {
+    /// Returns the name of the stage in the log.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Recording => "recording",
+            Self::Sent => "sent",
+            Self::Unknown => "unknown",
+            Self::Running { .. } => "running",
+            Self::Inherited => "inherited",
+        }
+    }
+}
+
 /// Progress of the order to stop a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stop {
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -6,6 +6,7 @@
 
 use super::Shard;
 use super::entry::{Entry, OpenRun};
+use super::message::Closing;
 use crate::executor::{Availability, Registration, Steady};
 use crate::id::{ExecutorId, Image, JobId, TaskId};
 use crate::spec::{Resources, Step};
@@ -45,6 +46,8 @@
     /// When all orders and leases of predecessors have expired, even without an answer from the
     /// executor.
     pub(super) inherited_until: Time,
+    /// What bounds that time.
+    pub(super) inherited_bound: super::LeaseBound,
     /// Whether the executor has restarted since a predecessor placed a run there.
     pub(super) inherited_restart: bool,
     /// Tasks with open runs on the executor.
@@ -110,6 +113,7 @@
             fenced: true,
             confirmed: false,
             inherited_until: Time::ZERO,
+            inherited_bound: super::LeaseBound::Longest,
             inherited_restart: false,
             open_tasks: BTreeSet::new(),
             used: Resources::default(),
@@ -166,7 +170,7 @@
 
     /// Returns whether a predecessor's executor is not in the list and has not answered since the
     /// takeover.
-    const fn is_unlisted(&self) -> bool {
+    pub(super) const fn is_unlisted(&self) -> bool {
         !self.present && !self.fenced
     }
 
@@ -313,22 +317,20 @@
     ///
     /// An executor in reach reports by itself which runs have ended, and how.
     pub(super) fn close_expired(&mut self, now: Time) {
-        let unlisted_are_gone = self.unlisted_are_gone(now);
-        let expired: Vec<ExecutorId> = self
+        let expired: Vec<(ExecutorId, Closing)> = self
             .executors
             .iter()
             .filter(|(_, e)| !e.open_tasks.is_empty() && e.is_out_of_reach())
-            .filter(|(_, e)| e.has_expired_leases(now) || (unlisted_are_gone && e.is_unlisted()))
-            .map(|(id, _)| id.clone())
+            .filter_map(|(id, e)| Some((id.clone(), self.evidence_of_expiry(now, e)?)))
             .collect();
-        for id in expired {
+        for (id, by) in expired {
             let Some(executor) = self.executors.get_mut(&id) else {
                 continue;
             };
             executor.fenced = true;
             let open: Vec<TaskId> = executor.open_tasks.iter().copied().collect();
             for task in open {
-                self.close_runs_on(now, &id, &task, super::message::Closing::Lapsed);
+                self.close_runs_on(now, &id, &task, by);
             }
         }
         self.executors
@@ -336,13 +338,7 @@
     }
 
     /// Closes the runs of `task` on executor `id` that are recorded.
-    fn close_runs_on(
-        &mut self,
-        now: Time,
-        id: &ExecutorId,
-        task: &TaskId,
-        by: super::message::Closing,
-    ) {
+    fn close_runs_on(&mut self, now: Time, id: &ExecutorId, task: &TaskId, by: Closing) {
         let Some(found) = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task)) else {
             return;
         };
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -14,6 +14,7 @@
 
 use super::Shard;
 use super::clock::SLOWEST_CLOCK;
+use super::evidence::LeaseBound;
 use super::executors::Executor;
 use crate::id::ExecutorId;
 use crate::record::json_field_bytes;
@@ -99,18 +100,26 @@
     }
 
     /// Returns an upper bound on the time from the takeover until the leases that predecessors
-    /// granted to an executor have ended.
+    /// granted to an executor have ended, and what gives it.
     ///
     /// An executor that has restarted since may grant its longest lease for any deadline of theirs
     /// that reaches it.
-    pub(super) fn longest_inherited_lease(&self, id: &ExecutorId, has_restarted: bool) -> Span {
+    pub(super) fn longest_inherited_lease(
+        &self,
+        id: &ExecutorId,
+        has_restarted: bool,
+    ) -> (Span, LeaseBound) {
         let settings = self.settings;
         if has_restarted {
-            return settings.predecessor_grace + settings.max_order_delay + settings.max_lease;
+            let grace = settings.predecessor_grace + settings.max_order_delay;
+            return (grace + settings.max_lease, LeaseBound::Restarted);
         }
         let lease = settings.lease.scale(1.0 / SLOWEST_CLOCK) + LEASE_MARGIN;
         let longest = settings.predecessor_grace + lease;
-        self.lease_ends.inherited.get(id).map_or(longest, |recorded| longest.min(*recorded))
+        match self.lease_ends.inherited.get(id).filter(|recorded| **recorded < longest) {
+            Some(recorded) => (*recorded, LeaseBound::Recorded),
+            None => (longest, LeaseBound::Longest),
+        }
     }
 
     /// Returns whether the lease end of an executor is recorded, or may be.
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -204,11 +204,10 @@
     /// Closes a run on evidence, and queues its task again if the task is not done.
     pub(super) fn close(&mut self, now: Time, task: &TaskId, run: Run, by: Closing) {
         let crash = self.crash_involvement(task, run, by);
-        let Some(executor) = self.remove_run(task, run) else {
+        let Some(order) = self.end_run(now, task, run, by) else {
             return;
         };
-        let order = Order { executor: executor.clone(), task: *task, run };
-        self.out.push(Command::Log(Decision::Closed { order: order.clone(), by }));
+        let executor = order.executor.clone();
         self.mark_changed(task);
         self.placement_due = true;
         match by {
@@ -224,8 +223,17 @@
         self.remove_finished_occurrence(task.step.job, task.step.occurrence);
     }
 
-    /// Removes a run from its task and releases its resources; returns the executor that it was on.
-    pub(super) fn remove_run(&mut self, task: &TaskId, run: Run) -> Option<ExecutorId> {
+    /// Removes a run that is closed on evidence, and logs it.
+    fn end_run(&mut self, now: Time, task: &TaskId, run: Run, by: Closing) -> Option<Order> {
+        let open = self.remove_run(task, run)?;
+        let knowledge = self.knowledge_of(now, &open);
+        let order = Order { executor: open.executor, task: *task, run };
+        self.out.push(Command::Log(Decision::Closed { order: order.clone(), by, knowledge }));
+        Some(order)
+    }
+
+    /// Removes a run from its task and releases its resources.
+    pub(super) fn remove_run(&mut self, task: &TaskId, run: Run) -> Option<super::entry::OpenRun> {
         let entry = self.jobs.get_mut(&task.step.job)?;
         let found = entry.task_mut(task)?;
         let at = found.open_runs.iter().position(|open| open.run == run)?;
@@ -240,7 +248,7 @@
             self.probe_candidates.insert(open.executor.clone());
             self.released.insert(open.executor.clone());
         }
-        Some(open.executor)
+        Some(open)
     }
 
     fn task_done(&mut self, now: Time, id: &TaskId, executor: &ExecutorId) {
@@ -273,7 +281,7 @@
         for (task, run) in others {
             if gang {
                 // The members of a gang end together, so one reported end counts for all.
-                self.remove_run(&task, run);
+                self.end_run(now, &task, run, Closing::GangDone);
             } else {
                 self.request_stop(now, &task, run);
             }
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -152,6 +152,8 @@
         Placed {
             /// Run and executor.
             order: Order,
+            /// Incarnation of the executor known at the placement.
+            incarnation: Incarnation,
             /// Milliseconds since the task's step became ready.
             waited_ms: u64,
         },
@@ -161,6 +163,8 @@
             order: Order,
             /// Evidence that closed the run.
             by: Closing,
+            /// What was known of the run.
+            knowledge: super::Knowledge,
         },
         /// A job has reached a terminal state.
         Finished {
@@ -177,6 +181,18 @@
         Reachable(ExecutorId),
         /// An executor has started a new incarnation.
         Restarted(ExecutorId, Incarnation),
+        /// Runs of predecessors may be active on an executor at a takeover.
+        Inherited(super::Inherited),
+        /// An executor with runs of predecessors has given its first report.
+        Fenced(super::FirstReport),
+        /// An executor has a run that no record has as open, as after an order that came late. It
+        /// is stopped.
+        Unknown {
+            /// Run and executor.
+            order: Order,
+            /// Incarnation of the executor.
+            incarnation: Incarnation,
+        },
         /// An executor is quarantined: it gets no work for the given time.
         Quarantined(ExecutorId, Span),
         /// The processor limit of a run was changed.
@@ -223,10 +239,33 @@
         /// The report to a probe under the current epoch, or after a stop, does not list the
         /// run.
         NotListed,
-        /// The executor's lease has expired by the executor's own clock.
-        Lapsed,
-        /// The executor's incarnation is over.
+        /// The leases of this owner have expired by the executor's own clock.
+        Lapsed {
+            /// Lower bound on the executor's clock.
+            clock: Steady,
+            /// Upper bound on the leases, by the same clock.
+            deadline: Steady,
+        },
+        /// The executor has not answered since the takeover, and the leases of predecessors have
+        /// ended.
+        LapsedInherited {
+            /// Time since the takeover.
+            waited: Span,
+            /// What bounds the leases.
+            bound: super::LeaseBound,
+        },
+        /// The executor has not answered since the takeover, and its entry is still missing after
+        /// an outage of the store.
+        UnlistedAfterOutage {
+            /// Time since the takeover.
+            waited: Span,
+        },
+        /// The executor's incarnation is over: a later one does not list the run.
         Gone,
+        /// Another executor answers at the address that the run was sent to.
+        Replaced,
+        /// Another member of the run's gang is reported as done, which ends all members.
+        GangDone,
         /// The run was dropped before it was recorded, so no order was sent.
         NotRecorded,
     }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod drain;
 mod entry;
+mod evidence;
 mod executors;
 mod fit;
 mod health;
@@ -50,6 +51,7 @@
 use crate::record::RecordId;
 
 pub use self::backlog::Backlog;
+pub use self::evidence::{FirstReport, Inherited, Knowledge, LeaseBound};
 pub use self::fit::FitReport;
 pub use self::lease_ends::LeaseEnd;
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
@@ -112,8 +114,10 @@
     has_new_ends: bool,
     /// Wall-clock time of the latest event or turn, in milliseconds since 1970.
     wall_ms: u64,
-    /// Whether an executor has refused an order because it has seen a higher epoch.
-    superseded: bool,
+    /// Executor that has refused an order or a probe because it has seen a higher epoch.
+    superseded_by: Option<ExecutorId>,
+    /// When this owner restored the records of its predecessors.
+    restored_at: Time,
     next_tick: Time,
     /// Time of the next pass over all open runs.
     next_sweep: Time,
@@ -151,7 +155,8 @@
             placed: Vec::new(),
             has_new_ends: false,
             wall_ms: 0,
-            superseded: false,
+            superseded_by: None,
+            restored_at: Time::ZERO,
             next_tick: Time::ZERO,
             estimator: throttle::Estimator::default(),
             out: Vec::new(),
@@ -189,7 +194,7 @@
     /// Returns nothing once the shard is superseded.
     pub fn turn(&mut self, now: Time, wall_ms: u64) -> Vec<Command> {
         self.wall_ms = wall_ms;
-        if self.superseded {
+        if self.is_superseded() {
             return Vec::new();
         }
         if now >= self.next_tick {
@@ -214,7 +219,12 @@
     /// Returns whether an executor has seen a higher epoch. The shard then belongs to another
     /// owner, and this one issues no further commands.
     pub const fn is_superseded(&self) -> bool {
-        self.superseded
+        self.superseded_by.is_some()
+    }
+
+    /// Returns the executor that has seen a higher epoch, if one has.
+    pub const fn superseded_by(&self) -> Option<&ExecutorId> {
+        self.superseded_by.as_ref()
     }
 
     /// Returns the current state of a job, which may not be recorded yet.
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -263,7 +263,9 @@
             executor.update_clock(now, clock);
             executor.last_answer = now;
         }
-        self.superseded |= matches!(outcome, Outcome::Refused(Refusal::Fence, _));
+        if matches!(outcome, Outcome::Refused(Refusal::Fence, _)) {
+            self.superseded_by.get_or_insert_with(|| id.clone());
+        }
     }
 
     /// Returns the number of the next probe of an executor.
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -317,13 +317,14 @@
             executor.trial_until = now + super::crash::TRIAL;
         }
         step.waiting.remove(&task.index);
+        let incarnation = executor.registration.incarnation;
         let waited_ms = now.since(step.ready_since).as_ms();
         let found = &mut step.tasks[task.index as usize];
         found.run = run.0;
         found.open_runs.push(OpenRun {
             run,
             executor: id.clone(),
-            incarnation: executor.registration.incarnation,
+            incarnation,
             address: Some(executor.registration.address),
             stage: Stage::Recording,
             stop: Stop::NotRequested,
@@ -337,6 +338,6 @@
         self.placed.push((*task, run));
         self.mark_changed(task);
         let order = Order { executor: id, task: *task, run };
-        self.out.push(Command::Log(Decision::Placed { order, waited_ms }));
+        self.out.push(Command::Log(Decision::Placed { order, incarnation, waited_ms }));
     }
 }
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -147,6 +147,8 @@
         let complete = report.ended.len() < MAX_ENDS_PER_REPORT;
         let mut listed: BTreeSet<(TaskId, Run)> =
             report.ended.iter().map(|end| (end.task, end.run)).collect();
+        listed.extend(report.running.iter().map(|row| (row.task, row.run)));
+        self.log_first_report(id, &report, &listed);
         for ended in &report.ended {
             let Some(executor) = self.executors.get_mut(id) else {
                 return;
@@ -164,7 +166,6 @@
             executor.ends_processed = report.latest_end;
             self.has_new_ends = true;
         }
-        listed.extend(report.running.iter().map(|row| (row.task, row.run)));
         for row in &report.running {
             self.handle_listed_run(now, id, row);
         }
@@ -203,6 +204,7 @@
         });
         let Some(open) = open else {
             // No record has this run as open, so its end would be ignored: it is stopped.
+            self.out.push(Command::Log(Decision::Unknown { order: order.clone(), incarnation }));
             self.out.push(Command::Stop { order, address });
             return;
         };
--- a/crates/jobs/src/shard/restart.rs
+++ b/crates/jobs/src/shard/restart.rs
@@ -180,7 +180,7 @@
         let open: Vec<TaskId> = executor.open_tasks.iter().copied().collect();
         for task in open {
             for run in self.runs_sent_to(id, &task, address) {
-                self.close(now, &task, run, Closing::Gone);
+                self.close(now, &task, run, Closing::Replaced);
             }
         }
     }
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -8,6 +8,7 @@
 
 use super::Shard;
 use super::entry::{Entry, OpenRun, Stage, Stop};
+use super::evidence::LeaseBound;
 use super::executors::Executor;
 use super::lease_ends::LeaseEnd;
 use super::message::{Command, Decision};
@@ -47,6 +48,7 @@
     /// listed before.
     pub fn restore(&mut self, now: Time, wall_ms: u64, records: Records) {
         self.wall_ms = wall_ms;
+        self.restored_at = now;
         if let Some(snapshot) = records.model {
             self.estimator.model.restore(snapshot);
         }
@@ -79,6 +81,7 @@
             self.begin(now, id);
             self.send_requested_stops(now, id);
         }
+        self.log_inherited(now);
         self.placement_due = true;
     }
 
@@ -175,7 +178,7 @@
         let id = &record.executor;
         let listed = self.executors.get(id).map(|found| found.registration.incarnation);
         let has_restarted = listed.is_some_and(|listed| listed.0 > record.incarnation);
-        let lease_end = now + self.longest_inherited_lease(id, has_restarted);
+        let (wait, bound) = self.longest_inherited_lease(id, has_restarted);
         let job = self.jobs.get(&task.step.job).map(|entry| Arc::clone(&entry.job));
         let step = job.as_ref().and_then(|job| job.steps.get(task.step.step as usize));
         let Some(step) = step else {
@@ -183,7 +186,7 @@
         };
         let executor =
             self.executors.entry(id.clone()).or_insert_with(|| Executor::unlisted(now, record));
-        executor.inherit(record, lease_end);
+        executor.inherit(record, now + wait, bound);
         executor.inherited_restart |= has_restarted;
         let until = now + self.settings.predecessor_grace;
         executor.record_unanswered(now, until, &self.settings);
@@ -217,9 +220,12 @@
     }
 
     /// Marks the executor as one where runs of predecessors may be active until `lease_end`.
-    fn inherit(&mut self, record: &progress::OpenRun, lease_end: Time) {
+    fn inherit(&mut self, record: &progress::OpenRun, lease_end: Time, bound: LeaseBound) {
         self.fenced = false;
-        self.inherited_until = self.inherited_until.max(lease_end);
+        if lease_end > self.inherited_until {
+            self.inherited_until = lease_end;
+            self.inherited_bound = bound;
+        }
         let latest = Incarnation(record.incarnation);
         if !self.present
             && latest > self.registration.incarnation
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -24,7 +24,7 @@
 use sycamorerill_jobs::progress::{Progress, State};
 use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::{
-    Command, Event, LeaseEnd, Probe, Records, Settings, Shard, Snapshot,
+    Command, Decision, Event, LeaseEnd, Probe, Records, Settings, Shard, Snapshot,
 };
 use sycamorerill_jobs::spec::{AcceptedJob, Job, Resources, Schedule, Step};
 
@@ -71,6 +71,8 @@
     pub(crate) model: Option<Snapshot>,
     /// Decisions that the shard logged.
     pub(crate) log: Vec<String>,
+    /// The same as values.
+    pub(crate) decisions: Vec<Decision>,
     /// Done tasks whose ends were acknowledged while the leases there were in force.
     pub(super) noted_ends: BTreeSet<TaskId>,
     /// Run of each task that was started last.
@@ -148,6 +150,7 @@
             checks_all_executors: true,
             shares_processors: false,
             log: Vec::new(),
+            decisions: Vec::new(),
             model: None,
             noted_ends: BTreeSet::new(),
             latest_runs: BTreeMap::new(),
@@ -417,7 +420,10 @@
                 }
                 self.start_probe(probe, acknowledged, deadline, wait);
             }
-            Command::Log(decision) => self.log.push(format!("{} {decision:?}", self.now.as_ms())),
+            Command::Log(decision) => {
+                self.log.push(format!("{} {decision:?}", self.now.as_ms()));
+                self.decisions.push(decision);
+            }
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod frontend;
+pub mod lines;
 pub mod log;
 pub mod platform;
 
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -53,6 +53,8 @@
     Advised,
     /// An executor crashed shortly after a task may have started there.
     Crashed,
+    /// An executor has a run that no record has as open.
+    Unknown,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
     /// probe of it failed.
     Executor,
@@ -60,6 +62,10 @@
     Quarantined,
     /// The interference model was recorded.
     Model,
+    /// Runs of predecessors may be active on an executor at a takeover.
+    Inherited,
+    /// An executor with runs of predecessors has given its first report.
+    Fenced,
     /// The instance has become the owner of a shard.
     Gained,
     /// The instance no longer owns a shard.
@@ -82,7 +88,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 27] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -95,9 +101,12 @@
         Self::OrderFailed,
         Self::Advised,
         Self::Crashed,
+        Self::Unknown,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
+        Self::Inherited,
+        Self::Fenced,
         Self::Gained,
         Self::Lost,
         Self::Layout,
@@ -124,9 +133,12 @@
             Self::OrderFailed => 1204,
             Self::Advised => 1205,
             Self::Crashed => 1206,
+            Self::Unknown => 1207,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
+            Self::Inherited => 1303,
+            Self::Fenced => 1304,
             Self::Gained => 1400,
             Self::Lost => 1401,
             Self::Layout => 1402,
@@ -154,9 +166,12 @@
             Self::OrderFailed => "order.failed",
             Self::Advised => "step.advised",
             Self::Crashed => "run.crashed",
+            Self::Unknown => "run.unknown",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
+            Self::Inherited => "executor.inherited",
+            Self::Fenced => "executor.fenced",
             Self::Gained => "shard.gained",
             Self::Lost => "shard.lost",
             Self::Layout => "shard.layout",
@@ -202,7 +217,7 @@
     /// dropped.
     pub fn write(self) {
         let is_state_change = self.is_state_change();
-        let mut text = Value::Object(self.0).to_string();
+        let mut text = self.to_string();
         text.push('\n');
         writer().push(text, is_state_change);
     }
@@ -214,6 +229,13 @@
     }
 }
 
+impl Display for Line {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let text = serde_json::to_string(&self.0).map_err(|_| std::fmt::Error)?;
+        f.write_str(&text)
+    }
+}
+
 /// A bounded queue of lines for the writer; the instance never blocks on its log.
 #[derive(Debug)]
 pub struct Queue {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -225,12 +225,16 @@
         Closing::Ended(EndReason::Done) => "done",
         Closing::Ended(EndReason::Failed) => "failed",
         Closing::Ended(EndReason::Stopped) => "stopped",
-        Closing::Ended(EndReason::Lapsed) | Closing::Lapsed => "lapsed",
+        Closing::Ended(EndReason::Lapsed)
+        | Closing::Lapsed { .. }
+        | Closing::LapsedInherited { .. }
+        | Closing::UnlistedAfterOutage { .. } => "lapsed",
         Closing::Ended(EndReason::Broken) => "broken",
         Closing::Ended(EndReason::Alone) => "alone",
         Closing::Refused(_) => "refused",
         Closing::NotSent | Closing::NotRecorded | Closing::NoCapacity => "not_ordered",
         Closing::NotListed => "not_listed",
-        Closing::Gone => "executor_gone",
+        Closing::Gone | Closing::Replaced => "executor_gone",
+        Closing::GangDone => "gang_done",
     }
 }
--- a/crates/node/src/shards/execute.rs
+++ b/crates/node/src/shards/execute.rs
@@ -47,7 +47,8 @@
     let epoch = owned.epoch;
     let target = |address, executor| Target { address, executor, epoch };
     // Another instance may have claimed the shard while this process was suspended.
-    let stale = started.since(last_confirmed) > MAX_UNCONFIRMED;
+    let unconfirmed = started.since(last_confirmed);
+    let stale = unconfirmed > MAX_UNCONFIRMED;
     context.suspension.observe(started);
     let awake_since = context.suspension.awake_since();
     let may_renew_leases =
@@ -63,21 +64,24 @@
             };
             metrics.observe_hop(Hop::Started, clock::now().since(started));
             metrics.count_order("start", outcome);
-            logging::outcome("start", &order, outcome);
+            match stale {
+                true => logging::start_withheld(epoch, &order, unconfirmed),
+                false => logging::outcome("start", epoch, &order, outcome),
+            }
             Some(Event::Started(order, outcome))
         }
         Command::Stop { order, address } => {
             let target = target(address, order.executor.clone());
             let outcome = platform.stop(target, order.task, order.run).await;
             metrics.count_order("stop", outcome);
-            logging::outcome("stop", &order, outcome);
+            logging::outcome("stop", epoch, &order, outcome);
             Some(Event::Stopped(order, outcome))
         }
         Command::Throttle { order, address, percent } => {
             let target = target(address, order.executor.clone());
             let outcome = platform.throttle(target, order.task, order.run, percent).await;
             metrics.count_order("pace", outcome);
-            logging::outcome("pace", &order, outcome);
+            logging::outcome("pace", epoch, &order, outcome);
             Some(Event::ThrottleCompleted(order, percent, outcome))
         }
         Command::Advise { step, executors } => {
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -29,6 +29,7 @@
 use crate::frontend::decode;
 use crate::instance::{Context, Status};
 use crate::layout::{self, Layout};
+use crate::lines::{self, Loss};
 use crate::log::{Code, Line};
 use crate::metrics::Hop;
 use crate::platform::{Platform, Row, Table, Version};
@@ -97,9 +98,10 @@
     }
 
     /// Ends the ownership of the shard if this instance owns it.
-    fn drop_owner(&mut self, shard: ShardId) {
+    fn drop_owner(&mut self, now: Time, shard: ShardId, why: &Loss) {
         if let Some(owner) = self.owner.take() {
-            Line::new(Code::Lost).text("shard", shard).number("epoch", owner.epoch()).write();
+            let unconfirmed = now.since(self.ownership.last_confirmed());
+            lines::lost(shard, owner.epoch(), unconfirmed, why).write();
         }
     }
 }
@@ -169,7 +171,7 @@
             Message::Committed(shard, epoch, committed) => {
                 self.finish_commit(now, shard, epoch, committed);
             }
-            Message::Released(shard, epoch) => self.finish_release(shard, epoch),
+            Message::Released(shard, epoch) => self.finish_release(now, shard, epoch),
             Message::Event(shard, epoch, event) => {
                 if let Some(owner) = self.owner(shard, epoch) {
                     owner.handle_event(now, *event);
@@ -227,7 +229,8 @@
         {
             owner.turn(now, &state.ownership, shortage);
             if owner.is_superseded() {
-                state.drop_owner(shard);
+                let why = Loss::Refused(owner.superseded_by().cloned());
+                state.drop_owner(now, shard, &why);
             }
         }
         self.yield_if_overloaded(now, shard);
@@ -421,7 +424,8 @@
         if let Some(epoch) = epoch
             && (!is_own || state.ownership.claim().is_some_and(|claim| claim.epoch != epoch))
         {
-            state.drop_owner(shard);
+            let holder = state.ownership.claim().and_then(|claim| claim.holder.clone());
+            state.drop_owner(now, shard, &Loss::Claimed(holder));
         }
     }
 
@@ -444,11 +448,11 @@
         });
     }
 
-    fn finish_release(&mut self, shard: ShardId, epoch: u64) {
+    fn finish_release(&mut self, now: Time, shard: ShardId, epoch: u64) {
         if let Some(state) = self.shards.get_mut(&shard)
             && state.owner.as_ref().is_some_and(|owner| owner.epoch() == epoch)
         {
-            state.drop_owner(shard);
+            state.drop_owner(now, shard, &Loss::Released);
         }
     }
 }
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -111,6 +111,11 @@
         self.shard.is_superseded()
     }
 
+    /// Returns the executor that has seen a higher epoch, if one has.
+    pub(super) const fn superseded_by(&self) -> Option<&ExecutorId> {
+        self.shard.superseded_by()
+    }
+
     /// Returns the work of the shard that waits or is throttled.
     pub(super) fn backlog(&self) -> Backlog {
         self.shard.backlog()
@@ -212,7 +217,7 @@
 
     /// Logs an event and passes it to the shard.
     pub(super) fn handle_event(&mut self, now: Time, event: Event) {
-        logging::event(self.owned.shard, &event);
+        logging::event(self.owned, &event);
         self.shard.handle(now, clock::wall_ms(), event);
     }
 
@@ -230,7 +235,7 @@
                     }
                     Command::Log(decision) => {
                         self.context.metrics.record_decision(&decision);
-                        logging::decision(self.owned.shard, &decision);
+                        logging::decision(self.owned, &decision);
                     }
                     order => {
                         let last_confirmed = ownership.last_confirmed();
