--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -25,7 +25,7 @@
 use sycamorerill_jobs::progress::{Progress, State};
 use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::{
-    Command, Event, LeaseEnd, Probe, Records, Settings, Shard, Snapshot,
+    Command, Decision, Event, LeaseEnd, Probe, Records, Settings, Shard, Snapshot,
 };
 use sycamorerill_jobs::spec::{AcceptedJob, Job, Resources, Schedule, Step};
 
@@ -75,6 +75,8 @@
     pub(crate) model: Option<Snapshot>,
     /// Decisions that the shard logged.
     pub(crate) log: Vec<String>,
+    /// The same as values.
+    pub(crate) decisions: Vec<Decision>,
     /// Done tasks whose ends were acknowledged while the leases there were in force.
     pub(super) noted_ends: BTreeSet<TaskId>,
     /// Run of each task that was started last.
@@ -158,6 +160,7 @@
             checks_all_executors: true,
             shares_processors: false,
             log: Vec::new(),
+            decisions: Vec::new(),
             model: None,
             noted_ends: BTreeSet::new(),
             latest_runs: BTreeMap::new(),
@@ -448,7 +451,10 @@
                 let deadline = deadline.filter(|_| is_right);
                 self.start_probe(probe, acknowledged, deadline, wait);
             }
-            Command::Log(decision) => self.note(format_args!("{decision:?}")),
+            Command::Log(decision) => {
+                self.note(format_args!("{decision:?}"));
+                self.decisions.push(decision);
+            }
         }
     }
 
--- a/crates/node/src/shards/execute.rs
+++ b/crates/node/src/shards/execute.rs
@@ -1,6 +1,7 @@
 //! Executes the commands of a shard and reports their outcomes.
 
 use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_jobs::executor::Outcome;
 use sycamorerill_jobs::id::ExecutorId;
 use sycamorerill_jobs::shard::{Command, Event};
 
@@ -44,15 +45,13 @@
 ) -> Option<Event> {
     let (platform, metrics) = (&*context.platform, &*context.metrics);
     let started = clock::now();
+    let epoch = owned.epoch;
     context.suspension.observe(started);
     let awake_since = context.suspension.awake_since();
     let may_renew_leases =
         last_confirmed >= awake_since || started.since(awake_since) >= MIN_AWAKE_UNCONFIRMED;
-    let target = |executor: &ExecutorId, address| Target {
-        address,
-        executor: executor.clone(),
-        epoch: owned.epoch,
-    };
+    let target =
+        |executor: &ExecutorId, address| Target { address, executor: executor.clone(), epoch };
     match command {
         Command::Start { order, address, incarnation, text, deadline, checkpoint, ticket } => {
             let target = target(&order.executor, address);
@@ -63,21 +62,25 @@
             let outcome = platform.start(target, start).await;
             metrics.observe_hop(Hop::Started, clock::now().since(started));
             metrics.count_order("start", outcome);
-            logging::outcome("start", &order, outcome);
+            let ended = clock::now();
+            match outcome == Outcome::NotSent && ended > delivery.before {
+                true => logging::start_withheld(epoch, &order, ended.since(last_confirmed)),
+                false => logging::outcome("start", epoch, &order, outcome),
+            }
             Some(Event::Started(order, outcome))
         }
         Command::Stop { order, address } => {
             let target = target(&order.executor, address);
             let outcome = platform.stop(target, order.task, order.run).await;
             metrics.count_order("stop", outcome);
-            logging::outcome("stop", &order, outcome);
+            logging::outcome("stop", epoch, &order, outcome);
             Some(Event::Stopped(order, outcome))
         }
         Command::Throttle { order, address, percent } => {
             let target = target(&order.executor, address);
             let outcome = platform.throttle(target, order.task, order.run, percent).await;
             metrics.count_order("pace", outcome);
-            logging::outcome("pace", &order, outcome);
+            logging::outcome("pace", epoch, &order, outcome);
             Some(Event::ThrottleCompleted(order, percent, outcome))
         }
         Command::Advise { step, executors } => {
