jobs, node: an owner without a confirmed claim renews leases only while witnesses accept its epoch

Callers saw tasks run on two executors after takeovers: all runs of one executor, ordered by a former owner that was alive, cut off from the store, and learned of its successor from an executor.

Cause: a successor that does not reach an executor waits 6.8 s, for a predecessor that extends its leases 1.5 s longer than the takeover. Nothing kept the predecessor to that. Cut off from the store only, it renewed leases for ever unless an executor refused it; after a suspension, 1.5 s later; and it sent starts until 3.0 s after its last confirmed write, which after a claim on a live owner is 1.3 s too long. The recorded lease end of a first successor made a second one close such runs 0.2 s after its takeover. Class: a permission that had run out.

Change: an owner sends starts and renews leases for `predecessor_grace` after its last confirmed write, the time that its successor allows for. Beyond it, leases are renewed only while more than half of twelve witnesses, spread over the listed executors, have answered probes sent within the last second: a successor asks the executors first, and they refuse lower epochs then. So an outage of the store ends no lease, and an owner that is cut off with a few executors ends its leases in time. The adapter checks the time again just before it sends. A write that needed several attempts confirms the claim as of the last one. The detection of suspensions is not needed any more.

Tests: the start that is not sent after a suspension has one of its own now (it fails with a grace of 3.0 s).

--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -23,6 +23,8 @@
     pub(super) clock: (Steady, Time),
     /// When the executor last answered this owner.
     pub(super) last_answer: Time,
+    /// When the latest probe was sent that the executor has answered.
+    pub(super) answered_sent: Time,
     /// When the executor last answered before its latest restart was known.
     pub(super) last_answer_before_restart: Time,
     /// When a run was last placed on the executor.
@@ -103,6 +105,7 @@
             leaves_at: None,
             clock,
             last_answer: Time::ZERO,
+            answered_sent: Time::ZERO,
             last_answer_before_restart: Time::ZERO,
             last_placed: Time::ZERO,
             trial_until: Time::ZERO,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -35,6 +35,7 @@
 mod settings;
 mod split;
 mod throttle;
+mod witness;
 mod write;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -114,6 +115,10 @@
     has_new_ends: bool,
     /// Wall-clock time of the latest event or turn, in milliseconds since 1970.
     wall_ms: u64,
+    /// When the last confirmed write under the claim was sent.
+    confirmed_at: Time,
+    /// Executors that show whether there is a successor, while the claim is not confirmed.
+    witnesses: BTreeSet<ExecutorId>,
     /// Executor that has refused an order or a probe because it has seen a higher epoch.
     superseded_by: Option<ExecutorId>,
     /// When this owner restored the records of its predecessors.
@@ -155,6 +160,8 @@
             placed: Vec::new(),
             has_new_ends: false,
             wall_ms: 0,
+            confirmed_at: Time::MAX,
+            witnesses: BTreeSet::new(),
             superseded_by: None,
             restored_at: Time::ZERO,
             next_tick: Time::ZERO,
@@ -233,6 +240,7 @@
     }
 
     fn tick(&mut self, now: Time) {
+        self.ask_witnesses(now);
         self.begin_due(now);
         self.close_expired(now);
         self.check_lease_ends(now);
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -7,7 +7,7 @@
 use super::entry::{Stage, Stop};
 use super::executors::{Executor, PlacedRun};
 use super::message::{Closing, Command, Decision, Order, Probe};
-use super::{Settings, Shard};
+use super::{Settings, Shard, witness};
 use crate::executor::{Outcome, Refusal, Registration, Report, RunReport, Steady};
 use crate::id::{ExecutorId, Run, TaskId};
 
@@ -47,6 +47,8 @@
     /// from the candidates: a probe is in flight or none is needed.
     fn send_probe(&mut self, now: Time, id: &ExecutorId) -> bool {
         let settings = self.settings;
+        let may_renew = self.may_renew_leases(now);
+        let is_witness = self.witnesses.contains(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return true;
         };
@@ -69,7 +71,7 @@
             && (executor.unreachable_since.is_some()
                 || executor.probe_failed
                 || !executor.confirmed);
-        if executor.open_tasks.is_empty() && !unacknowledged && !unconfirmed {
+        if executor.open_tasks.is_empty() && !unacknowledged && !unconfirmed && !is_witness {
             return true;
         }
         executor.latest_probe += 1;
@@ -88,12 +90,14 @@
                     false => settings.probe_wait_mixed,
                 }
             }
+            None if is_witness && settled => witness::PROBE_WAIT,
             _ => NO_WAIT,
         };
+        let wait = if is_witness { wait.min(witness::PROBE_WAIT) } else { wait };
         // An unanswered probe may extend leases all the same. Probes of executors that do not
         // report therefore extend none, or their leases would never expire.
         let reports = executor.unreachable_since.is_none() && !executor.probe_failed;
-        let extends = reports && executor.confirmed && executor.may_extend_lease();
+        let extends = reports && executor.confirmed && executor.may_extend_lease() && may_renew;
         let deadline = extends.then(|| executor.extend_lease(now, settings.lease));
         let probe = Probe { executor: id.clone(), number: executor.latest_probe };
         executor.probe_acknowledges = executor.ends_recorded;
@@ -132,6 +136,7 @@
         };
         executor.update_clock(now, report.clock);
         executor.last_answer = now;
+        executor.answered_sent = sent;
         executor.probe_after = now;
         if !std::mem::replace(&mut executor.confirmed, true) {
             self.released.insert(id.clone());
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -34,7 +34,9 @@
         pub probe_retry: Span,
         /// Time after which an order without an answer is repeated.
         pub order_retry: Span,
-        /// How long after a takeover the predecessor may still extend leases, unaware of it.
+        /// How long after its last confirmed write an owner sends starts and renews leases without
+        /// other evidence that it has no successor. A successor assumes that its predecessor has
+        /// extended leases for so long after the takeover.
         pub predecessor_grace: Span,
         /// Maximum number of bytes in a row of the store.
         pub max_row_bytes: usize,
@@ -72,8 +74,7 @@
             probe_wait_over: Span::from_ms(400),
             probe_retry: Span::from_ms(250),
             order_retry: Span::from_ms(300),
-            // A predecessor that is awake learns of the takeover from the store or from an
-            // executor within this time, and one that was suspended extends no lease before.
+            // The time without a renewal after which a shard is claimed.
             predecessor_grace: Span::from_ms(1_500),
             max_row_bytes: DEFAULT_ROW_BYTES,
             tasks_per_record: tasks_per_record(DEFAULT_ROW_BYTES),
--- /dev/null
+++ b/crates/jobs/src/shard/witness.rs
@@ -0,0 +1,62 @@
+//! Executors that show whether a successor has taken the shard over.
+//!
+//! An owner whose claim is not confirmed may have been replaced, or the store may be away for all
+//! instances. A successor asks the executors before anything else, and they refuse lower epochs from
+//! then on. So an owner that most executors have just answered has no successor that reaches them.
+
+use sycamorerill_core::clock::{Span, Time};
+
+use super::Shard;
+use super::executors::Executor;
+use crate::id::ExecutorId;
+
+/// Time after the last confirmed write from which on witnesses are asked: two renewals were missed.
+const ASK_AFTER: Span = Span::from_ms(1_000);
+/// Number of executors that are asked, since each probe has a cost.
+const MAX_WITNESSES: usize = 12;
+/// Wait of a probe that a witness answers.
+pub(super) const PROBE_WAIT: Span = Span::from_ms(400);
+/// Longest time since a probe was sent that a witness has answered. With the time that a successor
+/// needs to reach the executors, it is less than `Settings::predecessor_grace`.
+const MAX_AGE: Span = Span::from_ms(1_000);
+
+impl Shard {
+    /// Sets when the last confirmed write under the claim was sent.
+    ///
+    /// Until it is first called, the claim counts as confirmed.
+    pub const fn set_confirmed(&mut self, at: Time) {
+        self.confirmed_at = at;
+    }
+
+    /// Returns whether leases may be renewed: no successor can exist yet that takes them for ended,
+    /// or most witnesses show that there is none.
+    pub(super) fn may_renew_leases(&self, now: Time) -> bool {
+        if now.since(self.confirmed_at) <= self.settings.predecessor_grace {
+            return true;
+        }
+        let witnesses = || self.witnesses.iter().filter_map(|id| self.executors.get(id));
+        let agree = witnesses().filter(|found| found.accepted_epoch_since(now, MAX_AGE)).count();
+        agree * 2 > witnesses().count()
+    }
+
+    /// Chooses the witnesses and has them asked while the claim is not confirmed.
+    pub(super) fn ask_witnesses(&mut self, now: Time) {
+        self.witnesses.clear();
+        if now.since(self.confirmed_at) < ASK_AFTER {
+            return;
+        }
+        let listed = || self.executors.iter().filter(|(_, found)| found.present);
+        let distance = listed().count().div_ceil(MAX_WITNESSES).max(1);
+        let chosen: Vec<ExecutorId> =
+            listed().step_by(distance).map(|(id, _)| id.clone()).collect();
+        self.probe_candidates.extend(chosen.iter().cloned());
+        self.witnesses.extend(chosen);
+    }
+}
+
+impl Executor {
+    /// Returns whether the executor has answered a probe of this owner that was sent within `age`.
+    fn accepted_epoch_since(&self, now: Time, age: Span) -> bool {
+        self.answered_sent > Time::ZERO && now.since(self.answered_sent) <= age
+    }
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -286,6 +286,7 @@
     /// Replaces the owner with a successor that starts from the records.
     pub(crate) fn take_over(&mut self) {
         self.epoch += 1;
+        self.link.confirmed_at = self.now;
         self.pending_probes.clear();
         self.batch_pending = false;
         self.link = owners::Link::default();
@@ -376,6 +377,8 @@
         }
         loop {
             let wall_ms = self.wall_ms();
+            let last_confirmed = self.last_confirmed();
+            self.shard.set_confirmed(last_confirmed);
             let commands = self.shard.turn(self.now, wall_ms);
             if commands.is_empty() {
                 break;
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -21,7 +21,6 @@
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Table};
 use crate::shards::{self, Manager};
-use crate::suspension;
 use crate::watch::{Subscription, Update, watch};
 
 /// Time between ticks of an instance that owns a shard.
@@ -76,7 +75,6 @@
     pub(crate) platform: Rc<P>,
     pub(crate) spawner: Spawner,
     pub(crate) metrics: Rc<Metrics>,
-    pub(crate) suspension: Rc<suspension::Detector>,
     inbox: Sender<Message>,
 }
 
@@ -86,7 +84,6 @@
             platform: Rc::clone(&self.platform),
             spawner: self.spawner.clone(),
             metrics: Rc::clone(&self.metrics),
-            suspension: Rc::clone(&self.suspension),
             inbox: self.inbox.clone(),
         }
     }
@@ -210,7 +207,6 @@
         platform,
         spawner: spawner.clone(),
         metrics: Rc::clone(&metrics),
-        suspension: Rc::default(),
         inbox: inbox.clone(),
     };
     let instance =
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,7 +15,6 @@
 mod layout;
 mod metrics;
 mod shards;
-mod suspension;
 mod watch;
 
 pub use self::instance::{Instance, Settings, Spawner, start};
--- a/crates/node/src/shards/commit.rs
+++ b/crates/node/src/shards/commit.rs
@@ -53,6 +53,8 @@
         Done {
             /// Time at which it was first sent.
             sent: Time,
+            /// Latest time at which the claim is known to have been in force.
+            confirmed: Time,
             /// New version of the sequence row.
             sequence: Version,
             /// New version of the claim, if the transaction renewed it.
@@ -149,13 +151,24 @@
     let sent = clock::now();
     let mut timeout = INITIAL_TIMEOUT;
     loop {
+        let attempted = clock::now();
         match attempt(context, &transaction, &mut timeout).await {
             None => {}
             Some(Ok(version)) => {
                 let claim = renews.then_some(version);
-                return Committed::Done { sent, sequence: version, claim };
+                return Committed::Done { sent, confirmed: attempted, sequence: version, claim };
+            }
+            Some(Err(Error::Conflict(rows))) => {
+                let resolved = resolve_conflict(sent, &rows, own, renews);
+                return match resolved {
+                    Committed::Done { sequence, claim, .. }
+                        if is_claim_unchanged(&transaction, &rows, claim) =>
+                    {
+                        Committed::Done { sent, confirmed: attempted, sequence, claim }
+                    }
+                    resolved => resolved,
+                };
             }
-            Some(Err(Error::Conflict(rows))) => return resolve_conflict(sent, &rows, own, renews),
             Some(Err(error)) => {
                 // Nothing is tried in quick succession, whatever the store rejects.
                 Timer::after(REFUSED_DELAY).await;
@@ -165,13 +178,21 @@
     }
 }
 
+/// Returns whether the claim's row is as the transaction expected it, or as it has renewed it.
+fn is_claim_unchanged(transaction: &Transaction, rows: &[Row], renewed: Option<Version>) -> bool {
+    let expected = transaction.expected.iter().find(|(key, _)| key.name == CLAIM);
+    let expected = renewed.or(expected.map(|(_, version)| *version));
+    let found = rows.iter().find(|row| row.name == CLAIM);
+    found.is_some_and(|row| Some(row.version) == expected)
+}
+
 /// Decides from the conflicting rows whether an earlier attempt took effect.
 fn resolve_conflict(sent: Time, rows: &[Row], own: Sequence, renews: bool) -> Committed {
     let sequence = rows.iter().find(|row| row.name == SEQUENCE);
     match sequence {
         Some(row) if decode(row) == Some(own) => {
             let claim = renews.then_some(row.version);
-            Committed::Done { sent, sequence: row.version, claim }
+            Committed::Done { sent, confirmed: sent, sequence: row.version, claim }
         }
         _ => Committed::Lost(rows.iter().find(|row| row.name == CLAIM).cloned()),
     }
--- a/crates/node/src/shards/execute.rs
+++ b/crates/node/src/shards/execute.rs
@@ -6,30 +6,31 @@
 use sycamorerill_jobs::shard::{Command, Event};
 
 use super::owner::OwnedShard;
-use super::{MAX_UNCONFIRMED, Message, logging};
+use super::{Message, logging};
 use crate::clock;
 use crate::instance::{self, Context};
 use crate::metrics::Hop;
 use crate::platform::{Delivery, Platform, Probe, Start, Target};
 
-/// Time after a suspension of the process from which on leases are renewed though the claim was not
-/// confirmed since: the store is then unavailable, or it would have answered.
-const MIN_AWAKE_UNCONFIRMED: Span = Span::from_ms(1_500);
+/// Longest time from the decision to renew leases until the deadline is sent.
+const MAX_RENEWAL_DELAY: Span = Span::from_ms(250);
 
 /// Executes one command in a future and reports its outcome to the shard.
 ///
-/// `last_confirmed` is the time of the last confirmation of the claim; a start is not sent
-/// when it is too long ago.
+/// `last_confirmed` is when the last confirmed write under the claim was sent. Starts are not sent,
+/// and leases are not renewed, when another instance may have claimed the shard since.
 pub(super) fn execute<P: Platform>(
     context: &Context<P>,
     owned: OwnedShard,
     last_confirmed: Time,
+    decided: Time,
     command: Command,
 ) {
     let context = context.clone();
     let spawner = context.spawner.clone();
     spawner.spawn(async move {
-        let Some(event) = run_command(&context, owned, last_confirmed, command).await else {
+        let Some(event) = run_command(&context, owned, last_confirmed, decided, command).await
+        else {
             return;
         };
         let message = Message::Event(owned.shard, owned.epoch, Box::new(event));
@@ -41,22 +42,19 @@
     context: &Context<P>,
     owned: OwnedShard,
     last_confirmed: Time,
+    decided: Time,
     command: Command,
 ) -> Option<Event> {
     let (platform, metrics) = (&*context.platform, &*context.metrics);
     let started = clock::now();
     let epoch = owned.epoch;
-    context.suspension.observe(started);
-    let awake_since = context.suspension.awake_since();
-    let may_renew_leases =
-        last_confirmed >= awake_since || started.since(awake_since) >= MIN_AWAKE_UNCONFIRMED;
+    let confirmed_until = last_confirmed + owned.predecessor_grace;
     let target =
         |executor: &ExecutorId, address| Target { address, executor: executor.clone(), epoch };
     match command {
         Command::Start { order, address, incarnation, text, deadline, checkpoint, ticket } => {
             let target = target(&order.executor, address);
-            // Another instance may have claimed the shard since.
-            let delivery = Delivery { incarnation, before: last_confirmed + MAX_UNCONFIRMED };
+            let delivery = Delivery { incarnation, before: confirmed_until };
             let (task, run) = (order.task, order.run);
             let start = Start { delivery, task, run, text, deadline, checkpoint, ticket };
             let outcome = platform.start(target, start).await;
@@ -90,8 +88,9 @@
         }
         Command::Probe { probe, address, incarnation, acknowledged, deadline, wait } => {
             let target = target(&probe.executor, address);
-            let deadline = deadline.filter(|_| may_renew_leases);
-            let delivery = Delivery { incarnation, before: Time::MAX };
+            let before = confirmed_until.max(decided + MAX_RENEWAL_DELAY);
+            let deadline = deadline.filter(|_| started <= before);
+            let delivery = Delivery { incarnation, before };
             let request = Probe { delivery, acknowledged, deadline, wait };
             Some(match platform.probe(target, request).await {
                 Ok(report) => Event::Probed(probe, report),
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -56,8 +56,6 @@
 /// A count of waiting jobs may be 2 s old, and a state that is not final is read from the
 /// store again on each query.
 const STATES_BATCH_DELAY: Duration = Duration::from_millis(1_000);
-/// Longest time after the last confirmation of a claim in which its owner starts runs.
-const MAX_UNCONFIRMED: Span = Span::from_ms(3_000);
 
 /// Longest time after an outage of the store in which a missing entry of an executor was removed
 /// by the outage: entries are removed after three heartbeats, of about a second each.
@@ -184,7 +182,6 @@
 
     /// Decides on the next action for each shard and updates the published status.
     pub(crate) fn turn(&mut self, _cx: CX![], now: Time) {
-        self.context.suspension.observe(now);
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
         for shard in shards {
             self.turn_shard(now, shard);
@@ -287,7 +284,13 @@
                 };
                 state.owner = Some(Owner::start(
                     self.context.clone(),
-                    owner::OwnedShard { shard, epoch, layout, claim_version: version },
+                    owner::OwnedShard {
+                        shard,
+                        epoch,
+                        layout,
+                        claim_version: version,
+                        predecessor_grace: settings.predecessor_grace,
+                    },
                     settings,
                     Arc::clone(config),
                 ));
@@ -316,19 +319,17 @@
             return;
         };
         match committed {
-            Committed::Done { sent, sequence, claim } => {
+            Committed::Done { sent, confirmed, sequence, claim } => {
                 owner.committed(now, sequence);
                 let renewed = owner.renewed(claim);
                 let Some(state) = self.shards.get_mut(&shard) else {
                     return;
                 };
-                match renewed {
-                    Some((claim, version)) => {
-                        state.version = version;
-                        state.ownership.record_renewal(sent, claim);
-                    }
-                    None => state.ownership.record_write(sent),
+                if let Some((claim, version)) = renewed {
+                    state.version = version;
+                    state.ownership.record_renewal(sent, claim);
                 }
+                state.ownership.record_write(confirmed);
             }
             Committed::Rejected(error) => owner.rejected(now, &error),
             Committed::Lost(row) => self.observe(now, shard, row.as_ref()),
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_executor::Task;
-use sycamorerill_core::clock::Time;
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::id::{ExecutorId, ShardId};
 use sycamorerill_jobs::ownership::{Claim, Ownership};
@@ -38,6 +38,8 @@
     pub(super) layout: Layout,
     /// Version of the claim's row as written when the ownership began.
     pub(super) claim_version: Version,
+    /// Time after the last confirmed write in which no successor can act.
+    pub(super) predecessor_grace: Span,
 }
 
 /// Drives one shard while this instance owns it.
@@ -226,7 +228,9 @@
     /// `shortage` tells how much this instance lacks processor time, from 0 to 1.
     pub(super) fn turn(&mut self, now: Time, ownership: &Ownership, shortage: f64) {
         if self.restored {
+            let last_confirmed = ownership.last_confirmed();
             self.shard.set_shortage(shortage);
+            self.shard.set_confirmed(last_confirmed);
             for command in self.shard.turn(now, clock::wall_ms()) {
                 match command {
                     Command::Record(batch) => {
@@ -238,8 +242,7 @@
                         logging::decision(self.owned, &decision);
                     }
                     order => {
-                        let last_confirmed = ownership.last_confirmed();
-                        execute::execute(&self.context, self.owned, last_confirmed, order);
+                        execute::execute(&self.context, self.owned, last_confirmed, now, order);
                     }
                 }
             }
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -105,6 +105,24 @@
     );
 }
 
+/// An owner that is suspended between its record and its order must not send the order once another
+/// instance may have claimed the shard. The task is placed again when the claim is confirmed.
+#[test]
+fn a_start_is_not_sent_after_a_suspension_in_which_a_successor_may_have_claimed() {
+    run_test(
+        |spawner, platform| async move {
+            let (a, _) = platform.start_instance(&spawner, "a");
+            wait_until_ready(&a).await;
+            platform.suspension_ms.set(1_600);
+            submit_until_accepted(&a, JOB_ID, &job(1)).await;
+            wait_for_state(&a, JOB_ID, State::Completed).await;
+            assert_eq!(platform.withheld_starts.get(), 1);
+            assert_eq!(platform.starts.borrow().len(), 2);
+        },
+        2,
+    );
+}
+
 /// The load of an owner must not stay in the metrics of an instance that has released its shard.
 #[test]
 fn metrics_of_a_former_owner_show_no_late_ticks() {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -67,6 +67,10 @@
     pub(crate) store_refuses_records: Cell<bool>,
     /// Name of a row of which the store rejects each write.
     pub(crate) rejected_row: RefCell<Option<String>>,
+    /// Time for which the process is suspended as soon as the store has the next record of a run.
+    pub(crate) suspension_ms: Cell<u64>,
+    /// Number of starts that were not sent, as their time was over.
+    pub(crate) withheld_starts: Cell<u32>,
     /// Starts that executors have carried out.
     pub(crate) starts: RefCell<Vec<(TaskId, Run)>>,
 }
@@ -260,6 +264,12 @@
             return Err(Error::Refused(503));
         }
         let done = self.platform.transact(transaction);
+        let holds_run = |(key, value): &(Key, Bytes)| {
+            key.table == Table::Progress && key.name.starts_with(run::JOB_ID) && value.len() > 2
+        };
+        if transaction.writes.iter().any(holds_run) {
+            std::thread::sleep(Duration::from_millis(self.platform.suspension_ms.take()));
+        }
         if self.platform.lost_answers.get() > 0 {
             self.platform.lost_answers.set(self.platform.lost_answers.get() - 1);
             pause(timeout.as_ms()).await;
@@ -313,6 +323,10 @@
 
     async fn start(&self, target: Target, start: Start) -> Outcome {
         pause(1).await;
+        if clock::now() > start.delivery.before {
+            self.platform.withheld_starts.set(self.platform.withheld_starts.get() + 1);
+            return Outcome::NotSent;
+        }
         let clock = match self.check_order(&target) {
             Ok(clock) => clock,
             Err(outcome) => return outcome,
