jobs, node: a missing entry ends no lease

Callers saw tasks run on two executors: a successor closed all runs of one executor 3 s after its takeover, while they were at work there.

Cause: entries that are still missing 3 s after an outage of the store were taken for executors that are gone, as the contract says. But an owner knows only that it did not reach the store itself. Where it was cut off alone, or all instances were and the executors were not, the entry was missing since that executor did not reach the store. It ran on under its lease.

Change: such an executor counts as gone when its leases have ended, 6.8 s after the takeover at the latest, as any other that does not answer. What told an outage from a suspension is removed with its only user.

Tests: `a_successor_after_an_outage_treats_an_executor_that_stays_unlisted_as_gone` asked for the tasks within 5.5 s, which no lease allows; it now asks that they wait until the leases have ended and not longer. `only_failed_calls_show_an_outage_of_the_store` and the line of the closing by a missing entry tested what is removed.

--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -167,8 +167,6 @@
     epoch_seen_at: Time,
     /// When the store last responded.
     last_response: Time,
-    /// When the store was last known to be unavailable.
-    last_outage: Option<Time>,
     /// When the latest acknowledged claim or renewal was sent.
     last_renewal: Time,
     /// When the latest acknowledged write under the claim was sent.
@@ -205,7 +203,6 @@
             unchanged_since: None,
             epoch_seen_at: Time::ZERO,
             last_response: Time::ZERO,
-            last_outage: None,
             last_renewal: Time::ZERO,
             last_confirmed: Time::ZERO,
             last_read: None,
@@ -243,7 +240,6 @@
     ///
     /// A holder could not renew in that time, so its missing renewals do not count.
     pub fn record_outage(&mut self, now: Time) {
-        self.last_outage = Some(now);
         self.restart_timeout(now);
     }
 
@@ -267,11 +263,6 @@
         self.last_confirmed = self.last_confirmed.max(sent);
     }
 
-    /// Returns when the store was last known to be unavailable.
-    pub const fn last_outage(&self) -> Option<Time> {
-        self.last_outage
-    }
-
     /// Returns the latest claim that was read or acknowledged, if any.
     pub const fn claim(&self) -> Option<&Claim> {
         self.claim.as_ref()
--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -109,7 +109,6 @@
             | Closing::Replaced
             | Closing::Lapsed { .. }
             | Closing::LapsedInherited { .. }
-            | Closing::UnlistedAfterOutage { .. }
     )
 }
 
--- a/crates/jobs/src/shard/evidence.rs
+++ b/crates/jobs/src/shard/evidence.rs
@@ -95,14 +95,10 @@
     /// Returns the evidence that the runs on an executor out of reach are over, if there is any.
     pub(super) fn evidence_of_expiry(&self, now: Time, executor: &Executor) -> Option<Closing> {
         let waited = now.since(self.restored_at);
-        if executor.has_expired_leases(now) {
-            return Some(match executor.fenced {
-                true => Closing::Lapsed { clock: executor.clock(now), deadline: executor.deadline },
-                false => Closing::LapsedInherited { waited, bound: executor.inherited_bound },
-            });
-        }
-        let is_gone = self.unlisted_are_gone(now) && executor.is_unlisted();
-        is_gone.then_some(Closing::UnlistedAfterOutage { waited })
+        executor.has_expired_leases(now).then(|| match executor.fenced {
+            true => Closing::Lapsed { clock: executor.clock(now), deadline: executor.deadline },
+            false => Closing::LapsedInherited { waited, bound: executor.inherited_bound },
+        })
     }
 
     /// Logs the executors on which runs of predecessors may be active.
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -171,12 +171,6 @@
         !self.present || !self.fenced || self.probe_failed || self.unreachable_since.is_some()
     }
 
-    /// Returns whether a predecessor's executor is not in the list and has not answered since the
-    /// takeover.
-    pub(super) const fn is_unlisted(&self) -> bool {
-        !self.present && !self.fenced
-    }
-
     /// Reserves the resources for a run of a step.
     pub(super) fn reserve(&mut self, task: TaskId, step: &Step) {
         self.used = self.used.plus(&step.reserved());
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -23,9 +23,6 @@
 const LEASE_MARGIN: Span = Span::from_ms(200);
 /// Time without an answer after which the lease end of an executor is recorded.
 const MIN_SILENCE: Span = Span::from_ms(500);
-/// Time after the store's return within which the entries that its outage removed are back: two
-/// seconds by the platform's contract, and one for reading the list.
-const UNLISTED_GRACE: Span = Span::from_ms(3_000);
 
 data! {
     /// Time left of the leases of an executor that does not answer.
@@ -50,9 +47,6 @@
     is_inherited: bool,
     /// Whether the next batch replaces the record.
     is_due: bool,
-    /// When executors that are still unlisted count as gone, if the store was unavailable before
-    /// the takeover.
-    gone_at: Option<Time>,
 }
 
 impl Recorded {
@@ -85,17 +79,11 @@
 
 impl Shard {
     /// Takes over the lease ends that the predecessor recorded.
-    pub(super) fn restore_lease_ends(
-        &mut self,
-        now: Time,
-        recorded: &[LeaseEnd],
-        after_outage: bool,
-    ) {
+    pub(super) fn restore_lease_ends(&mut self, recorded: &[LeaseEnd]) {
         let ends = recorded.iter().map(|end| (end.executor.clone(), end.left + LEASE_MARGIN));
         self.lease_ends.inherited = ends.collect();
         self.lease_ends.is_inherited = !recorded.is_empty();
         self.lease_ends.executors = self.lease_ends.inherited.keys().cloned().collect();
-        self.lease_ends.gone_at = after_outage.then(|| now + UNLISTED_GRACE);
         self.update_recorded_flags();
     }
 
@@ -127,13 +115,6 @@
         self.lease_ends.executors.contains(id)
     }
 
-    /// Returns whether entries that the store's outage removed would be back by `now`.
-    ///
-    /// By the platform's contract, an executor whose entry is still missing then is gone.
-    pub(super) fn unlisted_are_gone(&self, now: Time) -> bool {
-        self.lease_ends.gone_at.is_some_and(|at| now >= at)
-    }
-
     /// Checks whether the executors that do not answer are others than those in the record.
     pub(super) fn check_lease_ends(&mut self, now: Time) {
         let is_current = self.silent_executors(now).map(|(id, _)| id).eq(&self.lease_ends.latest);
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -258,12 +258,6 @@
             /// What bounds the leases.
             bound: super::LeaseBound,
         },
-        /// The executor has not answered since the takeover, and its entry is still missing after
-        /// an outage of the store.
-        UnlistedAfterOutage {
-            /// Time since the takeover.
-            waited: Span,
-        },
         /// The executor's incarnation is over: a later one does not list the run.
         Gone,
         /// Another executor answers at the address that the run was sent to.
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -37,9 +37,6 @@
         pub unreadable: Vec<RecordId>,
         /// Time left of the leases of executors that did not answer the predecessor.
         pub lease_ends: Vec<LeaseEnd>,
-        /// Whether the store was unavailable shortly before, so that entries of executors may have
-        /// been removed for that reason.
-        pub after_outage: bool,
     }
 }
 
@@ -52,7 +49,7 @@
         if let Some(snapshot) = records.model {
             self.estimator.model.restore(snapshot);
         }
-        self.restore_lease_ends(now, &records.lease_ends, records.after_outage);
+        self.restore_lease_ends(&records.lease_ends);
         for (id, accepted) in records.jobs {
             if accepted.job.validate().is_err() {
                 continue;
@@ -237,7 +234,7 @@
     }
 
     /// Returns whether the address of the executor is known.
-    pub(super) fn has_address(&self) -> bool {
+    pub(super) const fn has_address(&self) -> bool {
         self.registration.address.port() != 0
     }
 }
--- a/crates/jobs/tests/evidence.rs
+++ b/crates/jobs/tests/evidence.rs
@@ -251,23 +251,6 @@
     assert_eq!((knowledge.born, knowledge.born_now), (before, after));
 }
 
-#[test]
-fn an_entry_that_is_missing_after_an_outage_is_told_apart() {
-    let mut sim = running();
-    let task = task_at_x0(&sim);
-    sim.after_outage = true;
-    sim.executor("x0").reachable = false;
-    unlist(&mut sim, "x0");
-    sim.take_over();
-    sim.advance(Span::from_secs(4));
-    let (by, knowledge) = closed(&sim, task);
-    let Closing::UnlistedAfterOutage { waited } = by else {
-        panic!("{by:?}");
-    };
-    assert!(waited >= Span::from_ms(3_000) && waited <= Span::from_ms(3_100), "{waited:?}");
-    assert_eq!((knowledge.stage, knowledge.age), ("inherited", waited));
-}
-
 #[test]
 fn a_run_that_a_later_incarnation_lacks_tells_both_incarnations() {
     let mut sim = running();
--- a/crates/jobs/tests/former_owners.rs
+++ b/crates/jobs/tests/former_owners.rs
@@ -127,7 +127,6 @@
 /// The outage of the store was only the successor's own, so an executor that does not reach the
 /// store is not gone.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn an_unlisted_executor_is_not_gone_after_an_outage_that_was_only_the_successors() {
     let (mut sim, at) = running();
     unlist(&mut sim, &at);
@@ -139,7 +138,6 @@
         }
         sim.advance(Span::from_ms(10));
     }
-    sim.after_outage = true;
     sim.executor(&at).reachable = false;
     sim.take_over();
     assert_runs_once(&mut sim);
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -247,15 +247,3 @@
     ownership.observe(later, Some(Claim { holder: None, ..held_claim(4, "b", 1) }));
     assert_eq!(ownership.next_action(later + settings.claim_spread, NO_LOAD), Action::Claim);
 }
-
-/// Entries of executors may be missing because of an outage of the store, but not because this
-/// process was suspended: the store went on meanwhile.
-#[test]
-fn only_failed_calls_show_an_outage_of_the_store() {
-    let mut ownership = ownership("a", 1);
-    ownership.observe(START, Some(held_claim(3, "b", 7)));
-    ownership.record_response(START + Span::from_secs(30));
-    assert_eq!(ownership.last_outage(), None);
-    ownership.record_outage(START + Span::from_secs(31));
-    assert_eq!(ownership.last_outage(), Some(START + Span::from_secs(31)));
-}
--- a/crates/jobs/tests/shard.rs
+++ b/crates/jobs/tests/shard.rs
@@ -271,11 +271,11 @@
     assert_no_violations(&sim);
 }
 
-/// The entries that an outage of the store removed are back within 2 s of its return.
+/// A missing entry ends no lease, also after an outage of the store: that may be the successor's own,
+/// and an executor that does not reach the store runs on.
 #[test]
-fn a_successor_after_an_outage_treats_an_executor_that_stays_unlisted_as_gone() {
+fn an_unlisted_executor_is_gone_when_its_leases_have_ended_and_not_before() {
     let mut sim = Simulation::new(2);
-    sim.after_outage = true;
     sim.submit(job(1), vec![long_running(2)]);
     sim.advance(Span::from_ms(500));
     let at = sim.executors_running(&task(1, 0, 0))[0].clone();
@@ -284,7 +284,9 @@
     sim.executor(&at).reachable = false;
     sim.executor(&at).unlisted = true;
     sim.take_over();
-    sim.advance(Span::from_ms(5_500));
+    sim.advance(Span::from_ms(6_600));
+    assert_eq!(sim.run_count(), 0);
+    sim.advance(Span::from_ms(400));
     assert_eq!(sim.run_count(), 2);
     assert_no_violations(&sim);
 }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -57,8 +57,6 @@
     pub(crate) stale_entries: BTreeMap<ExecutorId, Registration>,
     /// Records that the next successors cannot read.
     pub(crate) unreadable: Vec<RecordId>,
-    /// Whether the next successor takes over shortly after an outage of the store.
-    pub(crate) after_outage: bool,
     /// Orders that are delivered later, each with the epoch of its sender.
     pub(crate) delayed_orders: Vec<(u64, Command)>,
     /// Whether starts and deadlines reach only the incarnations that they name, as the adapter of
@@ -152,7 +150,6 @@
             largest_record: 0,
             stale_entries: BTreeMap::new(),
             unreadable: Vec::new(),
-            after_outage: false,
             delayed_orders: Vec::new(),
             binds_orders: true,
             delivers_late: false,
@@ -298,7 +295,6 @@
             progress: self.progress.iter().map(|(id, record)| (*id, record.clone())).collect(),
             unreadable: self.unreadable.clone(),
             lease_ends: self.recorded_lease_ends(),
-            after_outage: self.after_outage,
         };
         let wall_ms = self.wall_ms();
         self.shard.restore(self.now, wall_ms, records);
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/lines.rs
@@ -104,9 +104,6 @@
             .text("by", "LapsedInherited")
             .number("waited_ms", waited.as_ms())
             .text("bound", bound_name(bound)),
-        Closing::UnlistedAfterOutage { waited } => {
-            line.text("by", "UnlistedAfterOutage").number("waited_ms", waited.as_ms())
-        }
         _ => line.text("by", format_args!("{by:?}")),
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -227,8 +227,7 @@
         Closing::Ended(EndReason::Stopped) => "stopped",
         Closing::Ended(EndReason::Lapsed)
         | Closing::Lapsed { .. }
-        | Closing::LapsedInherited { .. }
-        | Closing::UnlistedAfterOutage { .. } => "lapsed",
+        | Closing::LapsedInherited { .. } => "lapsed",
         Closing::Ended(EndReason::Broken) => "broken",
         Closing::Ended(EndReason::Alone) => "alone",
         Closing::Refused(_) => "refused",
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use stakker::CX;
-use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::clock::Time;
 use sycamorerill_core::data;
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::id::{InstanceName, ShardId};
@@ -57,10 +57,6 @@
 /// store again on each query.
 const STATES_BATCH_DELAY: Duration = Duration::from_millis(1_000);
 
-/// Longest time after an outage of the store in which a missing entry of an executor was removed
-/// by the outage: entries are removed after three heartbeats, of about a second each.
-const MAX_OUTAGE_AGE: Span = Span::from_ms(3_000);
-
 /// A message to the [`Manager`] actor.
 pub(crate) enum Message {
     Configured(Arc<Config>),
@@ -156,9 +152,8 @@
             Message::Claimed(shard, sent, outcome) => self.finish_claim(now, shard, sent, outcome),
             Message::ClaimRead(shard, row) => self.observe(now, shard, row.as_ref()),
             Message::Recovered(shard, epoch, recovered) => {
-                let after_outage = self.was_store_unavailable(now, shard);
                 if let Some(owner) = self.owner(shard, epoch) {
-                    owner.restore(now, *recovered, after_outage);
+                    owner.restore(now, *recovered);
                 }
             }
             Message::Rows(shard, epoch, table, update) => {
@@ -300,12 +295,6 @@
         }
     }
 
-    /// Returns whether entries of executors may be missing because of an outage of the store.
-    fn was_store_unavailable(&self, now: Time, shard: ShardId) -> bool {
-        let last = self.shards.get(&shard).and_then(|state| state.ownership.last_outage());
-        last.is_some_and(|at| now.since(at) <= MAX_OUTAGE_AGE)
-    }
-
     fn owner(&mut self, shard: ShardId, epoch: u64) -> Option<&mut Owner<P>> {
         let owner = self.shards.get_mut(&shard)?.owner.as_mut()?;
         (owner.epoch() == epoch).then_some(owner)
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -129,9 +129,7 @@
     }
 
     /// Restores the recorded state of the shard and starts watching its tables.
-    ///
-    /// `after_outage` tells whether the store was unavailable shortly before.
-    pub(super) fn restore(&mut self, now: Time, mut recovered: Recovered, after_outage: bool) {
+    pub(super) fn restore(&mut self, now: Time, mut recovered: Recovered) {
         let wall_ms = clock::wall_ms();
         for registration in recovered.executors {
             self.executors.insert(registration.id.clone());
@@ -139,7 +137,6 @@
         }
         let store_clock = self.context.platform.store_clock();
         recovered.records.lease_ends = recovered.leases.lease_ends(store_clock, now);
-        recovered.records.after_outage = after_outage;
         self.shard.restore(now, wall_ms, recovered.records);
         self.restored = true;
         self.tasks.clear();
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -110,8 +110,6 @@
     let by = Closing::Lapsed { clock: Steady(901), deadline: Steady(900) };
     assert_closed(by, json!({ "by": "Lapsed", "clock_ms": 901, "deadline_ms": 900 }));
     let waited = Span::from_ms(3_010);
-    let by = Closing::UnlistedAfterOutage { waited };
-    assert_closed(by, json!({ "by": "UnlistedAfterOutage", "waited_ms": 3_010 }));
     for (bound, name) in [
         (LeaseBound::Longest, "longest"),
         (LeaseBound::Recorded, "recorded"),
