--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod owners;
 mod policy;
 mod probe;
+pub(crate) mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -47,6 +47,12 @@
     link: Link,
 }
 
+impl FormerOwner {
+    const fn lacks_store(&self) -> bool {
+        !self.link.is_suspended && self.link.learns_at.is_none()
+    }
+}
+
 impl Simulation {
     /// Suspends the owner's process.
     pub(crate) fn suspend_owner(&mut self) {
@@ -86,6 +92,33 @@
         self.take_over();
     }
 
+    /// Returns the earliest time at which others may presume that the owner has failed; `None` while
+    /// its writes are confirmed.
+    pub(crate) fn earliest_claim(&self) -> Option<Time> {
+        self.link.last_confirmed.map(|confirmed| confirmed + RENEWAL_TIMEOUT)
+    }
+
+    /// Replaces an owner that is presumed to have failed. It is dead, or does not know of it.
+    pub(crate) fn take_over_from_failed(&mut self, is_dead: bool) {
+        let earliest = self.earliest_claim();
+        assert!(earliest.is_some_and(|at| at <= self.now), "a claim before {earliest:?}");
+        if is_dead { self.take_over() } else { self.take_over_from_unaware() }
+    }
+
+    /// Returns whether a former owner that is awake does not learn of its successor from the store.
+    pub(crate) fn has_former_without_store(&self) -> bool {
+        self.former.iter().any(|former| former.lacks_store())
+    }
+
+    /// Lets all former owners that are awake learn of their successors after the given time, if they
+    /// do not learn of them earlier.
+    pub(crate) fn reconnect_former_owners(&mut self, learn_after: Span) {
+        let at = self.now + learn_after;
+        for former in self.former.iter_mut().filter(|former| former.lacks_store()) {
+            former.link.learns_at = Some(at);
+        }
+    }
+
     /// Lets all suspended former owners go on. Those that reach the store learn of their
     /// successors after the given time.
     pub(crate) fn resume_former_owners(&mut self, learn_after: Option<Span>) {
