--- a/crates/jobs/tests/support/owners.rs
+++ b/crates/jobs/tests/support/owners.rs
@@ -73,6 +73,8 @@
         if let Some(batch) = self.link.unsent.take() {
             self.execute_command(Command::Record(batch));
         }
+        // What has arrived meanwhile is handled before anything that arrives from now on.
+        self.run_turns();
     }
 
     /// Replaces the owner, which does not know of it and goes on as it was.
