--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -168,7 +168,13 @@
     /// Returns whether the expiry of leases has to be concluded from the local clock, since the
     /// executor does not report its runs.
     const fn is_out_of_reach(&self) -> bool {
-        !self.present || !self.fenced || self.probe_failed || self.unreachable_since.is_some()
+        // Whatever the clock says, the first answer after a takeover may list the runs.
+        let is_awaited = !self.fenced && !self.probe_failed && self.has_address();
+        !is_awaited
+            && (!self.present
+                || !self.fenced
+                || self.probe_failed
+                || self.unreachable_since.is_some())
     }
 
     /// Reserves the resources for a run of a step.
