jobs: a successor closes no run before the first answer of its executor or its failure

Callers saw tasks run on two executors 0.2 s after a takeover, although the successor's first probe had reached the executor of the first run.

Cause: an executor that has not answered yet counted as out of reach, so a recorded lease end that was past, or nearly, closed its runs while the probe was under way. Such an end can be exceeded by a former owner that does not know of the predecessor that recorded it.

--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -193,3 +193,18 @@
     assert_eq!(sim.run_count(), 4);
     assert_eq!(sim.model, before);
 }
+
+/// A recorded lease end may be past at the takeover although a former owner has renewed the leases since.
+/// The successor closed the runs while its first probe was under way.
+#[test]
+fn the_first_answer_after_a_takeover_is_awaited_whatever_the_recorded_lease_end() {
+    let mut sim = running(4, 4);
+    let before = sim.executors_running(&task(0));
+    sim.lease_ends.insert(ExecutorId::from(before[0].as_str()), sim.now);
+    sim.probe_latency = Span::from_ms(400);
+    sim.take_over();
+    sim.advance(Span::from_secs(2));
+    assert_eq!(sim.executors_running(&task(0)), before);
+    assert_eq!(ended(&sim), 0);
+    assert_no_violations(&sim);
+}
