jobs: a successor takes no lease for ended before it has reached half of the executors

Cause: a former owner without the store goes on while most witnesses accept its epoch. If the successor is the one that is cut off from most executors, it closed their runs 6.8 s after its takeover, or left a record by which its own successor did.

Change: the time until inherited leases have ended counts from when half of the listed executors have answered, less the 0.5 s that it allows for; before that they are neither taken for ended nor recorded as ending. More than half of the witnesses and half of the executors have one in common. Entries of executors that are gone vanish after three heartbeats, so they hold this up for some seconds at most. A recorded end holds as before: whoever recorded it had reached half itself.

--- a/crates/jobs/src/shard/evidence.rs
+++ b/crates/jobs/src/shard/evidence.rs
@@ -95,10 +95,13 @@
     /// Returns the evidence that the runs on an executor out of reach are over, if there is any.
     pub(super) fn evidence_of_expiry(&self, now: Time, executor: &Executor) -> Option<Closing> {
         let waited = now.since(self.restored_at);
-        executor.has_expired_leases(now).then(|| match executor.fenced {
-            true => Closing::Lapsed { clock: executor.clock(now), deadline: executor.deadline },
-            false => Closing::LapsedInherited { waited, bound: executor.inherited_bound },
-        })
+        if !executor.fenced {
+            let has_ended = self.inherited_end(executor).is_some_and(|end| now >= end);
+            let bound = executor.inherited_bound;
+            return has_ended.then_some(Closing::LapsedInherited { waited, bound });
+        }
+        let (clock, deadline) = (executor.clock(now), executor.deadline);
+        (clock > deadline).then_some(Closing::Lapsed { clock, deadline })
     }
 
     /// Logs the executors on which runs of predecessors may be active.
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -152,14 +152,6 @@
         deadline
     }
 
-    /// Returns whether all leases of the executor have certainly expired.
-    pub(super) fn has_expired_leases(&self, now: Time) -> bool {
-        if !self.fenced {
-            return now >= self.inherited_until;
-        }
-        self.clock(now) > self.deadline
-    }
-
     /// Returns whether a lease of the executor may end within `lead`.
     pub(super) fn lease_ends_within(&self, now: Time, lead: Span) -> bool {
         self.clock(now).0.saturating_add(lead.as_ms()) >= self.deadline.0
--- a/crates/jobs/src/shard/lease_ends.rs
+++ b/crates/jobs/src/shard/lease_ends.rs
@@ -62,11 +62,9 @@
         !self.lease_end_recorded
     }
 
-    /// Returns an upper bound on the time left until all leases of the executor have ended.
+    /// Returns an upper bound on the time left until all leases have ended that this owner has granted
+    /// or that it found when the executor first answered.
     fn lease_left(&self, now: Time) -> Span {
-        if !self.fenced {
-            return self.inherited_until.since(now);
-        }
         let left = self.deadline.0.saturating_sub(self.clock(now).0);
         Span::from_ms(left).scale(1.0 / SLOWEST_CLOCK) + LEASE_MARGIN
     }
@@ -128,7 +126,10 @@
         }
         let end = |(id, executor): (&ExecutorId, &Executor)| LeaseEnd {
             executor: id.clone(),
-            left: executor.lease_left(now),
+            left: match executor.fenced {
+                true => executor.lease_left(now),
+                false => self.inherited_end(executor).map_or(Span::MAX, |end| end.since(now)),
+            },
         };
         let ends: Vec<LeaseEnd> = self.silent_executors(now).map(end).collect();
         self.lease_ends.is_inherited = false;
@@ -140,6 +141,8 @@
 
     fn silent_executors(&self, now: Time) -> impl Iterator<Item = (&ExecutorId, &Executor)> {
         let silent = self.executors.iter().filter(move |(_, executor)| executor.is_silent(now));
+        let silent =
+            silent.filter(|(_, found)| found.fenced || self.inherited_end(found).is_some());
         let mut left = self.settings.max_row_bytes / 2;
         silent.take_while(move |(id, _)| {
             let bytes = json_field_bytes(id.as_str());
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -123,6 +123,8 @@
     superseded_by: Option<ExecutorId>,
     /// When this owner restored the records of its predecessors.
     restored_at: Time,
+    /// When this owner had reached half of the listed executors.
+    reached_at: Option<Time>,
     next_tick: Time,
     /// Time of the next pass over all open runs.
     next_sweep: Time,
@@ -164,6 +166,7 @@
             witnesses: BTreeSet::new(),
             superseded_by: None,
             restored_at: Time::ZERO,
+            reached_at: None,
             next_tick: Time::ZERO,
             estimator: throttle::Estimator::default(),
             out: Vec::new(),
@@ -241,6 +244,7 @@
 
     fn tick(&mut self, now: Time) {
         self.ask_witnesses(now);
+        self.note_reach(now);
         self.begin_due(now);
         self.close_expired(now);
         self.check_lease_ends(now);
--- a/crates/jobs/src/shard/witness.rs
+++ b/crates/jobs/src/shard/witness.rs
@@ -2,11 +2,13 @@
 //!
 //! An owner whose claim is not confirmed may have been replaced, or the store may be away for all
 //! instances. A successor asks the executors before anything else, and they refuse lower epochs from
-//! then on. So an owner that most executors have just answered has no successor that reaches them.
+//! then on. So an owner that most executors have just answered has no successor that reaches half of
+//! them, and a successor takes no lease for ended before it has reached half.
 
 use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
+use super::evidence::LeaseBound;
 use super::executors::Executor;
 use crate::id::ExecutorId;
 
@@ -19,6 +21,9 @@
 /// Longest time since a probe was sent that a witness has answered. With the time that a successor
 /// needs to reach the executors, it is less than `Settings::predecessor_grace`.
 const MAX_AGE: Span = Span::from_ms(1_000);
+/// Time from a takeover until the successor has reached half of the executors that is part of
+/// `Settings::predecessor_grace`.
+const MAX_REACH: Span = Span::from_ms(500);
 
 impl Shard {
     /// Sets when the last confirmed write under the claim was sent.
@@ -54,6 +59,33 @@
     }
 }
 
+impl Shard {
+    /// Notes when this owner has reached half of the listed executors.
+    ///
+    /// From then on no predecessor has most of the witnesses on its side, so leases that it granted
+    /// end. An owner that reaches fewer may be the one that is cut off.
+    pub(super) fn note_reach(&mut self, now: Time) {
+        if self.reached_at.is_some() {
+            return;
+        }
+        let listed = || self.executors.values().filter(|found| found.present);
+        let reached = listed().filter(|found| found.answered_sent > Time::ZERO).count();
+        if reached * 2 >= listed().count() {
+            self.reached_at = Some(now);
+        }
+    }
+
+    /// Returns when the leases that predecessors granted to an executor have ended, unless it answers
+    /// before; `None` while they may still be renewed.
+    pub(super) fn inherited_end(&self, executor: &Executor) -> Option<Time> {
+        if executor.inherited_bound == LeaseBound::Recorded {
+            return Some(executor.inherited_until);
+        }
+        let took = self.reached_at?.since(self.restored_at);
+        Some(executor.inherited_until + took.saturating_sub(MAX_REACH))
+    }
+}
+
 impl Executor {
     /// Returns whether the executor has answered a probe of this owner that was sent within `age`.
     fn accepted_epoch_since(&self, now: Time, age: Span) -> bool {
