fakes: the test of late answers does not depend on how soon the caller's thread runs

Cause: the answer came 50 ms after the deadline while 600 calls of another test ran, and a caller's thread that comes to run later than that finds the answer there. Delivering an answer that is ready is as intended, so the test was wrong about time only. The answer now comes 1 s late, and the next call is made both before it is sent and after it.

--- a/crates/fakes/tests/executors.rs
+++ b/crates/fakes/tests/executors.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use std::thread;
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{TEST_TIMEOUT, executor, platform, undelayed, wait_until};
@@ -14,6 +15,9 @@
 use sycamorerill_fakes::faults::{ExecutorFaults, Selector};
 use sycamorerill_fakes::{Fault, RunKey};
 
+/// Time after the deadline at which a late answer is sent. The caller's thread may itself come to run
+/// later than its deadline, by less than this.
+const LATE: Span = Span::from_ms(1_000);
 /// Longer than any test.
 const ENDLESS_MS: u64 = 600_000;
 const NAME: &str = "x-vejle-a-01";
@@ -99,13 +103,16 @@
 fn an_answer_after_the_deadline_is_unknown_and_not_taken_for_the_next_one() {
     let platform = platform(undelayed());
     let client = executor(&platform, NAME);
-    platform
-        .set_fault(set(ExecutorFaults { late: Span::from_ms(50), ..ExecutorFaults::default() }));
+    platform.set_fault(set(ExecutorFaults { late: LATE, ..ExecutorFaults::default() }));
     let late = Call { budget: Span::from_ms(100), ..call("late", 0) };
     assert_eq!(client.call(&late), Outcome::Unknown(UnknownCause::Timeout));
     platform.set_fault(set(ExecutorFaults::default()));
-    let outcome = client.call(&call("next", 0));
-    assert!(matches!(&outcome, Outcome::Complete { body, .. } if &body[..] == b"body of next"));
+    // Before the late answer is sent, and after it.
+    for wait in [Span::ZERO, LATE.saturating_mul(2)] {
+        thread::sleep(Duration::from_millis(wait.as_ms()));
+        let outcome = client.call(&call("next", 0));
+        assert!(matches!(&outcome, Outcome::Complete { body, .. } if &body[..] == b"body of next"));
+    }
 }
 
 #[test]
