jobs: probes of witnesses wait for 0.2 s

With 0.4 s, the age of a witness's last answer exceeds 1.0 s for part of the time where an exchange takes more than 0.1 s, as with an owner that is slow, and leases would end in an outage of the store.

--- a/crates/jobs/src/shard/witness.rs
+++ b/crates/jobs/src/shard/witness.rs
@@ -16,8 +16,9 @@
 const ASK_AFTER: Span = Span::from_ms(1_000);
 /// Number of executors that are asked, since each probe has a cost.
 const MAX_WITNESSES: usize = 12;
-/// Wait of a probe that a witness answers.
-pub(super) const PROBE_WAIT: Span = Span::from_ms(400);
+/// Wait of a probe that a witness answers. Two of them in turn are answered within `MAX_AGE` where an
+/// exchange takes up to 0.3 s.
+pub(super) const PROBE_WAIT: Span = Span::from_ms(200);
 /// Longest time since a probe was sent that a witness has answered. With the time that a successor
 /// needs to reach the executors, it is less than `Settings::predecessor_grace`.
 const MAX_AGE: Span = Span::from_ms(1_000);
