--- a/crates/jobs/tests/review_owners.rs
+++ b/crates/jobs/tests/review_owners.rs
@@ -196,3 +196,33 @@
     }
     assert!(lapsed.is_empty(), "latency in ms, runs left of 12: {lapsed:?}");
 }
+
+/// Executors that the successor has reached restart and forget its epoch. The former owner, which is
+/// cut off from the store, asks them again before the successor does: these answers are no evidence.
+#[test]
+fn witnesses_that_restart_give_a_former_owner_no_majority() {
+    let mut sim = Simulation::new(5);
+    let lasting = Step { long_running: true, ..step(10) };
+    sim.submit(job(1), vec![lasting]);
+    sim.advance(Span::from_secs(4));
+    let all = names(&sim);
+    let (former, next) = (sim.epoch, sim.epoch + 1);
+    sim.cut_owner_from_store();
+    // The successor does not reach x0, and the former owner reaches no other one at first.
+    for id in &all[1..] {
+        sim.executor(id).unreached_by.insert(former);
+    }
+    sim.executor(&all[0]).unreached_by.insert(next);
+    sim.advance(RENEWAL_TIMEOUT);
+    sim.take_over_from_unaware();
+    sim.advance(Span::from_ms(100));
+    // Three of those that the successor has reached restart on the side of the former owner.
+    for id in &all[1..4] {
+        let (now, incarnation) = (sim.now, sim.wall_ms());
+        sim.executor(id).restart(now, incarnation);
+        sim.executor(id).unreached_by.clear();
+        sim.executor(id).unreached_by.insert(next);
+    }
+    sim.advance(RECOVERY);
+    assert!(sim.violations.is_empty(), "{:?}\n{:#?}", sim.violations, sim.log);
+}
