--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -158,22 +158,13 @@
     }
 }
 
-data! {
-    /// To whom and until when a message may be sent.
-    #[derive(Copy)]
-    pub struct Delivery {
-        /// Incarnation of the executor; no other one may receive the message.
-        pub incarnation: Incarnation,
-        /// Latest time at which the message is sent.
-        pub before: Time,
-    }
-}
-
 data! {
     /// A run to start.
     pub struct Start {
-        /// To whom and until when the order may be sent.
-        pub delivery: Delivery,
+        /// Incarnation of the executor; no other one may receive the order.
+        pub incarnation: Incarnation,
+        /// Latest time at which the order is sent.
+        pub before: Time,
         /// Task that the run belongs to.
         pub task: TaskId,
         /// Number of the run within the task.
@@ -193,9 +184,9 @@
     /// A request for an executor's running and ended runs.
     #[derive(Copy)]
     pub struct Probe {
-        /// To whom and until when the deadline may be sent. The probe goes without it to any other
-        /// incarnation.
-        pub delivery: Delivery,
+        /// Incarnation to whose clock the deadline belongs. The probe goes without it to any other
+        /// one.
+        pub incarnation: Incarnation,
         /// Number of the last recorded end; the executor may discard ends up to it.
         pub acknowledged: u64,
         /// New end of all leases, on the executor's clock; none leaves the leases unchanged.
--- a/crates/node/src/shards/execute.rs
+++ b/crates/node/src/shards/execute.rs
@@ -1,6 +1,6 @@
 //! Executes the commands of a shard and reports their outcomes.
 
-use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_core::clock::Time;
 use sycamorerill_jobs::executor::Outcome;
 use sycamorerill_jobs::id::ExecutorId;
 use sycamorerill_jobs::shard::{Command, Event};
@@ -10,27 +10,23 @@
 use crate::clock;
 use crate::instance::{self, Context};
 use crate::metrics::Hop;
-use crate::platform::{Delivery, Platform, Probe, Start, Target};
-
-/// Longest time from the decision to renew leases until the deadline is sent.
-const MAX_RENEWAL_DELAY: Span = Span::from_ms(250);
+use crate::platform::{Platform, Probe, Start, Target};
 
 /// Executes one command in a future and reports its outcome to the shard.
 ///
-/// `last_confirmed` is when the last confirmed write under the claim was sent. Starts are not sent,
-/// and leases are not renewed, when another instance may have claimed the shard since.
+/// `last_confirmed` is when the last confirmed write under the claim was sent. Starts are not sent
+/// when another instance may have claimed the shard since. A deadline is a fixed time, so it renews
+/// nothing where it comes late.
 pub(super) fn execute<P: Platform>(
     context: &Context<P>,
     owned: OwnedShard,
     last_confirmed: Time,
-    decided: Time,
     command: Command,
 ) {
     let context = context.clone();
     let spawner = context.spawner.clone();
     spawner.spawn(async move {
-        let Some(event) = run_command(&context, owned, last_confirmed, decided, command).await
-        else {
+        let Some(event) = run_command(&context, owned, last_confirmed, command).await else {
             return;
         };
         let message = Message::Event(owned.shard, owned.epoch, Box::new(event));
@@ -42,26 +38,25 @@
     context: &Context<P>,
     owned: OwnedShard,
     last_confirmed: Time,
-    decided: Time,
     command: Command,
 ) -> Option<Event> {
     let (platform, metrics) = (&*context.platform, &*context.metrics);
     let started = clock::now();
     let epoch = owned.epoch;
-    let confirmed_until = last_confirmed + owned.predecessor_grace;
     let target =
         |executor: &ExecutorId, address| Target { address, executor: executor.clone(), epoch };
     match command {
         Command::Start { order, address, incarnation, text, deadline, checkpoint, ticket } => {
             let target = target(&order.executor, address);
-            let delivery = Delivery { incarnation, before: confirmed_until };
+            let before = last_confirmed + owned.predecessor_grace;
             let (task, run) = (order.task, order.run);
-            let start = Start { delivery, task, run, text, deadline, checkpoint, ticket };
+            let start =
+                Start { incarnation, before, task, run, text, deadline, checkpoint, ticket };
             let outcome = platform.start(target, start).await;
             metrics.observe_hop(Hop::Started, clock::now().since(started));
             metrics.count_order("start", outcome);
             let ended = clock::now();
-            match outcome == Outcome::NotSent && ended > delivery.before {
+            match outcome == Outcome::NotSent && ended > before {
                 true => logging::start_withheld(epoch, &order, ended.since(last_confirmed)),
                 false => logging::outcome("start", epoch, &order, outcome),
             }
@@ -88,10 +83,7 @@
         }
         Command::Probe { probe, address, incarnation, acknowledged, deadline, wait } => {
             let target = target(&probe.executor, address);
-            let before = confirmed_until.max(decided + MAX_RENEWAL_DELAY);
-            let deadline = deadline.filter(|_| started <= before);
-            let delivery = Delivery { incarnation, before };
-            let request = Probe { delivery, acknowledged, deadline, wait };
+            let request = Probe { incarnation, acknowledged, deadline, wait };
             Some(match platform.probe(target, request).await {
                 Ok(report) => Event::Probed(probe, report),
                 Err(outcome) => Event::ProbeFailed(probe, outcome),
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -239,7 +239,7 @@
                         logging::decision(self.owned, &decision);
                     }
                     order => {
-                        execute::execute(&self.context, self.owned, last_confirmed, now, order);
+                        execute::execute(&self.context, self.owned, last_confirmed, order);
                     }
                 }
             }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -323,7 +323,7 @@
 
     async fn start(&self, target: Target, start: Start) -> Outcome {
         pause(1).await;
-        if clock::now() > start.delivery.before {
+        if clock::now() > start.before {
             self.platform.withheld_starts.set(self.platform.withheld_starts.get() + 1);
             return Outcome::NotSent;
         }
