jobs: half of the executors known at the takeover must be reached, and two thirds of the witnesses agree

Change: the executors that were listed or had recorded runs at the takeover count, whatever is listed later, for 30 s; two thirds of up to 16 witnesses must agree, in incarnations known before the last confirmed write; their probes wait for 0.1 s. An order that was not sent no longer extends the waits for late orders.

--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -25,6 +25,8 @@
     pub(super) last_answer: Time,
     /// When the latest probe was sent that the executor has answered.
     pub(super) answered_sent: Time,
+    /// When its latest restart became known.
+    pub(super) restarted_at: Time,
     /// When the executor last answered before its latest restart was known.
     pub(super) last_answer_before_restart: Time,
     /// When a run was last placed on the executor.
@@ -106,6 +108,7 @@
             clock,
             last_answer: Time::ZERO,
             answered_sent: Time::ZERO,
+            restarted_at: Time::ZERO,
             last_answer_before_restart: Time::ZERO,
             last_placed: Time::ZERO,
             trial_until: Time::ZERO,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -123,7 +123,9 @@
     superseded_by: Option<ExecutorId>,
     /// When this owner restored the records of its predecessors.
     restored_at: Time,
-    /// When this owner had reached half of the listed executors.
+    /// Executors that were listed, or had recorded runs, at the takeover.
+    known: BTreeSet<ExecutorId>,
+    /// When this owner had reached half of those.
     reached_at: Option<Time>,
     next_tick: Time,
     /// Time of the next pass over all open runs.
@@ -166,6 +168,7 @@
             witnesses: BTreeSet::new(),
             superseded_by: None,
             restored_at: Time::ZERO,
+            known: BTreeSet::new(),
             reached_at: None,
             next_tick: Time::ZERO,
             estimator: throttle::Estimator::default(),
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -80,7 +80,9 @@
                 if open.stage == Stage::Sent {
                     open.stage = Stage::Unknown;
                 }
-                if let Some(executor) = self.executors.get_mut(&order.executor) {
+                if outcome == Outcome::Unknown
+                    && let Some(executor) = self.executors.get_mut(&order.executor)
+                {
                     executor.record_unanswered(now, sent, &self.settings);
                 }
             }
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -36,8 +36,9 @@
     /// Sends the probes that are due.
     pub(super) fn send_due_probes(&mut self, now: Time) {
         let due: Vec<ExecutorId> = self.probe_candidates.iter().cloned().collect();
+        let may_renew = self.may_renew_leases(now);
         for id in due {
-            if self.send_probe(now, &id) {
+            if self.send_probe(now, &id, may_renew) {
                 self.probe_candidates.remove(&id);
             }
         }
@@ -45,9 +46,8 @@
 
     /// Sends a probe to an executor if one is due. Returns whether the executor can be removed
     /// from the candidates: a probe is in flight or none is needed.
-    fn send_probe(&mut self, now: Time, id: &ExecutorId) -> bool {
+    fn send_probe(&mut self, now: Time, id: &ExecutorId, may_renew: bool) -> bool {
         let settings = self.settings;
-        let may_renew = self.may_renew_leases(now);
         let is_witness = self.witnesses.contains(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return true;
--- a/crates/jobs/src/shard/restart.rs
+++ b/crates/jobs/src/shard/restart.rs
@@ -36,6 +36,7 @@
         self.probe_after = now;
         self.unreachable_since = None;
         self.last_answer_before_restart = self.last_answer;
+        self.restarted_at = now;
         self.inherited_restart |= !self.fenced;
         self.tails.clear();
     }
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -78,6 +78,7 @@
             self.begin(now, id);
             self.send_requested_stops(now, id);
         }
+        self.note_known();
         self.log_inherited(now);
         self.placement_due = true;
     }
--- a/crates/jobs/src/shard/witness.rs
+++ b/crates/jobs/src/shard/witness.rs
@@ -2,8 +2,8 @@
 //!
 //! An owner whose claim is not confirmed may have been replaced, or the store may be away for all
 //! instances. A successor asks the executors before anything else, and they refuse lower epochs from
-//! then on. So an owner that most executors have just answered has no successor that reaches half of
-//! them, and a successor takes no lease for ended before it has reached half.
+//! then on. So an owner that two thirds of them have just answered has no successor that has reached
+//! half of them, and a successor takes no lease for ended before it has.
 
 use sycamorerill_core::clock::{Span, Time};
 
@@ -15,16 +15,19 @@
 /// Time after the last confirmed write from which on witnesses are asked: two renewals were missed.
 const ASK_AFTER: Span = Span::from_ms(1_000);
 /// Number of executors that are asked, since each probe has a cost.
-const MAX_WITNESSES: usize = 12;
+const MAX_WITNESSES: usize = 16;
 /// Wait of a probe that a witness answers. Two of them in turn are answered within `MAX_AGE` where an
-/// exchange takes up to 0.3 s.
-pub(super) const PROBE_WAIT: Span = Span::from_ms(200);
+/// exchange takes up to 0.4 s.
+pub(super) const PROBE_WAIT: Span = Span::from_ms(100);
 /// Longest time since a probe was sent that a witness has answered. With the time that a successor
 /// needs to reach the executors, it is less than `Settings::predecessor_grace`.
 const MAX_AGE: Span = Span::from_ms(1_000);
 /// Time from a takeover until the successor has reached half of the executors that is part of
 /// `Settings::predecessor_grace`.
 const MAX_REACH: Span = Span::from_ms(500);
+/// Time after a takeover from which on executors that are no longer listed count as gone, so that they
+/// need not be reached.
+const PATIENCE: Span = Span::from_ms(30_000);
 
 impl Shard {
     /// Sets when the last confirmed write under the claim was sent.
@@ -41,8 +44,8 @@
             return true;
         }
         let witnesses = || self.witnesses.iter().filter_map(|id| self.executors.get(id));
-        let agree = witnesses().filter(|found| found.accepted_epoch_since(now, MAX_AGE)).count();
-        agree * 2 > witnesses().count()
+        let agree = witnesses().filter(|found| found.accepts_epoch(now, self.confirmed_at)).count();
+        agree * 3 >= witnesses().count() * 2 && agree > 0
     }
 
     /// Chooses the witnesses and has them asked while the claim is not confirmed.
@@ -61,17 +64,28 @@
 }
 
 impl Shard {
-    /// Notes when this owner has reached half of the listed executors.
+    /// Notes the executors that were listed, or had recorded runs, at the takeover.
+    pub(super) fn note_known(&mut self) {
+        self.known = self.executors.keys().cloned().collect();
+    }
+
+    /// Notes when this owner has reached half of the executors that were known at the takeover.
     ///
     /// From then on no predecessor has most of the witnesses on its side, so leases that it granted
-    /// end. An owner that reaches fewer may be the one that is cut off.
+    /// end. An owner that reaches fewer may be the one that is cut off, and entries of executors on the
+    /// other side may vanish.
     pub(super) fn note_reach(&mut self, now: Time) {
         if self.reached_at.is_some() {
             return;
         }
-        let listed = || self.executors.values().filter(|found| found.present);
-        let reached = listed().filter(|found| found.answered_sent > Time::ZERO).count();
-        if reached * 2 >= listed().count() {
+        let is_patient = now.since(self.restored_at) < PATIENCE;
+        let is_gone = |id: &&ExecutorId| !self.executors.get(*id).is_some_and(|e| e.present);
+        let needed = self.known.iter().filter(|id| is_patient || !is_gone(id)).count();
+        let has_answered = |id: &&ExecutorId| {
+            self.executors.get(*id).is_some_and(|found| found.answered_sent > Time::ZERO)
+        };
+        let reached = self.known.iter().filter(has_answered).count();
+        if reached * 2 >= needed {
             self.reached_at = Some(now);
         }
     }
@@ -88,8 +102,10 @@
 }
 
 impl Executor {
-    /// Returns whether the executor has answered a probe of this owner that was sent within `age`.
-    fn accepted_epoch_since(&self, now: Time, age: Span) -> bool {
-        self.answered_sent > Time::ZERO && now.since(self.answered_sent) <= age
+    /// Returns whether the executor has just answered a probe of this owner, in an incarnation that was
+    /// known before `confirmed_at`: a later one may have forgotten the epoch of a successor.
+    fn accepts_epoch(&self, now: Time, confirmed_at: Time) -> bool {
+        let is_fresh = now.since(self.answered_sent) <= MAX_AGE;
+        is_fresh && self.answered_sent > Time::ZERO && self.restarted_at <= confirmed_at
     }
 }
