--- a/crates/jobs/src/shard/witness.rs
+++ b/crates/jobs/src/shard/witness.rs
@@ -38,7 +38,7 @@
     }
 
     /// Returns whether leases may be renewed: no successor can exist yet that takes them for ended,
-    /// or most witnesses show that there is none.
+    /// or two thirds of the witnesses show that there is none.
     pub(super) fn may_renew_leases(&self, now: Time) -> bool {
         if now.since(self.confirmed_at) <= self.settings.predecessor_grace {
             return true;
@@ -71,8 +71,8 @@
 
     /// Notes when this owner has reached half of the executors that were known at the takeover.
     ///
-    /// From then on no predecessor has most of the witnesses on its side, so leases that it granted
-    /// end. An owner that reaches fewer may be the one that is cut off, and entries of executors on the
+    /// From then on no predecessor has two thirds of the witnesses on its side, so leases that it
+    /// granted end. An owner that reaches fewer may be the one that is cut off, and entries of executors on the
     /// other side may vanish.
     pub(super) fn note_reach(&mut self, now: Time) {
         if self.reached_at.is_some() {
