review: a job is given up for an executor that was cut off (LOST)

A run that lapsed on a cut-off executor is counted as a crash under its task when that executor crashes later for reasons of its own. With one true crash the job is shown as failed, though no run has failed and one executor has crashed under the task.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -123,6 +123,54 @@
         Ok(self.verdict(&world, "LOST", &lost))
     }
 
+    /// An executor is cut off soon after it has begun a task. Later it crashes with the executor that
+    /// the task began on since, so that one executor has crashed under the task.
+    pub fn blamed(&self) -> Result<bool, String> {
+        let world = self.world(places(15, 5), 0.25, true)?;
+        let name = id(1, 0);
+        if !world.submit(PREFIX, &name, &[Step::new(1, 30_000, 8_000, 6_000)]) {
+            return Err("the job was not accepted".to_owned());
+        }
+        let find = |not: Option<usize>| -> Result<usize, String> {
+            let until = Instant::now() + Duration::from_secs(8);
+            loop {
+                let found = world.executors.iter().position(|executor| executor.runs_job(&name));
+                match found.filter(|found| Some(*found) != not) {
+                    Some(found) => return Ok(found),
+                    None if Instant::now() > until => return Err("no run began".to_owned()),
+                    None => pause(10),
+                }
+            }
+        };
+        if self.trouble {
+            let first = find(None)?;
+            pause(300);
+            world.executors[first].cut_for(Duration::from_millis(5_500));
+            let second = find(Some(first))?;
+            pause(700);
+            let both = [first, second];
+            both.iter().for_each(|number| world.executors[*number].crash());
+            pause(3_000);
+            both.iter().for_each(|number| world.executors[*number].restart());
+        }
+        pause(2_000);
+        let mut ids = vec![name.clone()];
+        for number in 0..5 {
+            let name = id(2, number);
+            if world.submit(PREFIX, &name, &[Step::new(2, 2_000, 500, 500)]) {
+                ids.push(name);
+            }
+            pause(50);
+        }
+        pause(10_000);
+        let is_failed = |answer: Option<(u16, String)>| {
+            answer.is_some_and(|(_, body)| body.contains("\"failed\""))
+        };
+        let failed: Vec<String> =
+            ids.into_iter().filter(|name| is_failed(world.state(PREFIX, name))).collect();
+        Ok(self.verdict(&world, "LOST", &failed))
+    }
+
     /// The owner is killed right after a record of its was acknowledged, while many short tasks end.
     pub fn many_ends(&self) -> Result<bool, String> {
         let world = self.world(places(2, 4), 0.25, false)?;
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -9,7 +9,7 @@
 
 use serde_json::{Value, json};
 
-use crate::http::{Request, read_request, respond};
+use crate::http::{Request, is_closed, read_request, respond};
 use crate::record::{Jobs, Record};
 use crate::store::Store;
 
@@ -34,6 +34,8 @@
     up: bool,
     /// Whether calls hang while it is down, as if its machine had lost power.
     dark: bool,
+    /// Until when nothing gets through between it and the instances.
+    cut_until: Instant,
     process: u64,
     born_ms: u64,
     clock_base: Instant,
@@ -151,6 +153,7 @@
         let state = State {
             up: true,
             dark: false,
+            cut_until: now,
             process: 0,
             born_ms: wall_ms(),
             clock_base: now,
@@ -193,7 +196,7 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut to) = stream.try_clone() else { return };
-        self.hang_while_dark();
+        self.hang();
         let process = {
             let mut state = self.lock();
             if !state.up {
@@ -206,8 +209,14 @@
         };
         let mut from = BufReader::new(stream);
         while let Some(request) = read_request(&mut from) {
-            self.hang_while_dark();
+            // Bytes that were held up are lost if their sender has closed the channel.
+            if self.hang() && is_closed(&to) {
+                break;
+            }
             let Some((status, body)) = self.answer(&request, process) else { break };
+            if self.hang() && is_closed(&to) {
+                break;
+            }
             if !respond(&mut to, status, &body.to_string()) {
                 break;
             }
@@ -215,8 +224,17 @@
         let _ = to.shutdown(Shutdown::Both);
     }
 
-    fn hang_while_dark(&self) {
-        while self.lock().dark {
+    /// Waits while nothing gets through; returns whether that was so.
+    fn hang(&self) -> bool {
+        let mut hung = false;
+        loop {
+            {
+                let state = self.lock();
+                if !state.dark && Instant::now() >= state.cut_until {
+                    return hung;
+                }
+            }
+            hung = true;
             thread::sleep(POLL);
         }
     }
@@ -254,7 +272,7 @@
             until = Instant::now() + Duration::from_millis(wait);
         }
         loop {
-            self.hang_while_dark();
+            self.hang();
             {
                 let mut state = self.lock();
                 if state.process != process || !state.up {
@@ -356,6 +374,40 @@
         self.record.line(&format!("fault: {} is lost for good", self.id));
     }
 
+    /// Cuts it from the instances for a time; it runs on and reaches the store.
+    pub fn cut_for(&self, time: Duration) {
+        self.lock().cut_until = Instant::now() + time;
+        self.record.line(&format!("fault: {} is cut off for {} ms", self.id, time.as_millis()));
+    }
+
+    /// Ends its process: its channels are closed, and all that it runs is gone.
+    pub fn crash(&self) {
+        let mut state = self.lock();
+        state.up = false;
+        state.process += 1;
+        for run in std::mem::take(&mut state.runs) {
+            self.record.run_ended(&run.task, run.run, &self.id, "crash");
+        }
+        for stream in std::mem::take(&mut state.connections) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.record.line(&format!("fault: {} crashes", self.id));
+    }
+
+    /// Starts a new process under the same id, which knows nothing of before.
+    pub fn restart(&self) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.up = true;
+        state.born_ms = wall_ms();
+        state.clock_base = now;
+        (state.fence, state.deadline, state.next_end) = (0, 0, 1);
+        state.highest.clear();
+        state.ended.clear();
+        state.beat_at = now;
+        self.record.line(&format!("{} starts again, born {}", self.id, state.born_ms));
+    }
+
     /// Returns its free processor time and memory, as long as it is up.
     pub fn free(&self) -> Option<(u64, u64)> {
         let state = self.lock();
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -83,6 +83,18 @@
     to.write_all((head + body).as_bytes()).is_ok()
 }
 
+/// Returns whether the peer has closed the connection.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let _ = stream.set_nonblocking(true);
+    let closed = match stream.peek(&mut byte) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    closed
+}
+
 /// Sends a call on a connection of its own; returns the status and the body of the response.
 pub fn call(
     to: SocketAddr,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -27,6 +27,7 @@
     let broken = match case.as_str() {
         "hopeless" => setup.hopeless(),
         "renamed" => setup.renamed(),
+        "blamed" => setup.blamed(),
         "many-ends" => setup.many_ends(),
         "racks" => setup.racks(),
         "pending" => setup.pending(),
