--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -155,6 +155,8 @@
 impl Drop for World {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
+        // Others may hold on to an instance longer than the world does.
+        self.instances.iter().for_each(|instance| instance.kill());
     }
 }
 
