review: tasks that are done run again after a late /hold (TWICE)

A probe without a deadline is not bound to a process. After a crash it carries the number of ends of the former process, and where the new process carries it out late, it forgets ends that it has not reported. The owner closes the runs as not listed and starts the tasks again.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -171,6 +171,56 @@
         Ok(self.verdict(&world, "LOST", &failed))
     }
 
+    /// An executor crashes and starts again while orders are carried out late. A call that was meant
+    /// for its former life makes it forget ends of the new one.
+    pub fn late_seen(&self) -> Result<bool, String> {
+        let world = Arc::new(self.world(places(8, 4), 0.25, false)?);
+        let (begun, over) = (Instant::now(), Arc::new(AtomicBool::new(false)));
+        let (sending, ended) = (Arc::clone(&world), Arc::clone(&over));
+        let traffic = thread::spawn(move || {
+            let mut number = 0;
+            while !ended.load(Ordering::Relaxed) {
+                // The ends come evenly, as the steps take different times.
+                let steps: Vec<Step> =
+                    (0..10).map(|step| Step::new(1, 2_000, 500, 150 + 37 * step)).collect();
+                sending.submit(PREFIX, &id(1, number), &steps);
+                number += 1;
+                pause(60);
+            }
+        });
+        let busiest = || {
+            let of = |number: &usize| {
+                let (ends, runs) = world.executors[*number].counts();
+                (runs >= 5, ends)
+            };
+            (0..world.executors.len()).max_by_key(of).unwrap_or(0)
+        };
+        for round in 1..=7 {
+            while begun.elapsed() < Duration::from_millis(round * 12_000 - 2_000) {
+                pause(10);
+            }
+            let number = busiest();
+            let found = &world.executors[number];
+            let (ends, runs) = found.counts();
+            world.record.line(&format!("{} has had {ends} ends and has {runs} runs", found.id));
+            if self.trouble {
+                found.crash();
+                pause(3_000);
+                world.executors.iter().for_each(|it| it.be_late(0.5, Duration::from_millis(5_500)));
+                world.record.line("fault: half of the calls are carried out late for 5500 ms");
+                found.restart();
+            }
+        }
+        while begun.elapsed() < Duration::from_secs(97) {
+            pause(50);
+        }
+        over.store(true, Ordering::Relaxed);
+        let _ = traffic.join();
+        pause(5_000);
+        let again = world.record.started_again();
+        Ok(self.verdict(&world, "TWICE", &again))
+    }
+
     /// The owner is killed right after a record of its was acknowledged, while many short tasks end.
     pub fn many_ends(&self) -> Result<bool, String> {
         let world = self.world(places(2, 4), 0.25, false)?;
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -30,6 +30,14 @@
     stopping: Option<Instant>,
 }
 
+struct End {
+    number: u64,
+    task: String,
+    run: u64,
+    how: &'static str,
+    at: Instant,
+}
+
 struct State {
     up: bool,
     /// Whether calls hang while it is down, as if its machine had lost power.
@@ -44,7 +52,13 @@
     runs: Vec<Run>,
     /// Highest run of a task that was stopped or has ended here.
     highest: BTreeMap<String, u64>,
-    ended: Vec<(u64, String, u64, &'static str)>,
+    ended: Vec<End>,
+    /// When a lease was last seen to have lapsed.
+    lapsed_at: Option<Instant>,
+    /// Until when a share of the calls gets no answer and is carried out late.
+    late_until: Instant,
+    late_share: f64,
+    random: u64,
     next_end: u64,
     connections: Vec<TcpStream>,
     beat_at: Instant,
@@ -86,13 +100,17 @@
         let highest = self.highest.entry(run.task.clone()).or_default();
         *highest = (*highest).max(run.run);
         record.run_ended(&run.task, run.run, id, how);
-        self.ended.push((self.next_end, run.task, run.run, how));
+        let (number, at) = (self.next_end, Instant::now());
+        self.ended.push(End { number, task: run.task, run: run.run, how, at });
         self.next_end += 1;
     }
 
     /// Ends what is due.
     fn settle(&mut self, record: &Record, id: &str) {
         let lapsed = self.clock() > self.deadline;
+        if lapsed {
+            self.lapsed_at = Some(Instant::now());
+        }
         let mut index = 0;
         while index < self.runs.len() {
             let run = &self.runs[index];
@@ -124,7 +142,7 @@
             .collect();
         let ended = self.ended.iter().take(MAX_ENDS);
         let ended: Vec<Value> =
-            ended.map(|(number, task, run, how)| json!([number, task, run, how, ""])).collect();
+            ended.map(|end| json!([end.number, end.task, end.run, end.how, ""])).collect();
         json!({"clock_ms": self.clock(), "born": self.born_ms, "running": running, "ended": ended})
     }
 
@@ -162,6 +180,10 @@
             runs: Vec::new(),
             highest: BTreeMap::new(),
             ended: Vec::new(),
+            lapsed_at: None,
+            late_until: now,
+            late_share: 0.0,
+            random: wall_ms() | 1,
             next_end: 1,
             connections: Vec::new(),
             beat_at: now,
@@ -213,6 +235,15 @@
             if self.hang() && is_closed(&to) {
                 break;
             }
+            if let Some(delay) = self.late() {
+                let body = String::from_utf8_lossy(&request.body).into_owned();
+                thread::sleep(delay);
+                let done = self.answer(&request, process).is_some();
+                let (ms, id) = (delay.as_millis(), &self.id);
+                let path = &request.path;
+                self.record.line(&format!("late: {path} at {id} after {ms} ms ({done}): {body}"));
+                break;
+            }
             let Some((status, body)) = self.answer(&request, process) else { break };
             if self.hang() && is_closed(&to) {
                 break;
@@ -263,7 +294,7 @@
                 "/pace" => return Some((200, json!({"clock_ms": state.clock()}))),
                 "/hold" => {
                     let seen = body["last_seen"].as_u64().unwrap_or(0);
-                    state.ended.retain(|end| end.0 > seen);
+                    self.forget(&mut state, seen);
                     state.extend(&body);
                 }
                 _ => return Some((404, json!({}))),
@@ -287,6 +318,41 @@
         }
     }
 
+    /// Forgets ends up to a number, of which note is taken so.
+    fn forget(&self, state: &mut State, seen: u64) {
+        let lapsed_at = state.lapsed_at;
+        let forgotten = state.ended.extract_if(.., |end| end.number <= seen);
+        for end in forgotten {
+            let has_lapsed = lapsed_at.is_some_and(|at| at >= end.at);
+            if end.how == "done" && !has_lapsed {
+                self.record.end_noted(&end.task, end.run);
+            }
+        }
+    }
+
+    /// Returns how late a call is carried out, if it gets no answer.
+    fn late(&self) -> Option<Duration> {
+        let mut state = self.lock();
+        if Instant::now() >= state.late_until {
+            return None;
+        }
+        let mut draw = || {
+            state.random ^= state.random << 13;
+            state.random ^= state.random >> 7;
+            state.random ^= state.random << 17;
+            (state.random >> 11) as f64 / (1_u64 << 53) as f64
+        };
+        let (is_late, delay) = (draw(), draw());
+        (is_late < state.late_share).then(|| Duration::from_millis(2_000 + (delay * 10_000.0) as u64))
+    }
+
+    /// Leaves a share of the calls unanswered for a time; they are carried out 2 to 12 s later.
+    pub fn be_late(&self, share: f64, time: Duration) {
+        let mut state = self.lock();
+        state.late_until = Instant::now() + time;
+        state.late_share = share;
+    }
+
     fn start_run(&self, state: &mut State, body: &Value) -> (u16, Value) {
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
@@ -404,7 +470,9 @@
         (state.fence, state.deadline, state.next_end) = (0, 0, 1);
         state.highest.clear();
         state.ended.clear();
-        state.beat_at = now;
+        state.lapsed_at = None;
+        // It writes to the store at some moment of its first interval.
+        state.beat_at = now + HEARTBEAT / 2;
         self.record.line(&format!("{} starts again, born {}", self.id, state.born_ms));
     }
 
@@ -415,6 +483,12 @@
         state.up.then(|| (self.cpu - used.0, self.mem - used.1))
     }
 
+    /// Returns the number of its latest end, and how many runs it has.
+    pub fn counts(&self) -> (u64, usize) {
+        let state = self.lock();
+        (state.next_end - 1, state.runs.len())
+    }
+
     /// Returns whether a task of the job runs here.
     pub fn runs_job(&self, job: &str) -> bool {
         self.lock().runs.iter().any(|run| run.task.starts_with(job))
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -17,8 +17,10 @@
 
 #[derive(Default)]
 struct Seen {
-    starts: BTreeMap<String, u64>,
-    done: BTreeMap<String, u64>,
+    /// Starts of each task: the run and the moment.
+    starts: BTreeMap<String, Vec<(u64, Instant)>>,
+    /// Ends `done` of each task: the run, the moment, and whether note was taken of it.
+    done: BTreeMap<String, Vec<(u64, Instant, bool)>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -37,21 +39,49 @@
     }
 
     pub fn run_started(&self, task: &str, run: u64, executor: &str) {
-        *lock(&self.seen).starts.entry(task.to_owned()).or_default() += 1;
-        if self.verbose {
+        let mut seen = lock(&self.seen);
+        seen.starts.entry(task.to_owned()).or_default().push((run, Instant::now()));
+        let is_again = seen.done.contains_key(task);
+        drop(seen);
+        if is_again {
+            self.line(&format!("again: {task} run {run} starts at {executor} after an end `done`"));
+        } else if self.verbose {
             self.line(&format!("start: {task} run {run} at {executor}"));
         }
     }
 
     pub fn run_ended(&self, task: &str, run: u64, executor: &str, how: &str) {
         if how == "done" {
-            *lock(&self.seen).done.entry(task.to_owned()).or_default() += 1;
+            let mut seen = lock(&self.seen);
+            seen.done.entry(task.to_owned()).or_default().push((run, Instant::now(), false));
         }
         if self.verbose {
             self.line(&format!("end: {task} run {run} at {executor} {how}"));
         }
     }
 
+    /// Notes that an executor was told that an end `done` has been seen, without a lapse of its
+    /// lease in between.
+    pub fn end_noted(&self, task: &str, run: u64) {
+        let mut seen = lock(&self.seen);
+        for end in seen.done.get_mut(task).into_iter().flatten().filter(|end| end.0 == run) {
+            end.2 = true;
+        }
+    }
+
+    /// Returns the tasks that were started after a run had ended `done`, where note of that end was
+    /// taken before or later.
+    pub fn started_again(&self) -> Vec<String> {
+        let seen = lock(&self.seen);
+        let is_broken = |task: &String, ends: &[(u64, Instant, bool)]| {
+            let starts = seen.starts.get(task).map_or(&[][..], Vec::as_slice);
+            let mut noted = ends.iter().filter(|end| end.2);
+            noted.any(|end| starts.iter().any(|start| start.1 > end.1 && start.0 != end.0))
+        };
+        let broken = seen.done.iter().filter(|(task, ends)| is_broken(task, ends));
+        broken.map(|(task, _)| task.clone()).collect()
+    }
+
     pub fn is_done(&self, task: &str) -> bool {
         lock(&self.seen).done.contains_key(task)
     }
