--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::executor::Place;
-use crate::record::{Record, Step};
+use crate::record::{Noted, Record, Step};
 use crate::world::{HOST, PREFIX, Plan, World, manifest, route};
 
 pub struct Setup {
@@ -217,7 +217,41 @@
         over.store(true, Ordering::Relaxed);
         let _ = traffic.join();
         pause(5_000);
-        let again = world.record.started_again();
+        let again = world.record.started_again(|noted| noted == Noted::Yes);
+        Ok(self.verdict(&world, "TWICE", &again))
+    }
+
+    /// An executor is cut off while a task ends there, and is back before the task has room elsewhere.
+    pub fn closed_end(&self) -> Result<bool, String> {
+        let world = self.world(places(6, 3), 0.25, true)?;
+        // Five of six executors are more than half full.
+        for number in 0..5 {
+            world.submit(PREFIX, &id(1, number), &[Step::new(1, 40_000, 8_000, 14_000)]);
+            pause(150);
+        }
+        pause(500);
+        let name = id(2, 0);
+        if !world.submit(PREFIX, &name, &[Step::new(2, 30_000, 8_000, 1_500)]) {
+            return Err("the job was not accepted".to_owned());
+        }
+        let until = Instant::now() + Duration::from_secs(5);
+        let found = loop {
+            let of = |executor: &Arc<crate::executor::Executor>| executor.runs_job(&name);
+            if let Some(found) = world.executors.iter().find(|executor| of(executor)) {
+                break found;
+            }
+            if Instant::now() > until {
+                return Err("the job does not start".to_owned());
+            }
+            pause(10);
+        };
+        pause(300);
+        if self.trouble {
+            found.cut_for(Duration::from_millis(5_500));
+        }
+        pause(14_000);
+        world.state(PREFIX, &name);
+        let again = world.record.started_again(|noted| noted != Noted::No);
         Ok(self.verdict(&world, "TWICE", &again))
     }
 
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -53,8 +53,10 @@
     /// Highest run of a task that was stopped or has ended here.
     highest: BTreeMap<String, u64>,
     ended: Vec<End>,
-    /// When a lease was last seen to have lapsed.
+    /// When the time of the lease was last seen to be over, whether anything ran or not.
     lapsed_at: Option<Instant>,
+    /// When runs were last killed as the lease had lapsed.
+    killed_at: Option<Instant>,
     /// Until when a share of the calls gets no answer and is carried out late.
     late_until: Instant,
     late_share: f64,
@@ -121,7 +123,12 @@
                 _ => None,
             };
             match how {
-                Some(how) => self.end(index, how, record, id),
+                Some(how) => {
+                    if how == "lapsed" {
+                        self.killed_at = Some(Instant::now());
+                    }
+                    self.end(index, how, record, id);
+                }
                 None => index += 1,
             }
         }
@@ -181,6 +188,7 @@
             highest: BTreeMap::new(),
             ended: Vec::new(),
             lapsed_at: None,
+            killed_at: None,
             late_until: now,
             late_share: 0.0,
             random: wall_ms() | 1,
@@ -320,12 +328,12 @@
 
     /// Forgets ends up to a number, of which note is taken so.
     fn forget(&self, state: &mut State, seen: u64) {
-        let lapsed_at = state.lapsed_at;
+        let (lapsed_at, killed_at) = (state.lapsed_at, state.killed_at);
         let forgotten = state.ended.extract_if(.., |end| end.number <= seen);
         for end in forgotten {
-            let has_lapsed = lapsed_at.is_some_and(|at| at >= end.at);
-            if end.how == "done" && !has_lapsed {
-                self.record.end_noted(&end.task, end.run);
+            let is_later = |at: Option<Instant>| at.is_some_and(|at| at >= end.at);
+            if end.how == "done" && !is_later(killed_at) {
+                self.record.end_noted(&end.task, end.run, is_later(lapsed_at));
             }
         }
     }
@@ -470,7 +478,7 @@
         (state.fence, state.deadline, state.next_end) = (0, 0, 1);
         state.highest.clear();
         state.ended.clear();
-        state.lapsed_at = None;
+        (state.lapsed_at, state.killed_at) = (None, None);
         // It writes to the store at some moment of its first interval.
         state.beat_at = now + HEARTBEAT / 2;
         self.record.line(&format!("{} starts again, born {}", self.id, state.born_ms));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -28,6 +28,7 @@
         "hopeless" => setup.hopeless(),
         "renamed" => setup.renamed(),
         "blamed" => setup.blamed(),
+        "closed-end" => setup.closed_end(),
         "late-seen" => setup.late_seen(),
         "many-ends" => setup.many_ends(),
         "racks" => setup.racks(),
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -15,12 +15,21 @@
     pub verbose: bool,
 }
 
+/// Whether note was taken of an end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Noted {
+    No,
+    /// The time of the executor's lease was over in between, while nothing ran there.
+    AfterIdleLapse,
+    Yes,
+}
+
 #[derive(Default)]
 struct Seen {
     /// Starts of each task: the run and the moment.
     starts: BTreeMap<String, Vec<(u64, Instant)>>,
     /// Ends `done` of each task: the run, the moment, and whether note was taken of it.
-    done: BTreeMap<String, Vec<(u64, Instant, bool)>>,
+    done: BTreeMap<String, Vec<(u64, Instant, Noted)>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -53,29 +62,34 @@
     pub fn run_ended(&self, task: &str, run: u64, executor: &str, how: &str) {
         if how == "done" {
             let mut seen = lock(&self.seen);
-            seen.done.entry(task.to_owned()).or_default().push((run, Instant::now(), false));
+            seen.done.entry(task.to_owned()).or_default().push((run, Instant::now(), Noted::No));
         }
         if self.verbose {
             self.line(&format!("end: {task} run {run} at {executor} {how}"));
         }
     }
 
-    /// Notes that an executor was told that an end `done` has been seen, without a lapse of its
-    /// lease in between.
-    pub fn end_noted(&self, task: &str, run: u64) {
+    /// Notes that an executor was told that an end `done` has been seen. Its lease has killed nothing
+    /// in between; `lapsed` tells whether its time was over while nothing ran.
+    pub fn end_noted(&self, task: &str, run: u64, lapsed: bool) {
+        let noted = if lapsed { Noted::AfterIdleLapse } else { Noted::Yes };
         let mut seen = lock(&self.seen);
         for end in seen.done.get_mut(task).into_iter().flatten().filter(|end| end.0 == run) {
-            end.2 = true;
+            end.2 = noted;
+        }
+        drop(seen);
+        if lapsed {
+            self.line(&format!("note is taken of the end `done` of {task} run {run}"));
         }
     }
 
     /// Returns the tasks that were started after a run had ended `done`, where note of that end was
-    /// taken before or later.
-    pub fn started_again(&self) -> Vec<String> {
+    /// taken before or later. `counted` tells which notes count.
+    pub fn started_again(&self, counted: impl Fn(Noted) -> bool) -> Vec<String> {
         let seen = lock(&self.seen);
-        let is_broken = |task: &String, ends: &[(u64, Instant, bool)]| {
+        let is_broken = |task: &String, ends: &[(u64, Instant, Noted)]| {
             let starts = seen.starts.get(task).map_or(&[][..], Vec::as_slice);
-            let mut noted = ends.iter().filter(|end| end.2);
+            let mut noted = ends.iter().filter(|end| counted(end.2));
             noted.any(|end| starts.iter().any(|start| start.1 > end.1 && start.0 != end.0))
         };
         let broken = seen.done.iter().filter(|(task, ends)| is_broken(task, ends));
