--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -294,7 +294,7 @@
             });
             if has_runs && armed.swap(false, Ordering::Relaxed) {
                 if let Some(found) = instances.iter().find(|instance| instance.name == machine) {
-                    found.kill();
+                    found.kill_for(Duration::from_millis(3_000), &record);
                     record.line(&format!("fault: {machine} is killed right after a record"));
                 }
             }
