node, jobs: takeovers and acceptance while the store is slow

For 4 s nobody owns the shard: all instances claim before they hear of each other, each claim and each of its repeats takes 0.26 s of the one part that performs them, and the claim that takes effect does so after its writer's fifth attempt. The writer then holds a claim that it does not act on until others outwait it, twice. In the same 6 s none of 430 submissions is accepted: four parts perform 15 transactions a second together. Change: claims are spread by the store's recent latency; attempts wait for three times that; a read after an attempt without an answer tells its outcome; a claim that is found in the store begins the ownership, once an epoch; accepted jobs lie in 32 parts, and parts are read at the same time. Ruled out: leases that nobody renewed for another reason (2,853 runs lapse after 15.6 s, their leases' usual end).

--- a/crates/jobs/src/ownership.rs
+++ b/crates/jobs/src/ownership.rs
@@ -125,6 +125,11 @@
 /// Time without such a release after which the next one counts as the first in a row.
 const YIELD_MEMORY: Span = Span::from_ms(30_000);
 
+/// Number of responses of the store in which a claim is written and the other instances learn of
+/// it. Instances spread their claims over at least this time, as each claim that is written in vain
+/// holds up the store, most of all while it is slow.
+const RESPONSES_PER_CLAIM: f64 = 4.0;
+
 /// Time after an instance failed as a holder in which it lets others claim first.
 const FAILED_HOLDER_MEMORY: Span = Span::from_ms(15_000);
 
@@ -167,6 +172,8 @@
     epoch_seen_at: Time,
     /// When the store last responded.
     last_response: Time,
+    /// Time in which the store has responded lately.
+    store_latency: Span,
     /// When the latest acknowledged claim or renewal was sent.
     last_renewal: Time,
     /// When the latest acknowledged write under the claim was sent.
@@ -203,6 +210,7 @@
             unchanged_since: None,
             epoch_seen_at: Time::ZERO,
             last_response: Time::ZERO,
+            store_latency: Span::ZERO,
             last_renewal: Time::ZERO,
             last_confirmed: Time::ZERO,
             last_read: None,
@@ -236,6 +244,11 @@
         self.last_response = now;
     }
 
+    /// Sets the time in which the store has responded lately.
+    pub const fn set_store_latency(&mut self, latency: Span) {
+        self.store_latency = latency;
+    }
+
     /// Records that the store was unavailable until `now`.
     ///
     /// A holder could not renew in that time, so its missing renewals do not count.
@@ -353,7 +366,7 @@
             }
             return if recently { Action::Wait } else { Action::ReadClaim };
         }
-        self.retry_at = Some(now + self.settings.claim_spread + RETRY_DELAY);
+        self.retry_at = Some(now + self.claim_spread() + RETRY_DELAY);
         Action::Claim
     }
 
@@ -367,7 +380,7 @@
             None => Span::ZERO,
         };
         let low_capacity_delay =
-            if self.has_capacity(load) { Span::ZERO } else { self.settings.low_capacity_delay };
+            if self.has_capacity(load) { Span::ZERO } else { self.low_capacity_delay() };
         let owned_delay = DELAY_PER_OWNED_SHARD.saturating_mul(u64::from(load.owned_shards));
         let failed = self.failed_at.is_some_and(|at| now.since(at) < FAILED_HOLDER_MEMORY);
         let failed_holder_delay =
@@ -376,7 +389,20 @@
             + low_capacity_delay
             + failed_holder_delay
             + owned_delay
-            + self.settings.claim_spread.scale(self.spread_fraction)
+            + self.claim_spread().scale(self.spread_fraction)
+    }
+
+    /// Returns the interval over which instances spread claims, which is longer while the store is
+    /// slow.
+    fn claim_spread(&self) -> Span {
+        self.settings.claim_spread.max(self.store_latency.scale(RESPONSES_PER_CLAIM))
+    }
+
+    /// Returns the additional claim delay of an instance without the capacity for the shard. The
+    /// last of those with the capacity have claimed by then, and the others have learned of it.
+    fn low_capacity_delay(&self) -> Span {
+        let learned = self.claim_spread() + self.store_latency.scale(RESPONSES_PER_CLAIM);
+        self.settings.low_capacity_delay.max(learned)
     }
 
     /// Returns whether this instance takes the shard over from a holder that renews its claim but
@@ -386,7 +412,7 @@
             return false;
         };
         let delay = self.settings.takeover_delay
-            + self.settings.claim_spread.saturating_mul(4).scale(self.spread_fraction);
+            + self.claim_spread().saturating_mul(4).scale(self.spread_fraction);
         claim.holder.is_some()
             && claim.max_executors < load.executors_per_shard
             && self.has_capacity(load)
--- a/crates/jobs/tests/ownership.rs
+++ b/crates/jobs/tests/ownership.rs
@@ -247,3 +247,29 @@
     ownership.observe(later, Some(Claim { holder: None, ..held_claim(4, "b", 1) }));
     assert_eq!(ownership.next_action(later + settings.claim_spread, NO_LOAD), Action::Claim);
 }
+
+/// While the store is slow, many instances claim a shard before they learn of each other's claims.
+/// Each of those claims holds up the others, so claims must be spread over a longer time.
+#[test]
+fn claims_are_spread_over_a_longer_time_while_the_store_is_slow() {
+    let latency = Span::from_ms(500);
+    let mut ownership = ownership("a", 1);
+    ownership.observe(START, None);
+    ownership.set_store_latency(latency);
+    let usual_spread = Settings::default().claim_spread;
+    assert_eq!(ownership.next_action(START + usual_spread, NO_LOAD), Action::Wait);
+    assert_eq!(ownership.next_action(START + latency, NO_LOAD), Action::Wait);
+    let written = latency.saturating_mul(4);
+    assert_eq!(ownership.next_action(START + written, NO_LOAD), Action::Claim);
+}
+
+/// An instance without the capacity for a shard must not claim it before those with the capacity
+/// have claimed and been heard of.
+#[test]
+fn an_instance_without_capacity_lets_others_claim_first_while_the_store_is_slow() {
+    let mut ownership = small_instance("a");
+    ownership.observe(START, None);
+    ownership.set_store_latency(Span::from_ms(500));
+    let others_claimed = Span::from_ms(500).saturating_mul(4);
+    assert_eq!(ownership.next_action(START + others_claimed, HIGH_LOAD), Action::Wait);
+}
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -10,8 +10,10 @@
 
 /// Number of parts over which accepted jobs are distributed.
 ///
-/// Each part accepts 200 transactions a second.
-pub(crate) const JOB_PARTS: u64 = 4;
+/// A part performs its transactions one after another. While the store is 50 times slower than
+/// usual, that is 4 a second, so that some 100 jobs a second need this many parts. A multiple of
+/// the number in earlier versions, whose parts are read as well.
+pub(crate) const JOB_PARTS: u64 = 32;
 /// Number of executors that an instance can manage per processor; docs/CAPACITY.md has the
 /// measurements.
 const EXECUTORS_PER_CORE: f64 = 1_000.0;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -247,6 +247,9 @@
     /// Returns the latest reading of the store's clock; returns none if no answer gave one yet.
     fn store_clock(&self) -> Option<StoreClock>;
 
+    /// Returns the time in which the store has responded lately; zero if that is not known.
+    fn store_latency(&self) -> Span;
+
     /// Orders an executor to start a run.
     fn start(&self, target: Target, start: Start) -> impl Future<Output = Outcome>;
 
--- a/crates/node/src/shards/commit.rs
+++ b/crates/node/src/shards/commit.rs
@@ -17,11 +17,14 @@
 use crate::layout::{self, CLAIM, SEQUENCE};
 use crate::platform::{Error, Platform, Row, Table, Transaction, Version};
 
-/// Timeout of the first attempt.
+/// Least timeout of the first attempt.
 ///
 /// It is ten times the usual response time of the store, and short enough that two
 /// answers can be lost between two renewals of a claim.
-const INITIAL_TIMEOUT: Span = Span::from_ms(150);
+const MIN_INITIAL_TIMEOUT: Span = Span::from_ms(150);
+/// Multiple of the time in which the store has responded lately that the first attempt waits. An
+/// attempt that is repeated while the store still performs it holds up those behind it.
+const LATENCY_FACTOR: f64 = 3.0;
 /// Factor by which the timeout grows after an attempt with an unknown outcome.
 const TIMEOUT_FACTOR: f64 = 1.5;
 /// Upper bound on the timeout: the store may stay slow for a long time.
@@ -87,18 +90,18 @@
         writes: vec![(key, encode(&claim)), (sequence, encode(&initial))],
         removes: Vec::new(),
     };
-    let mut timeout = INITIAL_TIMEOUT;
+    let mut timeout = initial_timeout(context);
     for _ in 0..MAX_CLAIM_ATTEMPTS {
         match attempt(context, &transaction, &mut timeout).await {
-            None => {}
+            // Reads do not wait for the transactions of a part, so the row may tell the outcome.
+            None => match read_claim(context, shard).await {
+                Ok(Some(row)) if row.version != version => return resolve_claim(claim, Some(row)),
+                _ => {}
+            },
             Some(Ok(version)) => return Ok((claim, version)),
             Some(Err(Error::Conflict(rows))) => {
                 let row = rows.into_iter().find(|row| row.name == CLAIM);
-                let is_own = row.as_ref().and_then(decode) == Some(claim.clone());
-                return match row {
-                    Some(row) if is_own => Ok((claim, row.version)),
-                    row => Err(row),
-                };
+                return resolve_claim(claim, row);
             }
             Some(Err(_)) => return Err(None),
         }
@@ -106,6 +109,21 @@
     Err(None)
 }
 
+/// Decides from the stored row whether an earlier attempt at writing `claim` took effect.
+fn resolve_claim(claim: Claim, row: Option<Row>) -> Result<(Claim, Version), Option<Row>> {
+    let is_own = row.as_ref().and_then(decode) == Some(claim.clone());
+    match row {
+        Some(row) if is_own => Ok((claim, row.version)),
+        row => Err(row),
+    }
+}
+
+/// Returns the timeout of the first attempt at a transaction.
+fn initial_timeout<P: Platform>(context: &Context<P>) -> Span {
+    let expected = context.platform.store_latency().scale(LATENCY_FACTOR);
+    expected.max(MIN_INITIAL_TIMEOUT).min(MAX_TIMEOUT)
+}
+
 /// Reads the row with the claim on a shard; returns none if there is no such row.
 pub(super) async fn read_claim<P: Platform>(
     context: &Context<P>,
@@ -149,7 +167,7 @@
     renews: bool,
 ) -> Committed {
     let sent = clock::now();
-    let mut timeout = INITIAL_TIMEOUT;
+    let mut timeout = initial_timeout(context);
     loop {
         let attempted = clock::now();
         match attempt(context, &transaction, &mut timeout).await {
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -79,16 +79,21 @@
     ownership: Ownership,
     version: Version,
     owner: Option<Owner<P>>,
+    /// Epoch of the latest claim that this process sent, and when it first sent it.
+    sent_claim: (u64, Time),
+    /// Epoch of the latest ownership by this process; 0 before the first.
+    started_epoch: u64,
 }
 
 impl<P: Platform> ShardState<P> {
     /// Returns whether ownership may start with a claim that this instance has written.
     ///
-    /// No claim with a later epoch may be known, and no owner may exist yet. The update of
-    /// the watch with the claim may arrive before the answer to its transaction.
+    /// No claim with a later epoch may be known. The update of the watch with the claim may arrive
+    /// before the answer to its transaction. An epoch is used for one ownership only, since the
+    /// orders of an earlier one are fenced by their lower epoch.
     fn may_start(&self, claim: &Claim) -> bool {
         let latest = self.ownership.claim().is_none_or(|seen| seen.epoch <= claim.epoch);
-        latest && self.owner.is_none()
+        latest && self.owner.is_none() && claim.epoch > self.started_epoch
     }
 
     /// Ends the ownership of the shard if this instance owns it.
@@ -204,11 +209,12 @@
             self.release(shard, claim);
             return;
         }
+        state.ownership.set_store_latency(self.context.platform.store_latency());
         let executors_per_shard = self.layout.map_or(0, |layout| layout.executors_per_shard);
         match state.ownership.next_action(now, Load { owned_shards, executors_per_shard }) {
             Action::Wait => {}
             Action::ReadClaim => self.read_claim(shard),
-            Action::Claim if self.config.is_some() => self.claim(shard),
+            Action::Claim if self.config.is_some() => self.claim(now, shard),
             Action::Claim => {}
             Action::Renew => {
                 if let Some(owner) = &mut state.owner {
@@ -239,17 +245,19 @@
         });
     }
 
-    fn claim(&mut self, shard: ShardId) {
-        let Some(state) = self.shards.get(&shard) else {
+    fn claim(&mut self, now: Time, shard: ShardId) {
+        let Some(state) = self.shards.get_mut(&shard) else {
             return;
         };
         let claim = state.ownership.next_claim();
         let version = state.version;
+        if state.sent_claim.0 != claim.epoch {
+            state.sent_claim = (claim.epoch, now);
+        }
         let context = self.context.clone();
         self.context.spawner.spawn(async move {
-            let sent = clock::now();
             let outcome = commit::write_claim(&context, shard, claim, version).await;
-            let message = Message::Claimed(shard, sent, outcome);
+            let message = Message::Claimed(shard, now, outcome);
             context.send(instance::Message::Manager(message));
         });
     }
@@ -266,35 +274,43 @@
         };
         match outcome {
             Ok((claim, version)) if state.may_start(&claim) => {
-                let epoch = claim.epoch;
-                Line::new(Code::Gained).text("shard", shard).number("epoch", epoch).write();
-                state.ownership.record_renewal(sent, claim);
-                state.version = version;
-                let (Some(config), Some(layout)) = (&self.config, self.layout) else {
-                    return;
-                };
-                let settings = shard::Settings {
-                    tasks_per_record: layout.tasks_per_record,
-                    ..self.settings.shard
-                };
-                state.owner = Some(Owner::start(
-                    self.context.clone(),
-                    owner::OwnedShard {
-                        shard,
-                        epoch,
-                        layout,
-                        claim_version: version,
-                        predecessor_grace: settings.predecessor_grace,
-                    },
-                    settings,
-                    Arc::clone(config),
-                ));
+                self.start_owner(shard, sent, claim, version);
             }
             Ok(_) | Err(None) => {}
             Err(Some(row)) => self.observe(now, shard, Some(&row)),
         }
     }
 
+    /// Begins the ownership of a shard under a claim that was sent at `sent` and is stored with
+    /// `version`.
+    fn start_owner(&mut self, shard: ShardId, sent: Time, claim: Claim, version: Version) {
+        let Some(state) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        let epoch = claim.epoch;
+        Line::new(Code::Gained).text("shard", shard).number("epoch", epoch).write();
+        state.ownership.record_renewal(sent, claim);
+        state.version = version;
+        state.started_epoch = epoch;
+        let (Some(config), Some(layout)) = (&self.config, self.layout) else {
+            return;
+        };
+        let settings =
+            shard::Settings { tasks_per_record: layout.tasks_per_record, ..self.settings.shard };
+        state.owner = Some(Owner::start(
+            self.context.clone(),
+            owner::OwnedShard {
+                shard,
+                epoch,
+                layout,
+                claim_version: version,
+                predecessor_grace: settings.predecessor_grace,
+            },
+            settings,
+            Arc::clone(config),
+        ));
+    }
+
     fn owner(&mut self, shard: ShardId, epoch: u64) -> Option<&mut Owner<P>> {
         let owner = self.shards.get_mut(&shard)?.owner.as_mut()?;
         (owner.epoch() == epoch).then_some(owner)
@@ -352,7 +368,13 @@
             if after_outage {
                 ownership.record_outage(now);
             }
-            let state = ShardState { ownership, version: Version(0), owner: None };
+            let state = ShardState {
+                ownership,
+                version: Version(0),
+                owner: None,
+                sent_claim: (0, Time::ZERO),
+                started_epoch: 0,
+            };
             self.shards.insert(shard, state);
         }
         let claims = subscription(layout, Table::Claims, CLAIMS_BATCH_DELAY);
@@ -417,6 +439,22 @@
             let holder = state.ownership.claim().and_then(|claim| claim.holder.clone());
             state.drop_owner(now, shard, &Loss::Claimed(holder));
         }
+        self.adopt_claim(shard);
+    }
+
+    /// Begins the ownership of a shard whose claim by this process is stored, although the answer
+    /// to the claim was lost or came too late.
+    fn adopt_claim(&mut self, shard: ShardId) {
+        let Some(state) = self.shards.get(&shard) else {
+            return;
+        };
+        let (epoch, sent) = state.sent_claim;
+        let claim = state.ownership.claim().filter(|claim| claim.epoch == epoch);
+        let claim = claim.filter(|claim| state.ownership.is_held() && state.may_start(claim));
+        if let Some(claim) = claim.filter(|_| !self.draining).cloned() {
+            let version = state.version;
+            self.start_owner(shard, sent, claim, version);
+        }
     }
 
     /// Releases a shard by writing `claim`, once its owner has no transaction in progress.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures::stream::{self, StreamExt, TryStreamExt};
 use sycamorerill_core::clock::Span;
 
 use crate::platform::{Error, Platform, Row, Table, Version};
@@ -20,6 +21,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Number of rows requested per page.
 const PAGE_ROWS: u32 = 500;
+/// Maximum number of parts that are read at the same time.
+const MAX_PARALLEL_READS: usize = 16;
 /// Consecutive failures after which the store is reported as unavailable.
 pub(crate) const UNAVAILABLE_AFTER: u32 = 2;
 
@@ -98,30 +101,41 @@
     Ok((Update::Snapshot(rows), version))
 }
 
-/// Reads all rows in the given parts of a table.
+/// Reads all rows in the given parts of a table, several parts at the same time.
 ///
-/// Also returns the version of the store at the first page. Changes after it must be
-/// read to bring the rows up to date.
+/// Also returns the earliest version of the store at the first page of a part. Changes after it
+/// must be read to bring the rows up to date.
 pub(crate) async fn read_all<P: Platform>(
     platform: &P,
     table: Table,
     parts: &[String],
+) -> Result<(Vec<Row>, Version), Error> {
+    let reads = parts.iter().map(|part| read_part(platform, table, part));
+    let read: Vec<(Vec<Row>, Version)> =
+        stream::iter(reads).buffered(MAX_PARALLEL_READS).try_collect().await?;
+    let version = read.iter().map(|(_, version)| *version).min();
+    let rows = read.into_iter().flat_map(|(rows, _)| rows).collect();
+    Ok((rows, version.unwrap_or_default()))
+}
+
+/// Reads all rows in a part of a table, and returns the version of the store at the first page.
+async fn read_part<P: Platform>(
+    platform: &P,
+    table: Table,
+    part: &str,
 ) -> Result<(Vec<Row>, Version), Error> {
     let mut rows = Vec::new();
     let mut version = None;
-    for part in parts {
-        let mut from = String::new();
-        loop {
-            let page = platform.read(table, part, &from, PAGE_ROWS).await?;
-            version.get_or_insert(page.version);
-            let last = page.rows.last().map(|row| row.name.clone());
-            rows.extend(page.rows);
-            match last {
-                // The smallest name greater than `name` in byte order.
-                Some(name) if page.more => from = format!("{name}\0"),
-                _ => break,
-            }
+    let mut from = String::new();
+    loop {
+        let page = platform.read(table, part, &from, PAGE_ROWS).await?;
+        let version = *version.get_or_insert(page.version);
+        let last = page.rows.last().map(|row| row.name.clone());
+        rows.extend(page.rows);
+        match last {
+            // The smallest name greater than `name` in byte order.
+            Some(name) if page.more => from = format!("{name}\0"),
+            _ => return Ok((rows, version)),
         }
     }
-    Ok((rows, version.unwrap_or_default()))
 }
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -208,6 +208,26 @@
     );
 }
 
+/// A store that is slow may perform a claim after its writer has given up on the answer. The writer is
+/// then the owner, whom nobody replaces as long as the others trust its claim, so it must act.
+#[test]
+fn a_claim_that_takes_effect_after_its_last_attempt_begins_an_ownership() {
+    run_test(
+        |spawner, platform| async move {
+            platform.claim_delay_ms.set(4_000);
+            let (a, _) = platform.start_instance(&spawner, "a");
+            wait_until_ready(&a).await;
+            submit_until_accepted(&a, JOB_ID, &job(2)).await;
+            while platform.values(Table::Claims, "owner").is_empty() {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            platform.claim_delay_ms.set(0);
+            wait_for_state(&a, JOB_ID, State::Completed).await;
+        },
+        2,
+    );
+}
+
 /// An owner whose transaction has no answer must learn from the stored sequence row whether
 /// it took effect, and must not start a task again.
 #[test]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -54,6 +54,10 @@
     version: Cell<u64>,
     /// Number of upcoming transactions that are handled but whose answers are lost.
     pub(crate) lost_answers: Cell<u32>,
+    /// Time after which the store performs claims, whose callers get no answer; 0 for at once.
+    pub(crate) claim_delay_ms: Cell<u64>,
+    /// Claims that wait, with the times at which the store performs them.
+    late_claims: RefCell<Vec<(Time, Transaction)>>,
     /// Whether watches that begin now are never answered.
     pub(crate) hang_watches: Cell<bool>,
     /// Run time of a task, in milliseconds.
@@ -111,6 +115,16 @@
         self.history.borrow_mut().push((row_key, Some(value), version));
     }
 
+    fn perform_late_claims(&self) {
+        let now = clock::now();
+        let claims = self.late_claims.take();
+        let (due, later): (Vec<_>, Vec<_>) = claims.into_iter().partition(|(at, _)| *at <= now);
+        self.late_claims.replace(later);
+        for (_, transaction) in due {
+            let _ = self.transact(&transaction);
+        }
+    }
+
     fn version_of(&self, row_key: &RowKey) -> u64 {
         self.rows.borrow().get(row_key).map_or(0, |(_, version)| *version)
     }
@@ -263,6 +277,13 @@
             self.platform.refusals.set(self.platform.refusals.get() - 1);
             return Err(Error::Refused(503));
         }
+        let delay = Span::from_ms(self.platform.claim_delay_ms.get());
+        if delay > Span::ZERO && transaction.writes.iter().any(|(key, _)| key.name == "owner") {
+            let late = (clock::now() + delay, transaction.clone());
+            self.platform.late_claims.borrow_mut().push(late);
+            pause(timeout.as_ms()).await;
+            return Err(Error::Unknown);
+        }
         let done = self.platform.transact(transaction);
         let holds_run = |(key, value): &(Key, Bytes)| {
             key.table == Table::Progress && key.name.starts_with(run::JOB_ID) && value.len() > 2
@@ -307,6 +328,7 @@
         }
         loop {
             self.connect().await?;
+            self.platform.perform_late_claims();
             let changed = self.platform.changes_after(table, after);
             if !changed.is_empty() || clock::now() >= until {
                 let version = Version(self.platform.version.get());
@@ -316,6 +338,10 @@
         }
     }
 
+    fn store_latency(&self) -> Span {
+        Span::ZERO
+    }
+
     fn store_clock(&self) -> Option<StoreClock> {
         let now = clock::now();
         Some(StoreClock { reading: now.since(Time::ZERO), sent: now, received: now })
