node: a submission waits longer for an unknown outcome than for a refusal

An attempt was given up after 0.6 s and repeated while the store still performed it, which doubled the load on its part. Change: an attempt waits for three times the store's recent latency; an outcome that is unknown is followed for 0.8 of the time that the caller waits instead of 1.3 s; refusals are told after 1.3 s as before. The test of a late claim waits until a second claim has ended in vain: in its first form it passed on the former code. Measured: it fails on the former code now (20 s, never completed) and passes here; node's tests pass.

--- a/crates/node/src/frontend/submit.rs
+++ b/crates/node/src/frontend/submit.rs
@@ -14,11 +14,19 @@
 
 /// Time after which a caller may retry a request that had no effect.
 pub(super) const RETRY_AFTER: Span = Span::from_ms(1_000);
-/// Longest time for which a caller waits while the store does not accept a row.
+/// Longest time for which a caller waits while the store refuses a row.
 const STORE_TIMEOUT: Span = Span::from_ms(1_300);
-/// Longest time that one attempt at a transaction may take.
-const ATTEMPT_TIMEOUT: Span = Span::from_ms(600);
-/// Delay before a retry after the store refused a call.
+/// Longest time for which a caller that states none waits while the outcome is unknown. It may not
+/// repeat its request then, so an outcome that comes late is better than none.
+const UNKNOWN_TIMEOUT: Span = Span::from_ms(2_400);
+/// Fraction of the time for which a caller waits in which the outcome has to be known.
+const CALLER_TIMEOUT_FRACTION: f64 = 0.8;
+/// Least timeout of one attempt at a transaction.
+const MIN_ATTEMPT_TIMEOUT: Span = Span::from_ms(600);
+/// Multiple of the time in which the store has responded lately that an attempt waits. An attempt
+/// that is repeated while the store still performs it holds up those behind it.
+const LATENCY_FACTOR: f64 = 3.0;
+/// Delay before a retry after the store refused a call; it grows by as much with each refusal.
 const REFUSED_DELAY: Duration = Duration::from_millis(40);
 /// Number of refusals by the store after which the caller gets a reply.
 const MAX_REFUSALS: u32 = 5;
@@ -75,22 +83,27 @@
     transaction: &Transaction,
     timeout: Option<Span>,
 ) -> Result<Version, Error> {
-    let until = deadline(timeout);
+    let (until, last) = (deadline(timeout), unknown_deadline(timeout));
     let mut unknown = false;
     let mut refused = 0;
     loop {
-        let remaining = until.since(clock::now());
-        let result = context.platform.transact(transaction, remaining.min(ATTEMPT_TIMEOUT)).await;
+        let remaining = last.since(clock::now());
+        let expected = context.platform.store_latency().scale(LATENCY_FACTOR);
+        let attempt = expected.max(MIN_ATTEMPT_TIMEOUT).min(remaining);
+        let result = context.platform.transact(transaction, attempt).await;
         match result {
             Ok(_) | Err(Error::Conflict(_)) => return result,
             Err(ref error) if error.is_permanent() && !unknown => return result,
             Err(Error::Unknown | Error::Malformed(_)) => unknown = true,
             Err(_) => {
                 refused += 1;
-                Timer::after(REFUSED_DELAY).await;
+                Timer::after(REFUSED_DELAY * refused.min(MAX_REFUSALS)).await;
             }
         }
-        let exhausted = clock::now() >= until || refused >= MAX_REFUSALS;
+        let exhausted = match unknown {
+            true => clock::now() >= last,
+            false => clock::now() >= until || refused >= MAX_REFUSALS,
+        };
         match result {
             Err(error) if exhausted && !unknown => return Err(error),
             Err(_) if exhausted => return Err(Error::Unknown),
@@ -99,8 +112,15 @@
     }
 }
 
+/// Returns the time at which a caller is told that nothing was done.
 fn deadline(timeout: Option<Span>) -> Time {
-    clock::now() + timeout.map_or(STORE_TIMEOUT, |span| span.scale(0.8).min(STORE_TIMEOUT))
+    unknown_deadline(timeout).min(clock::now() + STORE_TIMEOUT)
+}
+
+/// Returns the time at which a caller is told that the outcome is unknown.
+fn unknown_deadline(timeout: Option<Span>) -> Time {
+    let waits = timeout.map(|span| span.scale(CALLER_TIMEOUT_FRACTION));
+    clock::now() + waits.map_or(UNKNOWN_TIMEOUT, |waits| waits.min(UNKNOWN_TIMEOUT))
 }
 
 /// Records that a job is cancelled and returns the reply to the caller.
--- a/crates/node/tests/end_to_end.rs
+++ b/crates/node/tests/end_to_end.rs
@@ -221,6 +221,8 @@
             while platform.values(Table::Claims, "owner").is_empty() {
                 Timer::after(Duration::from_millis(20)).await;
             }
+            // The attempts at a second claim, which began before the first one was seen, end in vain.
+            Timer::after(Duration::from_secs(3)).await;
             platform.claim_delay_ms.set(0);
             wait_for_state(&a, JOB_ID, State::Completed).await;
         },
