jobs, node, platform: evacuation of a failure domain

Change: the adapter decodes the row by its key; the manager keeps the set of the latest version, from the watch and from a read of each owner that starts, and passes it to the owners. A shard places, starts and repeats nothing in an evacuated domain: recorded runs without an order are closed, unanswered ones are stopped. The score of a slow executor follows the time that it remains slow and the run time of the task.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! releases a shard. Neither opens a socket or reads a clock.
 
 pub mod config;
+pub mod evacuation;
 pub mod executor;
 pub mod id;
 pub mod overload;
--- a/crates/jobs/src/shard/backlog.rs
+++ b/crates/jobs/src/shard/backlog.rs
@@ -10,6 +10,8 @@
     pub struct Backlog {
         /// Steps with tasks that wait for an executor.
         pub waiting_steps: u64,
+        /// Runs on executors whose failure domain is evacuated.
+        pub evacuated_runs: u64,
         /// Best-effort runs on executors.
         pub best_effort_runs: u64,
         /// Mean limit of these runs, in percent; 100 if there are none.
@@ -28,6 +30,7 @@
         }
         Backlog {
             waiting_steps: self.waiting.len() as u64,
+            evacuated_runs: self.evacuated().runs as u64,
             best_effort_runs: count,
             mean_limit_percent: sum.checked_div(count).unwrap_or(100),
         }
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -19,6 +19,10 @@
     pub(super) present: bool,
     /// Earliest time of departure, if the executor is draining.
     pub(super) leaves_at: Option<Time>,
+    /// Time until which the executor is slow after its start.
+    pub(super) warm_at: Time,
+    /// Whether the executor's failure domain is evacuated, so that nothing starts there.
+    pub(super) is_evacuated: bool,
     /// Lower bound on the executor's clock, and the time at which it was valid.
     pub(super) clock: (Steady, Time),
     /// When the executor last answered this owner.
@@ -105,6 +109,8 @@
             registration,
             present: true,
             leaves_at: None,
+            warm_at: Time::ZERO,
+            is_evacuated: false,
             clock,
             last_answer: Time::ZERO,
             answered_sent: Time::ZERO,
@@ -143,7 +149,7 @@
             tails: BTreeMap::new(),
             forecasts: None,
         };
-        executor.update_departure(now);
+        executor.update_times(now);
         executor
     }
 
@@ -207,7 +213,9 @@
         !self.registration.capacity.covers(&self.used)
     }
 
-    fn update_departure(&mut self, now: Time) {
+    /// Updates the times that the entry gives relative to its arrival.
+    fn update_times(&mut self, now: Time) {
+        self.warm_at = now + self.registration.warm_up;
         self.leaves_at = match (self.registration.availability, self.registration.remaining) {
             (Availability::Draining, Some(remaining)) => Some(now + remaining),
             (Availability::Draining, None) => Some(now),
@@ -218,6 +226,7 @@
     /// Returns whether new runs may be placed on the executor.
     pub(super) fn takes_work(&self) -> bool {
         self.present
+            && !self.is_evacuated
             && self.registration.availability == Availability::Ready
             && self.unreachable_since.is_none()
             && !self.probe_failed
@@ -277,6 +286,7 @@
             let executor = Executor::new(now, registration);
             let executor = Executor { lease_end_recorded: recorded, ..executor };
             self.executors.insert(id.clone(), executor);
+            self.update_evacuated(&id);
             self.probe_candidates.insert(id);
             return;
         };
@@ -292,7 +302,8 @@
         executor.update_clock_from_entry(now, registration.clock);
         executor.registration = registration;
         executor.present = true;
-        executor.update_departure(now);
+        executor.update_times(now);
+        self.update_evacuated(&id);
         self.probe_candidates.insert(id);
     }
 
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -1,5 +1,6 @@
 //! Events that a shard handles and commands that it returns.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,7 +11,7 @@
 use crate::executor::{
     Advice, EndReason, Incarnation, Outcome, Refusal, Registration, Report, Steady, Ticket,
 };
-use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
+use crate::id::{DomainName, ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::{Progress, State};
 use crate::record::RecordId;
 use crate::spec::AcceptedJob;
@@ -20,6 +21,8 @@
     pub enum Event {
         /// A version of the configuration has taken effect.
         Configured(Arc<Config>),
+        /// The set of evacuated failure domains, as it is now.
+        Evacuated(BTreeSet<DomainName>),
         /// A job was accepted.
         Accepted(JobId, Box<AcceptedJob>),
         /// The cancellation of a job was accepted.
@@ -199,6 +202,8 @@
         },
         /// An executor is quarantined: it gets no work for the given time.
         Quarantined(ExecutorId, Span),
+        /// The evacuated failure domains have changed, or the first executor of one has appeared.
+        Evacuated(super::Evacuated),
         /// The processor limit of a run was changed.
         Throttled {
             /// Run and executor.
@@ -240,6 +245,8 @@
         NotSent,
         /// The order to start the run was never sent, as the executor's capacity has shrunk.
         NoCapacity,
+        /// The order to start the run was never sent, as the executor's failure domain is evacuated.
+        Evacuated,
         /// The report to a probe under the current epoch, or after a stop, does not list the
         /// run.
         NotListed,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod drain;
 mod entry;
+mod evacuate;
 mod evidence;
 mod executors;
 mod fit;
@@ -52,6 +53,7 @@
 use crate::record::RecordId;
 
 pub use self::backlog::Backlog;
+pub use self::evacuate::Evacuated;
 pub use self::evidence::{FirstReport, Inherited, Knowledge, LeaseBound};
 pub use self::fit::FitReport;
 pub use self::lease_ends::LeaseEnd;
@@ -86,6 +88,8 @@
     advice: BTreeMap<StepId, advice::StepAdvice>,
     /// Executors that may be due for a probe.
     probe_candidates: BTreeSet<ExecutorId>,
+    /// Failure domains in which nothing starts.
+    evacuation: evacuate::State,
     /// Jobs whose cancellation arrived before their acceptance.
     cancelled_early: BTreeSet<JobId>,
     /// Scheduled jobs with occurrences that have not begun.
@@ -150,6 +154,7 @@
             pending_batch: None,
             advice: BTreeMap::new(),
             probe_candidates: BTreeSet::new(),
+            evacuation: evacuate::State::default(),
             cancelled_early: BTreeSet::new(),
             scheduled: BTreeSet::new(),
             placement_due: false,
@@ -184,6 +189,7 @@
         self.wall_ms = wall_ms;
         match event {
             Event::Configured(config) => self.configure(config),
+            Event::Evacuated(domains) => self.set_evacuated(domains),
             Event::Accepted(job, accepted) => self.handle_accepted(now, job, *accepted),
             Event::Cancelled(job) => self.cancel(now, job),
             Event::Listed(registration) => self.handle_listed(now, *registration),
@@ -252,6 +258,7 @@
         self.close_expired(now);
         self.check_lease_ends(now);
         self.stop_on_draining(now);
+        self.log_evacuated();
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.retry_orders(now);
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -11,7 +11,8 @@
 use crate::spec::Resources;
 
 impl Shard {
-    /// Sends the order to start a run that is recorded, unless the executor may get no lease.
+    /// Sends the order to start a run that is recorded, unless the executor may get no lease
+    /// or its failure domain is evacuated.
     pub(super) fn send_start(&mut self, now: Time, task: &TaskId, run: Run) {
         let lease = self.settings.lease;
         let Some(entry) = self.jobs.get_mut(&task.step.job) else {
@@ -28,7 +29,7 @@
         let Some(executor) = self.executors.get_mut(&open.executor) else {
             return;
         };
-        if !executor.may_extend_lease() {
+        if !executor.may_extend_lease() || executor.is_evacuated {
             return;
         }
         if open.stage == Stage::Recording {
@@ -162,12 +163,13 @@
     }
 
     /// Repeats orders that were not answered in time, and stops runs that were not confirmed on
-    /// executors whose capacity has shrunk.
+    /// executors whose failure domain is evacuated or whose capacity has shrunk.
     pub(super) fn retry_orders(&mut self, now: Time) {
         let pause = self.settings.order_retry;
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         let mut excess = Vec::new();
+        let mut evacuated = Vec::new();
         for executor in self.executors.values() {
             let mut resources_kept = None;
             for PlacedRun { task, step, open, .. } in self.runs_on(executor) {
@@ -181,6 +183,10 @@
                     (Stop::NotRequested, Stage::Unknown)
                         if due && executor.unreachable_since.is_none() =>
                     {
+                        if executor.is_evacuated {
+                            evacuated.push((task, open.run));
+                            continue;
+                        }
                         let kept =
                             resources_kept.get_or_insert_with(|| self.resources_kept(executor));
                         if !executor.registration.capacity.covers(kept) {
@@ -197,6 +203,9 @@
         for (task, run) in starts {
             self.send_start(now, &task, run);
         }
+        for (task, run) in evacuated {
+            self.stop_evacuated(now, &task, run);
+        }
         for (task, run) in excess {
             self.request_stop(now, &task, run);
         }
--- a/crates/jobs/src/shard/score.rs
+++ b/crates/jobs/src/shard/score.rs
@@ -3,6 +3,7 @@
 use sycamorerill_core::clock::Time;
 
 use super::Shard;
+use super::evacuate::warm_up_penalty;
 use super::executors::Executor;
 use super::place::Request;
 use crate::id::{Label, StepId};
@@ -18,8 +19,6 @@
 const SAME_IMAGE_BONUS: f64 = 3.0;
 /// Score of a latency-critical task next to another task of the same step.
 const SAME_STEP_BONUS: f64 = 1.0;
-/// Score deducted for an executor that is still slow after its start.
-const WARM_UP_PENALTY: f64 = 0.5;
 
 impl Shard {
     /// Returns the score of an executor for a task of the step, or `None` if the task may not
@@ -71,7 +70,7 @@
         score -= self.locality_penalty(request, executor);
         score -= if executor.health.is_on_probation() { PROBATION_PENALTY } else { 0.0 };
         score -= if request.suspects { executor.crash_cost(now) } else { 0.0 };
-        score -= if registration.warm_up.as_ms() > 0 { WARM_UP_PENALTY } else { 0.0 };
+        score -= warm_up_penalty(now, executor, step.estimate_ms);
         Some(score)
     }
 
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -236,8 +236,8 @@
         }
     }
 
-    /// Sends the order to start a run that is recorded, unless the run was closed meanwhile or the
-    /// executor's capacity has shrunk below what it holds.
+    /// Sends the order to start a run that is recorded, unless the run was closed meanwhile, the
+    /// executor's failure domain is evacuated, or its capacity has shrunk below what it holds.
     fn start_recorded(&mut self, now: Time, task: &TaskId, run: Run) {
         let found = self.jobs.get(&task.step.job).and_then(|entry| entry.task(task));
         let open = found.and_then(|found| found.open_runs.iter().find(|open| open.run == run));
@@ -245,7 +245,9 @@
             return;
         };
         let executor = self.executors.get(&open.executor);
-        if executor.is_some_and(Executor::is_overcommitted) {
+        if executor.is_some_and(|executor| executor.is_evacuated) {
+            self.close_evacuated(now, task, run);
+        } else if executor.is_some_and(Executor::is_overcommitted) {
             self.close(now, task, run, Closing::NoCapacity);
         } else if executor.is_none_or(|executor| {
             !executor.may_extend_lease() || executor.registration.incarnation != open.incarnation
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -43,6 +43,9 @@
     pub(crate) lapsed_end: u64,
     pub(crate) highest_runs: BTreeMap<TaskId, Run>,
     pub(crate) capacity: Resources,
+    pub(crate) domain: &'static str,
+    /// Time until which the entry says that the executor is slow.
+    pub(crate) warm_at: Time,
     /// Whether the executor receives orders and answers them.
     pub(crate) reachable: bool,
     /// Epochs of the owners that do not reach the executor.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -65,6 +65,8 @@
     pub(crate) binds_orders: bool,
     /// Whether the order that is carried out was delayed.
     delivers_late: bool,
+    /// Failure domains that are evacuated, as the owner and its successors know them.
+    pub(crate) evacuated: BTreeSet<DomainName>,
     /// Violated guarantees, such as two runs of a task at once.
     pub(crate) violations: Vec<String>,
     /// Whether each start is checked against the runs of all executors.
@@ -154,6 +156,7 @@
             delayed_orders: Vec::new(),
             binds_orders: true,
             delivers_late: false,
+            evacuated: BTreeSet::new(),
             violations: Vec::new(),
             checks_all_executors: true,
             shares_processors: false,
@@ -199,6 +202,8 @@
             lapsed_end: 0,
             highest_runs: BTreeMap::new(),
             capacity: Resources { cpu: 8_000, memory: 32_000, accelerators: 0 },
+            domain: "d",
+            warm_at: Time::ZERO,
             reachable: true,
             unreached_by: BTreeSet::new(),
             loses_answers: false,
@@ -238,9 +243,9 @@
             incarnation: Incarnation(executor.incarnation),
             address: executor.address,
             service: ServiceName::from("s"),
-            domain: DomainName::from("d"),
+            domain: DomainName::from(executor.domain),
             availability: Availability::Ready,
-            warm_up: Span::ZERO,
+            warm_up: executor.warm_at.since(self.now),
             remaining: None,
             capacity: executor.capacity,
             labels: vec![Label::from("a"), Label::from("r1")],
@@ -281,6 +286,21 @@
         self.handle(Event::Cancelled(id));
     }
 
+    /// Replaces the set of evacuated domains.
+    pub(crate) fn evacuate(&mut self, domains: &[&str]) {
+        self.evacuated = domains.iter().map(|domain| DomainName::from(*domain)).collect();
+        self.handle(Event::Evacuated(self.evacuated.clone()));
+    }
+
+    /// Notes a violation if a start is ordered in an evacuated domain.
+    fn check_domain(&mut self, id: &ExecutorId) {
+        let domain = DomainName::from(self.executors[id].domain);
+        if self.evacuated.contains(&domain) && !self.acts_as_former {
+            let at = self.now.as_ms();
+            self.violations.push(format!("{at} a start is ordered on {id} in {domain}"));
+        }
+    }
+
     /// Replaces the owner with a successor that starts from the records.
     pub(crate) fn take_over(&mut self) {
         self.epoch += 1;
@@ -304,6 +324,7 @@
     /// Begins with an empty shard and the executors that are listed.
     pub(crate) fn restart_shard(&mut self) {
         self.shard = Shard::new(self.settings, Arc::clone(&self.config));
+        self.handle(Event::Evacuated(self.evacuated.clone()));
         let listed = self.executors.values().filter(|executor| !executor.unlisted);
         let ids: Vec<ExecutorId> = listed.map(|executor| executor.id.clone()).collect();
         for id in ids {
@@ -422,6 +443,7 @@
             }
             Command::Start { ref order, address, .. } => {
                 let order = order.clone();
+                self.check_domain(&order.executor);
                 let outcome = self.deliver(&order.executor, address, command.clone());
                 self.handle(Event::Started(order, outcome));
             }
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -13,13 +13,14 @@
 use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
 use sycamorerill_core::data;
 use sycamorerill_jobs::config::Config;
+use sycamorerill_jobs::evacuation;
 use sycamorerill_jobs::id::InstanceName;
 
 use crate::clock;
 use crate::frontend::{self, Frontend, Reply, Request};
 use crate::log::{Code, Line};
 use crate::metrics::Metrics;
-use crate::platform::{Platform, Table};
+use crate::platform::{Platform, Table, Version};
 use crate::shards::{self, Manager};
 use crate::watch::{Subscription, Update, watch};
 
@@ -66,6 +67,7 @@
     Frontend(frontend::Message),
     Manager(shards::Message),
     Configured(Arc<Config>),
+    Evacuations(evacuation::Update),
     Tick,
 }
 
@@ -102,7 +104,7 @@
     {
         let context = self.clone();
         let platform = Rc::clone(&self.platform);
-        self.spawner.spawn_cancellable(watch(platform, subscription, move |update| {
+        self.spawner.spawn_cancellable(watch(platform, subscription, move |update, _| {
             context.send(message(update))
         }))
     }
@@ -221,10 +223,14 @@
     instance
 }
 
-/// Watches the rows written by operators and forwards each configuration.
+/// Watches the rows written by operators and forwards evacuations and configurations.
+///
+/// The evacuations of an update are sent before its configuration: no shard is claimed without a
+/// configuration, so that each owner knows the evacuations.
 async fn watch_config<P: Platform>(context: Context<P>, status: Rc<Status>) {
     let platform = Rc::clone(&context.platform);
-    let on_update = move |update: Update| {
+    let on_update = move |update: Update, version: Version| {
+        let is_complete = matches!(update, Update::Snapshot(_));
         let (Update::Snapshot(rows) | Update::Changed(rows)) = update else {
             context.metrics.set_store_up(false);
             if status.store_available.replace(false) {
@@ -236,6 +242,11 @@
         if !status.store_available.replace(true) {
             Line::new(Code::Store).text("state", "back").write();
         }
+        let changes = shards::evacuation_changes(&*context.platform, &rows);
+        if is_complete || !changes.is_empty() {
+            let update = evacuation::Update { is_complete, changes, version: version.0 };
+            context.send(Message::Evacuations(update));
+        }
         for row in rows {
             match context.platform.parse_config(&row) {
                 Ok(Some(config)) => context.send(Message::Configured(Arc::new(config))),
@@ -290,6 +301,9 @@
                 Message::Frontend(message) => call!([frontend], handle(message)),
                 Message::Manager(message) => call!([manager], handle(message)),
                 Message::Tick => call!([manager], handle(shards::Message::Tick)),
+                Message::Evacuations(update) => {
+                    call!([manager], handle(shards::Message::Evacuations(update)));
+                }
                 Message::Configured(received) => {
                     if is_newer(config.borrow().as_deref(), &received) {
                         *config.borrow_mut() = Some(Arc::clone(&received));
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/lines.rs
@@ -1,15 +1,23 @@
 //! The log lines of owned shards. Each names the epoch where it tells which owner did something.
 
+use std::collections::BTreeSet;
+
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::data;
 use sycamorerill_jobs::executor::Outcome;
-use sycamorerill_jobs::id::{ExecutorId, InstanceName, ShardId};
+use sycamorerill_jobs::id::{DomainName, ExecutorId, InstanceName, ShardId};
 use sycamorerill_jobs::shard::{
-    Closing, Decision, Event, FirstReport, FitReport, Inherited, Knowledge, LeaseBound, Order,
+    Closing, Decision, Evacuated, Event, FirstReport, FitReport, Inherited, Knowledge, LeaseBound,
+    Order,
 };
 
 use crate::log::{Code, Line};
 
+/// Maximum number of names of failure domains in a field.
+const MAX_NAMES: usize = 16;
+/// Maximum number of characters of each of them.
+const MAX_NAME_CHARS: usize = 64;
+
 data! {
     /// Why an instance no longer owns a shard.
     pub enum Loss {
@@ -61,11 +69,31 @@
         Decision::Unknown { order, incarnation } => {
             run(Code::Unknown, shard, order).number("epoch", epoch).number("born", incarnation.0)
         }
+        Decision::Evacuated(evacuated) => {
+            evacuation(owner(Code::Evacuated, shard, epoch), evacuated)
+        }
         Decision::Inherited(found) => inherited(owner(Code::Inherited, shard, epoch), found),
         Decision::Fenced(report) => fenced(owner(Code::Fenced, shard, epoch), report),
     }
 }
 
+fn evacuation(line: Line, evacuated: &Evacuated) -> Line {
+    line.text("domains", names(&evacuated.domains))
+        .number("count", evacuated.domains.len() as u64)
+        .number("executors", evacuated.executors as u64)
+        .number("runs", evacuated.runs as u64)
+        .text("unknown", names(&evacuated.unknown))
+        .text("none_left", evacuated.is_everywhere)
+}
+
+/// Returns the first names of a set, cut where they are long: operators choose their number and
+/// length.
+fn names(domains: &BTreeSet<DomainName>) -> String {
+    let listed = domains.iter().take(MAX_NAMES);
+    let cut = |domain: &DomainName| domain.as_str().chars().take(MAX_NAME_CHARS).collect();
+    listed.map(cut).collect::<Vec<String>>().join(" ")
+}
+
 fn inherited(line: Line, found: &Inherited) -> Line {
     let line = line
         .text("executor", &found.executor)
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -76,6 +76,8 @@
     Yielded,
     /// How well an owner of shards keeps up.
     Load,
+    /// The evacuated failure domains have changed, or a row that names none was found.
+    Evacuated,
     /// The store became unavailable or available again, or rejects a transaction for good.
     Store,
     /// The store rejects a row for good; the job whose record it is does not go on.
@@ -88,7 +90,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -112,6 +114,7 @@
         Self::Layout,
         Self::Yielded,
         Self::Load,
+        Self::Evacuated,
         Self::Store,
         Self::Rejected,
         Self::Config,
@@ -144,6 +147,7 @@
             Self::Layout => 1402,
             Self::Yielded => 1403,
             Self::Load => 1404,
+            Self::Evacuated => 1405,
             Self::Store => 1420,
             Self::Rejected => 1421,
             Self::Config => 1500,
@@ -177,6 +181,7 @@
             Self::Layout => "shard.layout",
             Self::Yielded => "shard.yielded",
             Self::Load => "shard.load",
+            Self::Evacuated => "domains.evacuated",
             Self::Store => "store.state",
             Self::Rejected => "row.rejected",
             Self::Config => "config.state",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -65,6 +65,8 @@
     shards: Gauge,
     ticks_percent: Gauge,
     inbox: Gauge,
+    evacuated_domains: Gauge,
+    evacuated_runs: Gauge,
     version: Gauge,
     store_up: Gauge,
     dropped_lines: Gauge,
@@ -96,6 +98,8 @@
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
             inbox: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_runs: Gauge::default(),
             version: Gauge::default(),
             store_up: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -122,6 +126,10 @@
         registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
         let help = "Messages that wait for the actors of an owner of shards";
         registry.register("owner_inbox", help, self.inbox.clone());
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, self.evacuated_domains.clone());
+        let help = "Runs of owned shards on executors in evacuated failure domains";
+        registry.register("evacuated_runs", help, self.evacuated_runs.clone());
         registry.register("config_version", "Configuration in force", self.version.clone());
         registry.register("store_up", "Whether the store answers", self.store_up.clone());
         let help = "Lines that the log had no room for";
@@ -193,9 +201,21 @@
         self.inbox.set(i64::try_from(inbox).unwrap_or(i64::MAX));
     }
 
-    /// Sets the values of [`Self::set_load`] to those of an instance that owns no shard.
+    /// Sets the values of [`Self::set_load`] and [`Self::set_evacuated_runs`] to those of an instance
+    /// that owns no shard.
     pub(crate) fn clear_load(&self) {
         self.set_load(100, 0);
+        self.set_evacuated_runs(0);
+    }
+
+    /// Sets the number of evacuated failure domains.
+    pub(crate) fn set_evacuated_domains(&self, number: usize) {
+        self.evacuated_domains.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of runs of owned shards in evacuated failure domains.
+    pub(crate) fn set_evacuated_runs(&self, number: u64) {
+        self.evacuated_runs.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
     /// Sets the version of the configuration in force.
@@ -231,7 +251,9 @@
         Closing::Ended(EndReason::Broken) => "broken",
         Closing::Ended(EndReason::Alone) => "alone",
         Closing::Refused(_) => "refused",
-        Closing::NotSent | Closing::NotRecorded | Closing::NoCapacity => "not_ordered",
+        Closing::NotSent | Closing::NotRecorded | Closing::NoCapacity | Closing::Evacuated => {
+            "not_ordered"
+        }
         Closing::NotListed => "not_listed",
         Closing::Gone | Closing::Replaced => "executor_gone",
         Closing::GangDone => "gang_done",
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -11,7 +11,7 @@
 use sycamorerill_jobs::executor::{
     Advice, Incarnation, Outcome, Registration, Report, Steady, Ticket,
 };
-use sycamorerill_jobs::id::{ExecutorId, Run, StepId, TaskId};
+use sycamorerill_jobs::id::{DomainName, ExecutorId, Run, StepId, TaskId};
 
 value! {
     /// Tables of the platform's store.
@@ -24,7 +24,8 @@
         States,
         /// Claims on shards, and the layout.
         Claims,
-        /// Rows that operators declare, such as the configuration; only they write them.
+        /// Rows that operators declare, such as the configuration and evacuations; only they write
+        /// them.
         Operator,
         /// Entries of executors; only they write them.
         Executors,
@@ -285,6 +286,10 @@
     /// Parses the entry of an executor; returns none if the row holds no usable entry.
     fn parse_executor(&self, row: &Row) -> Option<Registration>;
 
+    /// Returns the failure domain that a row evacuates as long as it exists, whatever its value;
+    /// returns none if the row is another one.
+    fn parse_evacuation(&self, row: &Row) -> Option<DomainName>;
+
     /// Parses the configuration; returns none if the row is another one.
     ///
     /// # Errors
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -1,6 +1,7 @@
 //! Claims shards, drives the owned ones and releases them.
 
 mod commit;
+mod evacuations;
 mod execute;
 mod lease_row;
 mod load;
@@ -18,6 +19,7 @@
 use sycamorerill_core::clock::Time;
 use sycamorerill_core::data;
 use sycamorerill_jobs::config::Config;
+use sycamorerill_jobs::evacuation::{self, Evacuations};
 use sycamorerill_jobs::id::{InstanceName, ShardId};
 use sycamorerill_jobs::overload::TickMonitor;
 use sycamorerill_jobs::ownership::{self, Action, Claim, Load, Ownership};
@@ -36,6 +38,7 @@
 use crate::watch::{Subscription, Update};
 use crate::{clock, instance};
 
+pub(crate) use self::evacuations::changes as evacuation_changes;
 pub(crate) use self::recovery::agree_on_layout;
 
 data! {
@@ -60,6 +63,7 @@
 /// A message to the [`Manager`] actor.
 pub(crate) enum Message {
     Configured(Arc<Config>),
+    Evacuations(evacuation::Update),
     /// The layout, and whether the store was unavailable before it was read.
     LayoutAgreed(Layout, bool),
     Claims(Update),
@@ -113,6 +117,8 @@
     status: Rc<Status>,
     started_ms: u64,
     config: Option<Arc<Config>>,
+    /// Evacuated failure domains; the last known ones while the store is away.
+    evacuations: Evacuations,
     layout: Option<Layout>,
     shards: BTreeMap<ShardId, ShardState<P>>,
     draining: bool,
@@ -137,6 +143,7 @@
             status,
             started_ms: clock::wall_ms(),
             config: None,
+            evacuations: Evacuations::default(),
             layout: None,
             shards: BTreeMap::new(),
             draining: false,
@@ -150,13 +157,15 @@
         let now = clock::now();
         match message {
             Message::Configured(config) => self.configure(now, config),
+            Message::Evacuations(update) => self.evacuate(now, update),
             Message::LayoutAgreed(layout, after_outage) => {
                 self.set_layout(now, layout, after_outage);
             }
             Message::Claims(update) => self.update_claims(now, update),
             Message::Claimed(shard, sent, outcome) => self.finish_claim(now, shard, sent, outcome),
             Message::ClaimRead(shard, row) => self.observe(now, shard, row.as_ref()),
-            Message::Recovered(shard, epoch, recovered) => {
+            Message::Recovered(shard, epoch, mut recovered) => {
+                self.evacuate(now, std::mem::take(&mut recovered.evacuations));
                 if let Some(owner) = self.owner(shard, epoch) {
                     owner.restore(now, *recovered);
                 }
@@ -297,7 +306,7 @@
         };
         let settings =
             shard::Settings { tasks_per_record: layout.tasks_per_record, ..self.settings.shard };
-        state.owner = Some(Owner::start(
+        let mut owner = Owner::start(
             self.context.clone(),
             owner::OwnedShard {
                 shard,
@@ -308,7 +317,10 @@
             },
             settings,
             Arc::clone(config),
-        ));
+        );
+        let domains = self.evacuations.domains().clone();
+        owner.handle_event(clock::now(), Event::Evacuated(domains));
+        state.owner = Some(owner);
     }
 
     fn owner(&mut self, shard: ShardId, epoch: u64) -> Option<&mut Owner<P>> {
--- a/crates/node/src/shards/recovery.rs
+++ b/crates/node/src/shards/recovery.rs
@@ -4,14 +4,15 @@
 
 use async_io::Timer;
 use sycamorerill_core::clock::Span;
+use sycamorerill_jobs::evacuation;
 use sycamorerill_jobs::executor::Registration;
 use sycamorerill_jobs::id::ShardId;
 use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::Records;
 use sycamorerill_jobs::spec::AcceptedJob;
 
-use super::Message;
 use super::lease_row::LeaseRow;
+use super::{Message, evacuations};
 use crate::frontend::{decode, encode};
 use crate::instance::{self, Context};
 use crate::layout::{self, AcceptedRow, Layout};
@@ -43,6 +44,8 @@
     pub(crate) records: Records,
     pub(super) leases: LeaseRow,
     pub(crate) executors: Vec<Registration>,
+    /// Evacuated failure domains. The watch may know them later than this read.
+    pub(super) evacuations: evacuation::Update,
     pub(crate) accepted_after: Version,
     pub(crate) executors_after: Version,
 }
@@ -71,11 +74,18 @@
     let shard_parts = [layout::shard_part(shard)];
     let accepted_parts = layout.parts(Table::Accepted);
     let executor_parts = layout.parts(Table::Executors);
-    let (progress, accepted, executors) = futures::try_join!(
+    let operator_parts = [String::new()];
+    let (progress, accepted, executors, operator) = futures::try_join!(
         read_all(platform, Table::Progress, &shard_parts),
         read_all(platform, Table::Accepted, &accepted_parts),
         read_all(platform, Table::Executors, &executor_parts),
+        read_all(platform, Table::Operator, &operator_parts),
     )?;
+    let evacuated = evacuation::Update {
+        is_complete: true,
+        changes: evacuations::changes(platform, &operator.0),
+        version: operator.1.0,
+    };
     let mut records = Records::default();
     for row in &accepted.0 {
         match AcceptedRow::parse(&row.name) {
@@ -105,7 +115,14 @@
     let leases = progress.0.iter().find(|row| row.name == layout::LEASES);
     let leases = leases.and_then(decode).unwrap_or_default();
     let executors = executors_of(platform, &executors.0, shard, layout);
-    Ok(Recovered { records, leases, executors, accepted_after, executors_after })
+    Ok(Recovered {
+        records,
+        leases,
+        executors,
+        evacuations: evacuated,
+        accepted_after,
+        executors_after,
+    })
 }
 
 fn executors_of<P: Platform>(
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -49,11 +49,12 @@
     pub(crate) batch_delay: Duration,
 }
 
-/// Watches a table and passes each update to `on_update`; never returns.
+/// Watches a table and passes each update to `on_update`, with the version of the store up to which
+/// it is complete; never returns.
 pub(crate) async fn watch<P: Platform>(
     platform: Rc<P>,
     subscription: Subscription,
-    on_update: impl Fn(Update),
+    on_update: impl Fn(Update, Version),
 ) {
     let Subscription { table, parts, mut after, batch_delay } = subscription;
     let mut failures = 0;
@@ -66,7 +67,7 @@
             Ok((update, version)) => {
                 failures = 0;
                 after = Some(version);
-                on_update(update);
+                on_update(update, version);
                 if batch_delay > Duration::ZERO {
                     Timer::after(batch_delay).await;
                 }
@@ -75,7 +76,7 @@
             Err(_) => {
                 failures += 1;
                 if failures >= UNAVAILABLE_AFTER {
-                    on_update(Update::Unavailable);
+                    on_update(Update::Unavailable, after.unwrap_or_default());
                 }
                 Timer::after(RETRY_DELAY).await;
             }
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -1,12 +1,15 @@
 //! The log's queue must drop lines, not block, when its reader stalls. Lines of owned shards must
 //! tell which owner did what on which evidence.
 
+use std::collections::BTreeSet;
+
 use serde_json::{Value, json};
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::executor::{EndReason, Incarnation, Outcome, Refusal, Steady};
-use sycamorerill_jobs::id::{ExecutorId, InstanceName, JobId, Run, ShardId, StepId};
+use sycamorerill_jobs::id::{DomainName, ExecutorId, InstanceName, JobId, Run, ShardId, StepId};
 use sycamorerill_jobs::shard::{
-    Closing, Decision, Event, FirstReport, Inherited, Knowledge, LeaseBound, Order, Probe,
+    Closing, Decision, Evacuated, Event, FirstReport, Inherited, Knowledge, LeaseBound, Order,
+    Probe,
 };
 use sycamorerill_node::lines::{self, Loss};
 use sycamorerill_node::log::{Code, Line, Queue};
@@ -99,6 +102,7 @@
     for by in [
         Closing::NotSent,
         Closing::NoCapacity,
+        Closing::Evacuated,
         Closing::NotRecorded,
         Closing::NotListed,
         Closing::Gone,
@@ -121,6 +125,24 @@
     }
 }
 
+/// Operators choose the number and the length of the names, and the line must stay short.
+#[test]
+fn the_line_of_an_evacuation_is_bounded() {
+    let domains: BTreeSet<DomainName> = BTreeSet::from(["north".into(), "south".into()]);
+    let unknown = BTreeSet::from(["south".into()]);
+    let evacuated = Evacuated { domains, unknown, executors: 3, runs: 4, is_everywhere: false };
+    let line = lines::decision(SHARD, 7, &Decision::Evacuated(evacuated.clone()));
+    let fields = json!({
+        "shard": "s0", "epoch": 7, "domains": "north south", "count": 2, "executors": 3, "runs": 4,
+        "unknown": "south", "none_left": "false",
+    });
+    assert_fields(&line, Code::Evacuated, fields);
+    let names: Vec<String> = (0..500).map(|n| format!("{n}{}", "\u{e9}".repeat(200))).collect();
+    let domains: BTreeSet<DomainName> = names.iter().map(|name| name.as_str().into()).collect();
+    let many = Evacuated { unknown: domains.clone(), domains, ..evacuated };
+    assert!(lines::decision(SHARD, 7, &Decision::Evacuated(many)).to_string().len() < 8_000);
+}
+
 #[test]
 fn lines_of_runs_tell_the_epoch_and_the_incarnation() {
     let incarnation = Incarnation(5);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -44,6 +44,9 @@
 /// Time that a watch may take in addition to its wait before the platform adapter fails it.
 const WATCH_SLACK_MS: u64 = 500;
 
+/// Start of the names of rows that evacuate failure domains.
+pub(crate) const EVACUATION: &str = "evacuated:";
+
 type RowKey = (Table, String, String);
 
 /// The store and the executors, shared by all instances of a test.
@@ -60,6 +63,10 @@
     late_claims: RefCell<Vec<(Time, Transaction)>>,
     /// Whether watches that begin now are never answered.
     pub(crate) hang_watches: Cell<bool>,
+    /// Whether watches of operators' rows that begin now are never answered.
+    pub(crate) hang_operator_watches: Cell<bool>,
+    /// Version up to which the store has discarded its history.
+    discarded: Cell<u64>,
     /// Run time of a task, in milliseconds.
     pub(crate) run_ms: Cell<u64>,
     /// Number of upcoming transactions that are refused.
@@ -125,6 +132,19 @@
         }
     }
 
+    /// Removes a row; the removal is not in the history if that is lost.
+    pub(crate) fn remove(&self, table: Table, name: &str, history_lost: bool) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let row_key = (table, String::new(), name.to_owned());
+        self.rows.borrow_mut().remove(&row_key);
+        if history_lost {
+            self.discarded.set(version);
+        } else {
+            self.history.borrow_mut().push((row_key, None, version));
+        }
+    }
+
     fn version_of(&self, row_key: &RowKey) -> u64 {
         self.rows.borrow().get(row_key).map_or(0, |(_, version)| *version)
     }
@@ -322,13 +342,17 @@
 
     async fn watch(&self, table: Table, after: Version, wait: Span) -> Result<Changes, Error> {
         let until = clock::now() + wait;
-        if self.platform.hang_watches.get() {
+        let hangs_operator = self.platform.hang_operator_watches.get();
+        if self.platform.hang_watches.get() || (hangs_operator && table == Table::Operator) {
             pause(wait.as_ms() + WATCH_SLACK_MS).await;
             return Err(Error::Unknown);
         }
         loop {
             self.connect().await?;
             self.platform.perform_late_claims();
+            if after.0 < self.platform.discarded.get() {
+                return Err(Error::HistoryGone);
+            }
             let changed = self.platform.changes_after(table, after);
             if !changed.is_empty() || clock::now() >= until {
                 let version = Version(self.platform.version.get());
@@ -434,6 +458,10 @@
         })
     }
 
+    fn parse_evacuation(&self, row: &Row) -> Option<DomainName> {
+        row.name.strip_prefix(EVACUATION).map(DomainName::from)
+    }
+
     fn parse_config(&self, row: &Row) -> Result<Option<Config>, String> {
         let Some(value) = row.value.as_ref().filter(|_| row.name == "config") else {
             return Ok(None);
