jobs: the test of a domain that is taken back covers the time between full passes

Cause: without the hint that the executors are free again, the test passed: the next pass tried all of them. Change: domains are taken back at ten times between two such passes. The guard in send_start alone is not tested; the one before it covers it.

--- a/crates/jobs/tests/evacuation.rs
+++ b/crates/jobs/tests/evacuation.rs
@@ -191,8 +191,17 @@
     let lines = logged(&sim);
     assert!(lines.last().is_some_and(|line| line.is_everywhere && line.executors == 4));
     sim.evacuate(&["south"]);
-    sim.advance(Span::from_ms(100));
+    sim.advance(Span::from_ms(20));
     assert_eq!((runs_in(&sim, "north"), sim.run_count()), (4, 4));
+    // At any time between two passes that try all executors.
+    for id in 10..20 {
+        sim.evacuate(&["south", "north"]);
+        sim.submit(job(id), vec![step(1)]);
+        sim.advance(Span::from_ms(10 * id));
+        sim.evacuate(&["south"]);
+        sim.advance(Span::from_ms(20));
+        assert_eq!(sim.executors_running(&task(id, 0)).len(), 1, "job {id}");
+    }
     assert_no_violations(&sim);
 }
 
