platform: acknowledgements of run ends go only to the incarnation that numbered them

Cause: a probe without a deadline was its own identifying call, so its `last_seen` reached whatever process listened.

Change: a probe with an acknowledgement is bound to its incarnation, as one with a deadline is.

The simulation binds acknowledgements in the same way.

--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -138,7 +138,8 @@
             probe: Probe,
             /// Address of the executor.
             address: SocketAddr,
-            /// Incarnation to whose clock the deadline belongs; no other one may receive it.
+            /// Incarnation to whose clock the deadline belongs and that has numbered the acknowledged
+            /// run ends; no other one may receive them.
             incarnation: Incarnation,
             /// Number up to which run ends are recorded, so that the executor may discard them.
             acknowledged: u64,
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -468,9 +468,10 @@
                 if executor.address != address {
                     return self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
                 }
-                // A deadline reaches only the incarnation that it names.
+                // A deadline or an acknowledgement reaches only the incarnation that it names.
                 let is_right = !self.binds_orders || executor.incarnation == incarnation.0;
                 let deadline = deadline.filter(|_| is_right);
+                let acknowledged = if is_right { acknowledged } else { 0 };
                 self.start_probe(probe, acknowledged, deadline, wait);
             }
             Command::Log(decision) => {
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -185,8 +185,8 @@
     /// A request for an executor's running and ended runs.
     #[derive(Copy)]
     pub struct Probe {
-        /// Incarnation to whose clock the deadline belongs. The probe goes without it to any other
-        /// one.
+        /// Incarnation to whose clock the deadline belongs and that has numbered the acknowledged run
+        /// ends. The probe goes without them to any other one.
         pub incarnation: Incarnation,
         /// Number of the last recorded end; the executor may discard ends up to it.
         pub acknowledged: u64,
