jobs: a run that was closed and is reported as done completes its task

Cause: a run that ended as done on an executor out of reach is closed when the leases there have ended.

Change: a reported end as done counts whether or not its run is open, if the task has had a run of that number. The number is recorded before a start, so no memory of closed runs is needed and it holds after a takeover. A waiting task is done, a run that is being recorded is dropped, and a run that may have begun is stopped. Of a gang only runs with the same number end with one reported end; later ones are stopped.

--- a/crates/jobs/src/shard/evidence.rs
+++ b/crates/jobs/src/shard/evidence.rs
@@ -30,7 +30,8 @@
     /// What an owner knew of a run when it closed the run.
     #[derive(Copy)]
     pub struct Knowledge {
-        /// Progress of the order to start the run: recording, sent, unknown, running or inherited.
+        /// Progress of the order to start the run: recording, sent, unknown, running or inherited; or
+        /// closed, if the run was closed before.
         pub stage: &'static str,
         /// Incarnation of the executor that the run is ascribed to.
         pub born: Incarnation,
@@ -92,6 +93,15 @@
         }
     }
 
+    /// Returns what is known of a run that was closed before, when executor `id` reports its end.
+    pub(super) fn knowledge_of_closed(&self, now: Time, id: &ExecutorId) -> Knowledge {
+        let executor = self.executors.get(id);
+        let born = executor.map_or(Incarnation(0), |found| found.registration.incarnation);
+        let answered = executor.map_or(Time::ZERO, |found| found.last_answer);
+        let age = now.since(answered.max(self.restored_at));
+        Knowledge { stage: "closed", born, born_now: born, age }
+    }
+
     /// Returns the evidence that the runs on an executor out of reach are over, if there is any.
     pub(super) fn evidence_of_expiry(&self, now: Time, executor: &Executor) -> Option<Closing> {
         let waited = now.since(self.restored_at);
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -6,7 +6,7 @@
 use super::message::{Closing, Decision, Order};
 use super::rank::Rank;
 use super::{Command, Shard};
-use crate::executor::{EndReason, RunEnd};
+use crate::executor::EndReason;
 use crate::id::{ExecutorId, JobId, Run, StepId, TaskId};
 use crate::progress::State;
 use crate::record::MAX_OPEN_OCCURRENCES;
@@ -185,22 +185,6 @@
         self.send_requested_stops(now, id);
     }
 
-    /// Handles the end of a run that an executor reports.
-    pub(super) fn handle_end(&mut self, now: Time, id: &ExecutorId, ended: &RunEnd) {
-        let Some(entry) = self.jobs.get_mut(&ended.task.step.job) else {
-            return;
-        };
-        let Some(task) = entry.task_mut(&ended.task) else {
-            return;
-        };
-        let known = task.open_runs.iter().any(|o| o.run == ended.run && o.executor == *id);
-        if !known {
-            return;
-        }
-        task.set_checkpoint(&ended.checkpoint);
-        self.close(now, &ended.task, ended.run, Closing::Ended(ended.reason));
-    }
-
     /// Closes a run on evidence, and queues its task again if the task is not done.
     pub(super) fn close(&mut self, now: Time, task: &TaskId, run: Run, by: Closing) {
         let crash = self.crash_involvement(task, run, by);
@@ -211,7 +195,7 @@
         self.mark_changed(task);
         self.placement_due = true;
         match by {
-            Closing::Ended(EndReason::Done) => self.task_done(now, task, &executor),
+            Closing::Ended(EndReason::Done) => self.task_done(now, task, run, &executor),
             Closing::Ended(EndReason::Failed) => self.task_failed(now, task, &executor),
             _ => {
                 if let Some(involvement) = crash {
@@ -251,7 +235,8 @@
         Some(open)
     }
 
-    fn task_done(&mut self, now: Time, id: &TaskId, executor: &ExecutorId) {
+    /// Handles the reported end of a run that has finished the work of its task.
+    pub(super) fn task_done(&mut self, now: Time, id: &TaskId, run: Run, executor: &ExecutorId) {
         if let Some(executor) = self.executors.get_mut(executor) {
             executor.health.succeeded();
         }
@@ -278,12 +263,12 @@
         for task in &done {
             self.mark_changed(task);
         }
-        for (task, run) in others {
-            if gang {
+        for (task, other) in others {
+            if gang && other == run {
                 // The members of a gang end together, so one reported end counts for all.
-                self.end_run(now, &task, run, Closing::GangDone);
+                self.end_run(now, &task, other, Closing::GangDone);
             } else {
-                self.request_stop(now, &task, run);
+                self.request_stop(now, &task, other);
             }
         }
         let steps = self.jobs.get(&id.step.job).and_then(|e| e.step(id.step));
@@ -315,7 +300,7 @@
     }
 
     /// Removes an occurrence that is finished and has no open runs.
-    fn remove_finished_occurrence(&mut self, id: JobId, number: u32) {
+    pub(super) fn remove_finished_occurrence(&mut self, id: JobId, number: u32) {
         let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.finished.contains(number))
         else {
             return;
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod crash;
 mod drain;
+mod ends;
 mod entry;
 mod evacuate;
 mod evidence;
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -107,7 +107,7 @@
     last_recorded: Time,
 }
 
-pub(crate) fn job(id: u64) -> JobId {
+pub(crate) const fn job(id: u64) -> JobId {
     JobId(id)
 }
 
@@ -185,7 +185,7 @@
         sim
     }
 
-    fn add_executor(&mut self, number: u32) {
+    pub(crate) fn add_executor(&mut self, number: u32) {
         let id = ExecutorId::from(format!("x{number}").as_str());
         let executor = FakeExecutor {
             id: id.clone(),
