jobs: a run that lapsed on a cut-off executor is no crash once the executor answers again

Change: a report that names the incarnation of such runs clears them.

The new test in `crashes.rs` counted two crashes before.

--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Forgets the lapsed runs of an executor that has answered in the incarnation that they were
+    /// started in: it was out of reach and has not crashed.
+    pub(super) fn forget_lapsed(&mut self, id: &ExecutorId, incarnation: Incarnation) {
+        let has_survived =
+            |start: &LapsedStart| start.order.executor == *id && start.incarnation == incarnation;
+        self.lapsed_starts.retain(|start| !has_survived(start));
+    }
+
     /// Returns whether a run of the task has outlasted the time in which it would have crashed its
     /// executor.
     fn has_surviving_run(&self, task: &TaskId) -> bool {
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -131,6 +131,9 @@
             executor.registration.incarnation = reported;
             self.correct_clock(now, id, sent, report.clock);
         }
+        if let Some(incarnation) = report.incarnation {
+            self.forget_lapsed(id, incarnation);
+        }
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -126,6 +126,34 @@
     assert_eq!(fleet.sim.state(1), Some(State::Failed));
 }
 
+/// A run that lapsed behind a partition counted as a crash once its executor crashed later, so that
+/// the job was given up after one crash.
+#[test]
+fn a_run_that_lapsed_behind_a_partition_is_no_crash_when_its_executor_crashes_later() {
+    let mut fleet = Fleet::new(4, &[]);
+    for executor in fleet.sim.executors.values_mut() {
+        executor.run_time = Span::from_secs(20);
+    }
+    fleet.sim.submit(job(1), vec![step(1)]);
+    fleet.advance(Span::from_ms(50));
+    let first = ExecutorId::from(fleet.sim.executors_running(&task(1, 0)).remove(0).as_str());
+    fleet.sim.executor(first.as_str()).reachable = false;
+    // The lease ends, and the task has just started again.
+    while fleet.sim.executors_running(&task(1, 0)).iter().all(|id| *id == first.as_str()) {
+        fleet.advance(Span::from_ms(10));
+    }
+    fleet.sim.executor(first.as_str()).reachable = true;
+    fleet.advance(Span::from_ms(300));
+    let second = ExecutorId::from(fleet.sim.executors_running(&task(1, 0)).remove(0).as_str());
+    assert_ne!(first, second);
+    fleet.crash(&first);
+    fleet.crash(&second);
+    fleet.advance(Span::from_secs(40));
+    let crashes = fleet.sim.log.iter().filter(|line| line.contains("Crashed")).count();
+    assert_eq!(crashes, 1);
+    assert_eq!(fleet.sim.state(1), Some(State::Completed));
+}
+
 /// A lease that lapses behind a partition is no crash.
 #[test]
 fn tasks_whose_executors_are_cut_off_are_not_suspects() {
