jobs: jobs go on when the configuration no longer names their queue

`pending` counted jobs that wait by name.

Change: the settings are those of the name in the configuration, else those last in force, which the owner that sees the change keeps, else those of the acceptance, which the row of the accepted job now holds. No task starts on a service to which no configuration has sent its queue. Jobs that wait are counted at the host and prefix where they were accepted if the configuration does not name their queue; the row that marks a job as queued holds them. Rows of earlier versions are read; after a takeover their jobs wait as before.

The new tests of jobs and node failed before.

--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::data;
 
@@ -48,6 +49,31 @@
     }
 }
 
+data! {
+    /// Settings of a queue that decide how its jobs run, as stored with each job.
+    #[derive(Serialize, Deserialize)]
+    pub struct Terms {
+        service: ServiceName,
+        priority: u32,
+        #[serde(rename = "attempts")]
+        max_attempts: u32,
+        stretch: f64,
+        objective_ms: u64,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        advice: Option<AdviceTerms>,
+    }
+}
+
+data! {
+    /// Settings of the advice service, as stored with each job of a queue with a policy.
+    #[derive(Copy, Serialize, Deserialize)]
+    struct AdviceTerms {
+        query_ms: u64,
+        per_executor_ms: u64,
+        valid_ms: u64,
+    }
+}
+
 data! {
     /// A service, whose executors run tasks.
     #[derive(Copy)]
@@ -100,6 +126,45 @@
     }
 }
 
+impl Terms {
+    /// Returns the settings of a queue.
+    pub fn of(queue: &Queue) -> Self {
+        let advice = queue.advice.map(|advice| AdviceTerms {
+            query_ms: advice.query_time.as_ms(),
+            per_executor_ms: advice.per_executor.as_ms(),
+            valid_ms: advice.valid.as_ms(),
+        });
+        Self {
+            service: queue.service.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts,
+            stretch: queue.stretch,
+            objective_ms: queue.objective.as_ms(),
+            advice,
+        }
+    }
+
+    /// Returns a queue with these settings to which no request is routed.
+    pub(crate) fn into_queue(self, name: &QueueName) -> Queue {
+        let advice = self.advice.map(|advice| AdviceSettings {
+            query_time: Span::from_ms(advice.query_ms),
+            per_executor: Span::from_ms(advice.per_executor_ms),
+            valid: Span::from_ms(advice.valid_ms),
+        });
+        Queue {
+            name: name.clone(),
+            host: String::new(),
+            prefix: String::new(),
+            service: self.service,
+            priority: self.priority,
+            max_attempts: self.max_attempts,
+            stretch: self.stretch,
+            objective: Span::from_ms(self.objective_ms),
+            advice,
+        }
+    }
+}
+
 impl Config {
     /// Returns the queue for a request to `host` and `path`, if there is one.
     ///
--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -226,7 +226,7 @@
             return;
         };
         let long_running = entry.long_running;
-        let queue = self.config.queues.get(&entry.queue);
+        let queue = self.dropped.queue_of(&self.config, entry);
         let max_attempts = queue.map_or(MIN_CRASHES, |queue| queue.max_attempts);
         let Some(task) = entry.task_mut(&order.task) else {
             return;
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -8,6 +8,7 @@
 
 use super::ranges::Ranges;
 use super::rank::Rank;
+use crate::config::Queue;
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, QueueName, Run, StepId, TaskId};
 use crate::progress::State;
@@ -20,6 +21,8 @@
     pub(super) job: Arc<Job>,
     pub(super) text: Arc<str>,
     pub(super) queue: QueueName,
+    /// Settings of the queue at the acceptance; `None` in rows of earlier versions.
+    pub(super) accepted_under: Option<Queue>,
     /// When the job was accepted, in milliseconds since 1970.
     pub(super) accepted_ms: u64,
     pub(super) long_running: bool,
@@ -165,6 +168,7 @@
             text: Arc::from(accepted.job.text.as_str()),
             long_running: accepted.job.is_long_running(),
             job: Arc::new(accepted.job),
+            accepted_under: accepted.terms.map(|terms| terms.into_queue(&accepted.queue)),
             queue: accepted.queue,
             accepted_ms: accepted.at_ms,
             cancelled: false,
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -95,7 +95,7 @@
         let Some(occurrence) = entry.occurrences.get(&number) else {
             return;
         };
-        let queue = self.config.queues.get(&entry.queue);
+        let queue = self.queue_of(entry);
         let begin_ms = occurrence.begin_ms;
         let ready: Vec<(u32, Rank)> = (0..occurrence.steps.len() as u32)
             .filter(|step| {
@@ -334,7 +334,8 @@
             return;
         };
         let long_running = entry.job.steps[id.step.step as usize].long_running;
-        let max_attempts = self.config.queues.get(&entry.queue).map(|queue| queue.max_attempts);
+        let queue = self.dropped.queue_of(&self.config, entry);
+        let max_attempts = queue.map(|queue| queue.max_attempts);
         let Some(task) = entry.task_mut(id) else {
             return;
         };
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -26,6 +26,7 @@
 mod pass;
 mod place;
 mod probe;
+mod queues;
 mod ranges;
 mod rank;
 mod ranking;
@@ -71,6 +72,8 @@
 pub struct Shard {
     settings: Settings,
     config: Arc<Config>,
+    /// Queues of jobs in progress that the configuration no longer names.
+    dropped: queues::Dropped,
     jobs: BTreeMap<JobId, Entry>,
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
@@ -145,6 +148,7 @@
         Self {
             settings,
             config,
+            dropped: queues::Dropped::default(),
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
@@ -272,6 +276,7 @@
 
     fn configure(&mut self, config: Arc<Config>) {
         if config.version > self.config.version || self.config.version == 0 {
+            self.keep_dropped(&config);
             self.config = config;
             self.placement_due = true;
         }
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -168,7 +168,7 @@
         let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
             return false;
         };
-        let queue = self.config.queues.get(&entry.queue);
+        let queue = self.queue_of(entry);
         let updated = Rank::of(entry, queue, id.step, occurrence.begin_ms, self.wall_ms);
         if updated == rank {
             return false;
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -35,7 +35,7 @@
         let Some(entry) = self.jobs.get(&id.job) else {
             return Placed::All;
         };
-        let Some(queue) = self.config.queues.get(&entry.queue) else {
+        let Some(queue) = self.queue_of(entry) else {
             return Placed::Some;
         };
         let service = queue.service.clone();
@@ -224,7 +224,7 @@
         }
         let column = self.estimator.model.column(&super::throttle::image(step));
         let entry = self.jobs.get(&id.job);
-        let queue = entry.and_then(|entry| self.config.queues.get(&entry.queue));
+        let queue = entry.and_then(|entry| self.queue_of(entry));
         let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
         Request {
             id,
--- a/crates/jobs/src/shard/relocate.rs
+++ b/crates/jobs/src/shard/relocate.rs
@@ -66,7 +66,7 @@
         let Some(entry) = self.jobs.get(&task.step.job) else {
             return false;
         };
-        let Some(service) = self.config.queues.get(&entry.queue).map(|q| q.service.clone()) else {
+        let Some(service) = self.queue_of(entry).map(|q| q.service.clone()) else {
             return false;
         };
         let job = Arc::clone(&entry.job);
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/spec.rs
@@ -4,6 +4,7 @@
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::data;
 
+use crate::config::Terms;
 use crate::id::{Image, Label, QueueName};
 
 /// Maximum number of tasks in one step.
@@ -113,6 +114,10 @@
     pub struct AcceptedJob {
         /// Queue to which it was submitted.
         pub queue: QueueName,
+        /// Settings of the queue at the acceptance, for the case that its name vanishes from the
+        /// configuration; `None` in rows of earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub terms: Option<Terms>,
         /// When the job was accepted, in milliseconds since 1970.
         pub at_ms: u64,
         /// Job as its caller submitted it.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_jobs::config::{Config, Limits, Queue, Service};
+use sycamorerill_jobs::config::{Config, Limits, Queue, Service, Terms};
 use sycamorerill_jobs::executor::{
     Availability, EndReason, Incarnation, Outcome, Registration, Steady,
 };
@@ -276,7 +276,9 @@
         schedule: Option<Schedule>,
     ) {
         let job = Job { text: "text".to_owned(), steps, schedule };
-        let accepted = AcceptedJob { queue: QueueName::from("q"), at_ms: self.wall_ms(), job };
+        let queue = QueueName::from("q");
+        let terms = self.config.queues.get(&queue).map(Terms::of);
+        let accepted = AcceptedJob { queue, terms, at_ms: self.wall_ms(), job };
         self.accepted.insert(id, accepted.clone());
         self.handle(Event::Accepted(id, Box::new(accepted)));
     }
--- a/crates/node/src/frontend/cache.rs
+++ b/crates/node/src/frontend/cache.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use sycamorerill_jobs::config::{Config, Queue};
 use sycamorerill_jobs::id::{JobId, QueueName};
 use sycamorerill_jobs::progress::State;
 
-use super::{QueuedRow, StateRow, decode};
+use super::{Place, QueuedRow, StateRow, decode};
 use crate::platform::Row;
 
 /// The cached data of one job.
@@ -21,6 +22,8 @@
     jobs: BTreeMap<JobId, Entry>,
     /// Number of jobs in each queue that wait for their first start.
     waiting: BTreeMap<QueueName, u64>,
+    /// Where each queue was reached when jobs were accepted into it.
+    places: BTreeMap<QueueName, Place>,
 }
 
 impl Cache {
@@ -30,13 +33,21 @@
         Some(entry.state.unwrap_or(State::Queued))
     }
 
-    /// Returns the number of jobs in a queue that wait for their first start.
-    pub(super) fn waiting(&self, queue: &QueueName) -> u64 {
-        self.waiting.get(queue).copied().unwrap_or(0)
+    /// Returns the number of jobs in a queue that wait for their first start, with those of queues
+    /// that the configuration no longer names and that were reached in the same place.
+    pub(super) fn waiting(&self, config: &Config, queue: &Queue) -> u64 {
+        let place = Place::of(queue);
+        let is_former = |name: &QueueName| {
+            !config.queues.contains_key(name) && self.places.get(name) == Some(&place)
+        };
+        let counted =
+            self.waiting.iter().filter(|(name, _)| **name == queue.name || is_former(name));
+        counted.map(|(_, count)| count).sum()
     }
 
     /// Adds a job that was accepted into a queue; does nothing if its queue is known already.
-    pub(super) fn insert(&mut self, id: JobId, queue: QueueName) {
+    pub(super) fn insert(&mut self, id: JobId, row: QueuedRow) {
+        let QueuedRow { queue, place } = row;
         let entry = self.jobs.entry(id).or_default();
         if entry.queue.is_some() {
             return;
@@ -44,6 +55,11 @@
         if entry.state.is_none() {
             *self.waiting.entry(queue.clone()).or_default() += 1;
         }
+        if let Some(place) = place
+            && self.places.get(&queue) != Some(&place)
+        {
+            self.places.insert(queue.clone(), place);
+        }
         entry.queue = Some(queue);
     }
 
@@ -57,7 +73,7 @@
         } else if let Some(recorded) = decode::<StateRow>(row) {
             self.set_state(id, recorded.state);
         } else if let Some(accepted) = decode::<QueuedRow>(row) {
-            self.insert(id, accepted.queue);
+            self.insert(id, accepted);
         }
     }
 
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -89,7 +89,7 @@
     Request(Request, oneshot::Sender<Reply>),
     Configured(Arc<Config>),
     States(Update),
-    Stored(JobId, QueueName),
+    Stored(JobId, QueuedRow),
     LayoutAgreed(Layout),
 }
 
@@ -98,6 +98,25 @@
 pub(crate) struct QueuedRow {
     #[serde(rename = "q")]
     pub(crate) queue: QueueName,
+    /// Where the queue is reached; `None` in rows of earlier versions.
+    #[serde(rename = "at", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) place: Option<Place>,
+}
+
+/// Host and path prefix of the requests to a queue. They stay when an operator renames the queue.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Place(String, String);
+
+impl Place {
+    fn of(queue: &Queue) -> Self {
+        Self(queue.host.clone(), queue.prefix.clone())
+    }
+}
+
+impl QueuedRow {
+    fn of(queue: &Queue) -> Self {
+        Self { queue: queue.name.clone(), place: Some(Place::of(queue)) }
+    }
 }
 
 /// The stored value of the row that holds a job's state.
@@ -130,7 +149,7 @@
             Message::Configured(config) => self.config = Some(config),
             Message::States(update) => self.apply_states(update),
             Message::LayoutAgreed(layout) => self.layout = Some(layout),
-            Message::Stored(job, queue) => self.cache.insert(job, queue),
+            Message::Stored(job, row) => self.cache.insert(job, row),
         }
     }
 
@@ -154,7 +173,7 @@
         };
         let name = &request.path[queue.prefix.len()..];
         if name.is_empty() && request.action == Action::Query {
-            return send_reply(sender, Reply::Waiting(self.cache.waiting(&queue.name)));
+            return send_reply(sender, Reply::Waiting(self.cache.waiting(&config, queue)));
         }
         let Ok(id) = name.parse::<JobId>() else {
             return send_reply(sender, Reply::NotAJob);
@@ -179,7 +198,7 @@
             send_reply(sender, Reply::Malformed);
             return;
         }
-        let queue = queue.name.clone();
+        let queue = queue.clone();
         let context = self.context.clone();
         let max_row_bytes = self.max_row_bytes;
         self.context.spawner.spawn(async move {
@@ -188,12 +207,12 @@
             context.metrics.observe_hop(Hop::Accepted, clock::now().since(received));
             context.metrics.count_submission(reply);
             if reply == Reply::Accepted {
-                context
-                    .send(crate::instance::Message::Frontend(Message::Stored(id, queue.clone())));
+                let stored = Message::Stored(id, QueuedRow::of(&queue));
+                context.send(crate::instance::Message::Frontend(stored));
             }
             Line::new(Code::Submitted)
                 .text("job", id)
-                .text("queue", &queue)
+                .text("queue", &queue.name)
                 .text("reply", format_args!("{reply:?}"))
                 .write();
             send_reply(sender, reply);
--- a/crates/node/src/frontend/submit.rs
+++ b/crates/node/src/frontend/submit.rs
@@ -4,7 +4,8 @@
 
 use async_io::Timer;
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_jobs::id::{JobId, QueueName};
+use sycamorerill_jobs::config::{Queue, Terms};
+use sycamorerill_jobs::id::JobId;
 use sycamorerill_jobs::spec::{AcceptedJob, Job};
 
 use super::{QueuedRow, Reply, decode, encode};
@@ -35,12 +36,13 @@
 pub(super) async fn submit<P: Platform>(
     context: &Context<P>,
     id: JobId,
-    queue: &QueueName,
+    queue: &Queue,
     job: Job,
     timeout: Option<Span>,
     max_row_bytes: usize,
 ) -> Reply {
-    let accepted = AcceptedJob { queue: queue.clone(), at_ms: clock::wall_ms(), job };
+    let (name, terms) = (queue.name.clone(), Some(Terms::of(queue)));
+    let accepted = AcceptedJob { queue: name, terms, at_ms: clock::wall_ms(), job };
     let key = layout::accepted_key(id);
     let value = encode(&accepted);
     if value.len() > max_row_bytes {
@@ -48,10 +50,7 @@
     }
     let transaction = Transaction {
         expected: vec![(key.clone(), Version(0))],
-        writes: vec![
-            (key, value),
-            (layout::queued_key(id), encode(&QueuedRow { queue: queue.clone() })),
-        ],
+        writes: vec![(key, value), (layout::queued_key(id), encode(&QueuedRow::of(queue)))],
         removes: Vec::new(),
     };
     match persist(context, &transaction, timeout).await {
--- a/crates/node/tests/rows.rs
+++ b/crates/node/tests/rows.rs
@@ -48,6 +48,35 @@
     );
 }
 
+/// Jobs that waited when their queue was renamed were counted under its former name only.
+#[test]
+fn jobs_that_wait_in_a_renamed_queue_are_counted_at_its_path() {
+    run_test(
+        |spawner, platform| async move {
+            let (a, _) = platform.start_instance(&spawner, "a");
+            wait_until_ready(&a).await;
+            platform.store_refuses_records.set(true);
+            submit_until_accepted(&a, JOB_ID, &job(2)).await;
+            platform.put(Table::Operator, "", "config", Bytes::from_static(b"2 renamed"));
+            while a.handle(request("00000000000000a2", Action::Submit(Ok(job(2))))).await
+                != Reply::Accepted
+            {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+            // Instances that start after the change know the former name from rows only.
+            let (b, _) = platform.start_instance(&spawner, "b");
+            for instance in [&a, &b] {
+                while instance.handle(request("", Action::Query)).await != Reply::Waiting(2) {
+                    Timer::after(Duration::from_millis(20)).await;
+                }
+            }
+            platform.store_refuses_records.set(false);
+            wait_for_state(&b, JOB_ID, State::Completed).await;
+        },
+        4,
+    );
+}
+
 /// A row that the store rejects for any other reason must not hold up the rest of its batch.
 #[test]
 fn a_rejected_row_does_not_hold_up_other_jobs() {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -466,11 +466,12 @@
         let Some(value) = row.value.as_ref().filter(|_| row.name == "config") else {
             return Ok(None);
         };
-        let version: u64 = String::from_utf8_lossy(value)
-            .parse()
-            .map_err(|_| format!("`{value:?}` is not a version"))?;
+        // The version, and the name of the queue after it.
+        let text = String::from_utf8_lossy(value);
+        let (version, name) = text.split_once(' ').unwrap_or((&text, "q"));
+        let version: u64 = version.parse().map_err(|_| format!("`{text}` is not a version"))?;
         let queue = Queue {
-            name: QueueName::from("q"),
+            name: QueueName::from(name),
             host: "h".to_owned(),
             prefix: "/q/".to_owned(),
             service: ServiceName::from("s"),
