jobs: steps that no executor can run keep no others from a placement pass

Change: a pass has a budget for blocked steps (`shard::effort`). Steps that are tried for the first time have a budget of their own. A full pass goes on behind the last step that the previous one tried, for half as much again. The order of ranks is kept.

The new test failed before, and with one label for each step it fails without the further budget.

--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod crash;
 mod drain;
+mod effort;
 mod ends;
 mod entry;
 mod evacuate;
@@ -111,6 +112,8 @@
     best_effort_after: Time,
     /// Earliest time of the next placement pass that tries blocked steps on all executors.
     full_pass_after: Time,
+    /// Step behind which the next full pass goes on, once it has tried those of the highest rank.
+    resume_after: Option<(Rank, StepId)>,
     /// Executors on which resources were released since the last placement pass.
     released: BTreeSet<ExecutorId>,
     /// Runs that lapsed soon after their start.
@@ -167,6 +170,7 @@
             shortage: 0.0,
             best_effort_after: Time::ZERO,
             full_pass_after: Time::ZERO,
+            resume_after: None,
             released: BTreeSet::new(),
             lapsed_starts: Vec::new(),
             write_after: Time::ZERO,
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -14,12 +14,11 @@
 use sycamorerill_core::clock::{Span, Time};
 
 use super::Shard;
+use super::effort::Effort;
 use super::rank::Rank;
 use super::rejections::Rejections;
 use crate::id::{ExecutorId, StepId};
 
-/// Maximum number of steps that one pass tries on all executors without finding one.
-const MAX_BLOCKED_PER_PASS: usize = 200;
 /// Pause after a pass in which steps found no executor, so that releases accumulate.
 const BLOCKED_PAUSE: Span = Span::from_ms(10);
 /// Time between two passes that try blocked steps on all executors. Expected interference
@@ -51,6 +50,8 @@
     Some,
     /// No executor was found for a task of the step.
     Blocked,
+    /// The step was not tried, since a step with the same requirements was blocked.
+    Rejected,
 }
 
 /// State of one pass.
@@ -93,32 +94,47 @@
         }
         self.placement_due = false;
         let mut pass = self.begin_pass(now);
-        let mut blocked = 0;
+        let full = pass.full;
+        let mut effort = Effort::new(full, self.resume_after);
+        let (mut found_none, mut is_used_up) = (false, false);
         let ranked: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
         for (rank, id) in ranked {
             if pass.full && self.update_rank(rank, id) {
                 continue;
             }
+            let blocked = self.is_blocked(id);
+            if !effort.allows((rank, id), blocked) {
+                continue;
+            }
             match self.place_step(now, id, &mut pass) {
                 Placed::All => {
                     self.waiting.remove(&(rank, id));
                 }
                 Placed::Some => {}
-                Placed::Blocked => blocked += 1,
+                result @ (Placed::Blocked | Placed::Rejected) => {
+                    found_none = true;
+                    effort.spend(blocked, result == Placed::Blocked);
+                }
             }
             if pass.budget == 0 {
                 self.continue_pass(now, pass);
+                is_used_up = true;
                 break;
             }
-            if blocked >= MAX_BLOCKED_PER_PASS {
-                break;
-            }
         }
-        if blocked > 0 {
+        if full && !is_used_up {
+            self.resume_after = effort.resume_after();
+        }
+        if found_none {
             self.place_after = now + BLOCKED_PAUSE;
         }
     }
 
+    fn is_blocked(&self, id: StepId) -> bool {
+        let step = self.jobs.get(&id.job).and_then(|entry| entry.step(id));
+        step.is_some_and(|step| step.blocked)
+    }
+
     fn begin_pass(&mut self, now: Time) -> Pass {
         let full = now >= self.full_pass_after;
         if full {
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -53,7 +53,7 @@
         }
         if !needs_ticket && pass.rejections(scope).covers(&service, spec) {
             self.set_blocked(id, true);
-            return Placed::Blocked;
+            return Placed::Rejected;
         }
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         let mut request = self.request(now, id, spec, &service);
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -11,7 +11,7 @@
 use arbtest::arbtest;
 use support::{FakeExecutor, Simulation, job, step};
 use sycamorerill_core::clock::Span;
-use sycamorerill_jobs::id::{Image, StepId};
+use sycamorerill_jobs::id::{Image, Label, StepId};
 use sycamorerill_jobs::progress::State;
 use sycamorerill_jobs::spec::{Resources, Step};
 
@@ -60,6 +60,34 @@
     assert_eq!(sim.run_count(), 5);
 }
 
+/// More steps than a pass tries, which no executor can ever run, kept all that had to wait once from
+/// ever starting, whether their requirements were the same or not.
+#[test]
+fn steps_that_no_executor_can_run_hold_up_no_others() {
+    const HOPELESS_JOBS: u64 = 4;
+    for same_label in [true, false] {
+        let mut sim = Simulation::new(1);
+        for id in 0..HOPELESS_JOBS {
+            let label = |number: u64| Label::from(format!("l{number}").as_str());
+            let numbers = (0..210).map(|number| if same_label { 0 } else { id * 1_000 + number });
+            let hopeless =
+                numbers.map(|n| Step { label: Some(label(n)), estimate_ms: 10_000, ..step(1) });
+            sim.submit(job(id), hopeless.collect());
+        }
+        sim.advance(Span::from_ms(300));
+        sim.submit(job(10), vec![step(8)]);
+        sim.advance(Span::from_ms(100));
+        assert_eq!(sim.run_count(), 8);
+        // They are due after the others.
+        for id in 11..19 {
+            sim.submit(job(id), vec![Step { estimate_ms: 100_000, ..step(1) }]);
+        }
+        sim.advance(Span::from_secs(3));
+        let done = (11..19).filter(|id| sim.state(*id) == Some(State::Completed)).count();
+        assert_eq!(done, 8, "same label: {same_label}");
+    }
+}
+
 #[test]
 fn a_backlog_takes_resources_as_they_are_released() {
     const WAITING_JOBS: u64 = 400;
