jobs: any whole report under the epoch closes runs of predecessors that it leaves out

Cause: a report of 500 ends may leave out others, so it closes nothing that it does not list.

Change: any whole report under the epoch closes them. The executor has seen the epoch and refuses lower ones, so a later report is no weaker evidence. Simulated executors report at most 500 ends at a time.

The new test failed before.

--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -233,7 +233,6 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let first_under_epoch = !executor.fenced;
         let current = executor.registration.incarnation;
         let mut unlisted = Vec::new();
         for PlacedRun { task, open, .. } in self.runs_on(executor) {
@@ -242,7 +241,8 @@
             }
             let missing = match open.stage {
                 Stage::Running { since_probe } => probe.number >= since_probe,
-                Stage::Inherited => first_under_epoch,
+                // The executor has seen the epoch, so an order of a predecessor has no effect there.
+                Stage::Inherited => true,
                 Stage::Recording | Stage::Sent | Stage::Unknown => false,
             };
             let stopped = matches!(open.stop, Stop::Answered { since_probe }
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -11,6 +11,9 @@
 /// Longest lease that executors grant.
 const MAX_LEASE: Span = Span::from_ms(10_000);
 
+/// Maximum number of run ends in one report.
+const MAX_ENDS_PER_REPORT: usize = 500;
+
 /// A run at a simulated executor.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveRun {
@@ -136,12 +139,13 @@
                 _ => None,
             },
         });
+        let ended: Vec<RunEnd> = self.ended.iter().take(MAX_ENDS_PER_REPORT).cloned().collect();
         Report {
             incarnation: Some(Incarnation(self.incarnation)),
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
-            latest_end: self.ended.last().map_or(0, |end| end.number).max(self.foreign_end),
+            latest_end: ended.last().map_or(0, |end| end.number).max(self.foreign_end),
+            ended,
         }
     }
 }
--- a/crates/jobs/tests/takeover.rs
+++ b/crates/jobs/tests/takeover.rs
@@ -5,7 +5,8 @@
 use support::{Simulation, job, step};
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::id::{ExecutorId, Image, StepId, TaskId};
-use sycamorerill_jobs::spec::Step;
+use sycamorerill_jobs::progress::State;
+use sycamorerill_jobs::spec::{Resources, Step};
 
 fn task(index: u32) -> TaskId {
     StepId { job: job(1), occurrence: 0, step: 0 }.task(index)
@@ -208,3 +209,23 @@
     assert_eq!(ended(&sim), 0);
     assert_no_violations(&sim);
 }
+
+/// The first report under an epoch with the most run ends it can hold closes no run that it leaves
+/// out, and later ones closed no run of a predecessor either.
+#[test]
+fn an_inherited_run_that_a_first_report_of_500_ends_leaves_out_is_closed_later() {
+    let mut sim = Simulation::new(1);
+    let small = Resources { cpu: 10, memory: 10, accelerators: 0 };
+    sim.submit(job(1), vec![Step { resources: small, ..step(600) }]);
+    sim.advance(Span::from_ms(300));
+    assert_eq!(sim.run_count(), 600);
+    // The owner ends between the record of a run and its order.
+    sim.link.suspends_at_record = true;
+    sim.submit(job(2), vec![step(1)]);
+    sim.advance(Span::from_secs(2));
+    assert_eq!(sim.executor("x0").ended.len(), 600);
+    sim.take_over();
+    sim.advance(Span::from_secs(3));
+    assert_eq!(sim.state(2), Some(State::Completed));
+    assert_no_violations(&sim);
+}
