jobs: refuses what can't be completed within three times its objective

Cause: every job was accepted whatever the backlog, and callers were told a constant time to come back. Change: the owner of a shard writes an outlook by queue once a second while it matters: a lower bound on the wait, from work of better priorities. Instances refuse by it with a probability that rises with the excess. A refusal is stored in the place of the job's row, so that no earlier attempt can store the job later; callers that come back when told go before new ones. Tried: counting work of the job's own priority as well. Shown to fail: the tests of age, own priority, a successor's first outlook, and the row of a refusal, each by removing what it guards.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! returns typed commands. [`ownership::Ownership`] decides when an instance claims, renews and
 //! releases a shard. Neither opens a socket or reads a clock.
 
+pub mod admission;
 pub mod config;
 pub mod evacuation;
 pub mod executor;
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -84,6 +84,8 @@
         pub model: Option<super::Snapshot>,
         /// Lease ends of all executors that do not answer, if they have changed.
         pub lease_ends: Option<Vec<super::LeaseEnd>>,
+        /// Expected waits of new jobs, if any is long or was.
+        pub outlook: Option<crate::admission::Outlook>,
     }
 }
 
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -24,6 +24,7 @@
 mod message;
 mod model;
 mod order;
+mod outlook;
 mod pass;
 mod place;
 mod probe;
@@ -139,6 +140,8 @@
     /// When this owner had reached half of those.
     reached_at: Option<Time>,
     next_tick: Time,
+    /// Expected waits of new jobs.
+    outlooks: outlook::Outlooks,
     /// Time of the next pass over all open runs.
     next_sweep: Time,
     estimator: throttle::Estimator,
@@ -185,6 +188,7 @@
             known: BTreeSet::new(),
             reached_at: None,
             next_tick: Time::ZERO,
+            outlooks: outlook::Outlooks::default(),
             estimator: throttle::Estimator::default(),
             out: Vec::new(),
         }
@@ -268,6 +272,7 @@
         self.check_lease_ends(now);
         self.stop_on_draining(now);
         self.log_evacuated();
+        self.update_outlook(now);
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.retry_orders(now);
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -313,6 +313,7 @@
         };
         executor.reserve(*task, spec);
         executor.last_placed = now;
+        self.outlooks.note_start(&executor.registration.service, spec);
         if step.tasks[task.index as usize].is_suspect() {
             executor.trial_until = now + super::crash::TRIAL;
         }
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -3,15 +3,13 @@
 use sycamorerill_core::value;
 
 use super::entry::Entry;
+use crate::admission::EXPIRY_FACTOR;
 use crate::config::Queue;
 
 /// Group of steps whose job is so late that its completion has no value.
 const EXPIRED: u32 = u32::MAX;
 /// Fraction of its estimated remaining time that a job needs at least.
 const CERTAIN_FRACTION: f64 = 0.8;
-/// Multiple of the time allowed by the objective after which completing a late job has no
-/// value.
-const EXPIRY_FACTOR: u64 = 3;
 
 value! {
     /// Rank of a waiting step; lower ranks are placed first.
@@ -57,6 +55,12 @@
         Self { group, due_ms }
     }
 
+    /// Returns whether steps of the same priority that can still meet their objective come first.
+    pub(super) const fn is_late(self) -> bool {
+        // Groups of late and of long-running work are odd, as is that of expired jobs.
+        self.group % 2 == 1
+    }
+
     /// Returns whether completing the job has no value any more.
     pub(super) const fn is_expired(self) -> bool {
         self.group == EXPIRED
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -49,6 +49,8 @@
         pub max_over_objective: Span,
         /// Maximum number of runs placed in one turn.
         pub max_placed_per_turn: usize,
+        /// Time between two outlooks on the waits of new jobs.
+        pub outlook_interval: Span,
         /// Fraction of the requested processor time that a latency-critical task is expected to
         /// use.
         pub latency_critical_use: f64,
@@ -81,6 +83,7 @@
             remote_penalty: 1.5,
             max_over_objective: Span::from_ms(4_000),
             max_placed_per_turn: 128,
+            outlook_interval: Span::from_ms(1_000),
             latency_critical_use: 0.5,
         }
     }
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -56,7 +56,7 @@
             return;
         }
         if self.round.records.is_empty() {
-            if self.dirty.is_empty() && !self.lease_ends.is_due() {
+            if self.dirty.is_empty() && !self.lease_ends.is_due() && !self.outlooks.is_due() {
                 self.mark_ends_recorded();
                 return;
             }
@@ -85,6 +85,7 @@
         }
         pending.records = records;
         batch.lease_ends = self.next_lease_ends(now);
+        batch.outlook = self.outlooks.take();
         self.pending_batch = Some(pending);
         self.out.push(Command::Record(batch));
     }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_jobs::admission::Outlook;
 use sycamorerill_jobs::config::{Config, Limits, Queue, Service, Terms};
 use sycamorerill_jobs::executor::{
     Availability, EndReason, Incarnation, Outcome, Registration, Steady,
@@ -52,6 +53,8 @@
     pub(crate) states: BTreeMap<JobId, State>,
     /// Lease ends that are recorded, with the times at which all leases have ended.
     pub(crate) lease_ends: BTreeMap<ExecutorId, Time>,
+    /// Outlook that was recorded last.
+    pub(crate) outlook: Option<Outlook>,
     /// Largest number of tasks in a record.
     pub(crate) largest_record: usize,
     /// Entries that the next successors read in place of the present ones.
@@ -150,6 +153,7 @@
             progress: BTreeMap::new(),
             states: BTreeMap::new(),
             lease_ends: BTreeMap::new(),
+            outlook: None,
             largest_record: 0,
             stale_entries: BTreeMap::new(),
             unreadable: Vec::new(),
@@ -276,9 +280,14 @@
         schedule: Option<Schedule>,
     ) {
         let job = Job { text: "text".to_owned(), steps, schedule };
-        let queue = QueueName::from("q");
+        self.submit_to("q", id, job, self.wall_ms());
+    }
+
+    /// Accepts a job into a queue; its objective counts from `at_ms`.
+    pub(crate) fn submit_to(&mut self, queue: &str, id: JobId, job: Job, at_ms: u64) {
+        let queue = QueueName::from(queue);
         let terms = self.config.queues.get(&queue).map(Terms::of);
-        let accepted = AcceptedJob { queue, terms, at_ms: self.wall_ms(), job };
+        let accepted = AcceptedJob { queue, terms, at_ms, job };
         self.accepted.insert(id, accepted.clone());
         self.handle(Event::Accepted(id, Box::new(accepted)));
     }
@@ -440,6 +449,7 @@
                     let ends = ends.into_iter().map(|end| (end.executor, self.now + end.left));
                     self.lease_ends = ends.collect();
                 }
+                self.outlook = batch.outlook.or(self.outlook.take());
                 self.batch_pending = true;
                 self.note_record();
             }
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -1,5 +1,6 @@
 //! Answers callers: accepts jobs, cancels them and returns their state.
 
+mod admission;
 mod cache;
 mod state;
 mod submit;
@@ -12,11 +13,14 @@
 use stakker::CX;
 use sycamorerill_core::clock::Span;
 use sycamorerill_core::data;
+use sycamorerill_jobs::admission::assess;
 use sycamorerill_jobs::config::{Config, Limits, Queue};
 use sycamorerill_jobs::id::{JobId, QueueName};
 use sycamorerill_jobs::progress::State;
 use sycamorerill_jobs::spec::Job;
 
+pub(crate) use self::admission::OutlookRow;
+use self::admission::{Doubt, Outlooks};
 use self::cache::Cache;
 use crate::clock;
 use crate::instance::Context;
@@ -24,6 +28,7 @@
 use crate::log::{Code, Line};
 use crate::metrics::Hop;
 use crate::platform::{Platform, Row};
+use crate::shards;
 use crate::watch::Update;
 
 data! {
@@ -79,6 +84,9 @@
         Taken,
         /// Nothing was done and nothing will be; the caller may retry after the span.
         NotDone(Span),
+        /// The job can't be completed in time, so it is not accepted; the caller may retry after
+        /// the span.
+        Overloaded(Span),
         /// The outcome is unknown; the caller may retry.
         Unknown,
     }
@@ -132,14 +140,18 @@
     config: Option<Arc<Config>>,
     layout: Option<Layout>,
     cache: Cache,
-    /// Maximum number of bytes in a row of the store.
-    max_row_bytes: usize,
+    outlooks: Outlooks,
+    settings: shards::Settings,
 }
 
 impl<P: Platform> Frontend<P> {
-    pub(crate) fn start(_cx: CX![], context: Context<P>, max_row_bytes: usize) -> Option<Self> {
-        let cache = Cache::default();
-        Some(Self { context, config: None, layout: None, cache, max_row_bytes })
+    pub(crate) fn start(
+        _cx: CX![],
+        context: Context<P>,
+        settings: shards::Settings,
+    ) -> Option<Self> {
+        let (cache, outlooks) = (Cache::default(), Outlooks::default());
+        Some(Self { context, config: None, layout: None, cache, outlooks, settings })
     }
 
     /// Handles one message.
@@ -158,10 +170,21 @@
             Update::Snapshot(rows) | Update::Changed(rows) => {
                 for row in rows {
                     self.cache.apply(&row);
+                    self.apply_outlook(&row);
                 }
             }
             Update::Unavailable => {}
         }
+        let max_age = self.settings.admission.max_age;
+        let wait = self.outlooks.longest_wait(max_age, clock::now());
+        self.context.metrics.set_expected_wait(wait);
+    }
+
+    fn apply_outlook(&mut self, row: &Row) {
+        if let Some(layout) = self.layout {
+            let clock = self.context.platform.store_clock();
+            self.outlooks.apply(layout, row, clock, clock::now());
+        }
     }
 
     fn handle_request(&mut self, request: Request, sender: oneshot::Sender<Reply>) {
@@ -198,18 +221,24 @@
             send_reply(sender, Reply::Malformed);
             return;
         }
+        let doubt = self.doubt(queue, id, &job);
         let queue = queue.clone();
         let context = self.context.clone();
-        let max_row_bytes = self.max_row_bytes;
+        let max_row_bytes = self.settings.shard.max_row_bytes;
         self.context.spawner.spawn(async move {
             let received = clock::now();
-            let reply = submit::submit(&context, id, &queue, job, timeout, max_row_bytes).await;
+            let submission =
+                submit::Submission { id, queue: &queue, timeout, max_row_bytes, doubt };
+            let reply = submit::submit(&context, submission, job).await;
             context.metrics.observe_hop(Hop::Accepted, clock::now().since(received));
             context.metrics.count_submission(reply);
             if reply == Reply::Accepted {
                 let stored = Message::Stored(id, QueuedRow::of(&queue));
                 context.send(crate::instance::Message::Frontend(stored));
             }
+            if let (Reply::Overloaded(after), Some(doubt)) = (reply, doubt) {
+                doubt.log_refusal(id, &queue.name, after);
+            }
             Line::new(Code::Submitted)
                 .text("job", id)
                 .text("queue", &queue.name)
@@ -219,6 +248,15 @@
         });
     }
 
+    /// Returns what speaks against the acceptance of a job.
+    fn doubt(&self, queue: &Queue, id: JobId, job: &Job) -> Option<Doubt> {
+        let shard = self.layout?.shard_of_job(id);
+        let forecast = self.outlooks.forecast(shard, &queue.name, clock::now());
+        let settings = self.settings.admission;
+        let assessment = assess(&settings, queue, job, forecast)?;
+        Some(Doubt::new(id, assessment, settings))
+    }
+
     fn query_state(&self, id: JobId, timeout: Option<Span>, sender: oneshot::Sender<Reply>) {
         let cached = self.cache.state(id);
         if let Some(state) = cached.filter(|state| state.is_terminal()) {
--- a/crates/node/src/frontend/submit.rs
+++ b/crates/node/src/frontend/submit.rs
@@ -4,10 +4,12 @@
 
 use async_io::Timer;
 use sycamorerill_core::clock::{Span, Time};
+use sycamorerill_jobs::admission::Refusal;
 use sycamorerill_jobs::config::{Queue, Terms};
 use sycamorerill_jobs::id::JobId;
 use sycamorerill_jobs::spec::{AcceptedJob, Job};
 
+use super::admission::Doubt;
 use super::{QueuedRow, Reply, decode, encode};
 use crate::instance::Context;
 use crate::platform::{Error, Platform, Row, Transaction, Version};
@@ -29,34 +31,109 @@
 const LATENCY_FACTOR: f64 = 3.0;
 /// Delay before a retry after the store refused a call; it grows by as much with each refusal.
 const REFUSED_DELAY: Duration = Duration::from_millis(40);
+/// Longest time that the write of a refusal may take: without it the job is stored in the time that
+/// is left.
+const REFUSAL_TIMEOUT: Span = Span::from_ms(300);
 /// Number of refusals by the store after which the caller gets a reply.
 const MAX_REFUSALS: u32 = 5;
 
-/// Stores a job, so that it will run, and returns the reply to the caller.
+/// A job to store, apart from its content.
+pub(super) struct Submission<'a> {
+    pub(super) id: JobId,
+    pub(super) queue: &'a Queue,
+    pub(super) timeout: Option<Span>,
+    pub(super) max_row_bytes: usize,
+    /// What speaks against the acceptance of the job.
+    pub(super) doubt: Option<Doubt>,
+}
+
+/// Stores a job, so that it will run, or refuses it, and returns the reply to the caller.
 pub(super) async fn submit<P: Platform>(
     context: &Context<P>,
-    id: JobId,
-    queue: &Queue,
+    submission: Submission<'_>,
     job: Job,
-    timeout: Option<Span>,
-    max_row_bytes: usize,
 ) -> Reply {
+    let Submission { id, queue, timeout, max_row_bytes, doubt } = submission;
+    let until = unknown_deadline(timeout);
     let (name, terms) = (queue.name.clone(), Some(Terms::of(queue)));
-    let accepted = AcceptedJob { queue: name, terms, at_ms: clock::wall_ms(), job };
-    let key = layout::accepted_key(id);
-    let value = encode(&accepted);
-    if value.len() > max_row_bytes {
+    let mut accepted = AcceptedJob { queue: name, terms, at_ms: clock::wall_ms(), job };
+    if encode(&accepted).len() > max_row_bytes {
         return Reply::TooLarge;
     }
+    let new = Version(0);
+    let refused = match doubt.and_then(|doubt| doubt.refusal(accepted.at_ms)) {
+        Some(refusal) => refuse(context, id, new, refusal).await,
+        None => Err(Error::NotSent),
+    };
+    let result = match refused {
+        Ok(reply) => return reply,
+        Err(Error::Conflict(rows)) => Err(Error::Conflict(rows)),
+        Err(_) => persist(context, &accept(id, new, queue, &accepted), timeout).await,
+    };
+    let stored = match result {
+        Err(Error::Conflict(ref rows)) => stored_refusal(rows),
+        _ => None,
+    };
+    let Some((refusal, version)) = stored else {
+        return reply_to(result, &accepted);
+    };
+    if clock::now() >= until {
+        // The caller may have given up and been refused elsewhere, which must remain true.
+        return Reply::NotDone(RETRY_AFTER);
+    }
+    let now_ms = clock::wall_ms();
+    let again = doubt.and_then(|doubt| doubt.refusal_again(refusal, now_ms));
+    if let Some(again) = again
+        && let Ok(reply) = refuse(context, id, version, again).await
+    {
+        return reply;
+    }
+    accepted.at_ms = refusal.counts_from(now_ms);
+    reply_to(persist(context, &accept(id, version, queue, &accepted), timeout).await, &accepted)
+}
+
+/// Returns the transaction that stores a job if its row has `version`.
+fn accept(id: JobId, version: Version, queue: &Queue, accepted: &AcceptedJob) -> Transaction {
+    let key = layout::accepted_key(id);
+    let queued = QueuedRow::of(queue);
+    Transaction {
+        expected: vec![(key.clone(), version)],
+        writes: vec![(key, encode(accepted)), (layout::queued_key(id), encode(&queued))],
+        removes: Vec::new(),
+    }
+}
+
+/// Stores the refusal of a job if its row has `version`, and returns the reply to the caller.
+///
+/// The refusal takes the place of the job's row, so that an earlier attempt without an answer can no
+/// longer store the job: the caller is told that the job never runs.
+async fn refuse<P: Platform>(
+    context: &Context<P>,
+    id: JobId,
+    version: Version,
+    (refusal, retry_after): (Refusal, Span),
+) -> Result<Reply, Error> {
+    let key = layout::accepted_key(id);
     let transaction = Transaction {
-        expected: vec![(key.clone(), Version(0))],
-        writes: vec![(key, value), (layout::queued_key(id), encode(&QueuedRow::of(queue)))],
+        expected: vec![(key.clone(), version)],
+        writes: vec![(key, encode(&refusal))],
         removes: Vec::new(),
     };
-    match persist(context, &transaction, timeout).await {
+    let written = context.platform.transact(&transaction, REFUSAL_TIMEOUT).await;
+    written.map(|_| Reply::Overloaded(retry_after))
+}
+
+/// Returns the refusal that is stored in the place of a job, and the version of its row.
+fn stored_refusal(rows: &[Row]) -> Option<(Refusal, Version)> {
+    rows.iter().find_map(|row| Some((decode::<Refusal>(row)?, row.version)))
+}
+
+/// Returns the reply for the result of storing a job.
+fn reply_to(result: Result<Version, Error>, accepted: &AcceptedJob) -> Reply {
+    match result {
         Ok(_) => Reply::Accepted,
         // An earlier attempt by this function or by the caller was stored.
-        Err(Error::Conflict(rows)) => reply_to_conflict(&rows, &accepted),
+        Err(Error::Conflict(rows)) => reply_to_conflict(&rows, accepted),
         Err(Error::Unknown | Error::Malformed(_)) => Reply::Unknown,
         Err(error) if error.is_permanent() => Reply::TooLarge,
         Err(Error::Refused(_) | Error::NotSent | Error::HistoryGone) => Reply::NotDone(RETRY_AFTER),
@@ -68,6 +145,8 @@
 fn reply_to_conflict(rows: &[Row], accepted: &AcceptedJob) -> Reply {
     match rows.iter().find_map(decode::<AcceptedJob>) {
         Some(stored) if stored.job == accepted.job => Reply::Accepted,
+        // Another instance has refused the job meanwhile, so this attempt can't take effect.
+        None if stored_refusal(rows).is_some() => Reply::NotDone(RETRY_AFTER),
         // Another job, or a row that no owner can read.
         _ => Reply::Taken,
     }
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -284,9 +284,8 @@
     let s = &mut stakker;
     let metrics = Rc::clone(&context.metrics);
     let frontend_context = context.clone();
-    let max_row_bytes = settings.manager.shard.max_row_bytes;
     let frontend: ActorOwn<Frontend<P>> =
-        actor!(s, <Frontend<P>>::start(frontend_context, max_row_bytes), ret_nop!());
+        actor!(s, <Frontend<P>>::start(frontend_context, settings.manager), ret_nop!());
     let manager: ActorOwn<Manager<P>> = actor!(
         s,
         <Manager<P>>::start(context, settings.name, settings.manager, Rc::clone(&status)),
--- a/crates/node/src/layout.rs
+++ b/crates/node/src/layout.rs
@@ -31,6 +31,8 @@
 pub(crate) const MODEL: &str = "learned";
 /// Name of the row with the lease ends of executors that do not answer.
 pub(crate) const LEASES: &str = "leases";
+/// Name of the row with the expected waits of new jobs.
+pub(crate) const OUTLOOK: &str = "outlook";
 /// Name of the row with the layout.
 const LAYOUT: &str = "layout";
 /// Suffix of a job's identifier in the name of the row that cancels the job.
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -38,6 +38,8 @@
     Submitted,
     /// A request to cancel a job was answered.
     CancelTaken,
+    /// A submission was refused because the job can't be completed in time.
+    Refused,
     /// A run was placed on an executor.
     Placed,
     /// A run was closed: it has ended or will never start.
@@ -90,12 +92,13 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
         Self::Submitted,
         Self::CancelTaken,
+        Self::Refused,
         Self::Placed,
         Self::Closed,
         Self::Finished,
@@ -129,6 +132,7 @@
             Self::Stopped => 1003,
             Self::Submitted => 1100,
             Self::CancelTaken => 1101,
+            Self::Refused => 1102,
             Self::Placed => 1200,
             Self::Closed => 1201,
             Self::Finished => 1202,
@@ -163,6 +167,7 @@
             Self::Stopped => "instance.stopped",
             Self::Submitted => "job.submitted",
             Self::CancelTaken => "job.cancel_taken",
+            Self::Refused => "job.refused",
             Self::Placed => "run.placed",
             Self::Closed => "run.closed",
             Self::Finished => "job.finished",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -67,6 +67,7 @@
     inbox: Gauge,
     evacuated_domains: Gauge,
     evacuated_runs: Gauge,
+    expected_wait_ms: Gauge,
     version: Gauge,
     store_up: Gauge,
     dropped_lines: Gauge,
@@ -100,6 +101,7 @@
             inbox: Gauge::default(),
             evacuated_domains: Gauge::default(),
             evacuated_runs: Gauge::default(),
+            expected_wait_ms: Gauge::default(),
             version: Gauge::default(),
             store_up: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -130,6 +132,8 @@
         registry.register("evacuated_domains", help, self.evacuated_domains.clone());
         let help = "Runs of owned shards on executors in evacuated failure domains";
         registry.register("evacuated_runs", help, self.evacuated_runs.clone());
+        let help = "Longest wait in milliseconds that the owner of a shard expects for new jobs";
+        registry.register("expected_wait_ms", help, self.expected_wait_ms.clone());
         registry.register("config_version", "Configuration in force", self.version.clone());
         registry.register("store_up", "Whether the store answers", self.store_up.clone());
         let help = "Lines that the log had no room for";
@@ -147,6 +151,7 @@
         let outcome = match reply {
             Reply::Accepted => "accepted",
             Reply::NotDone(_) => "refused",
+            Reply::Overloaded(_) => "overloaded",
             Reply::Unknown => "unknown",
             _ => "invalid",
         };
@@ -218,6 +223,11 @@
         self.evacuated_runs.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Sets the longest wait that the owner of a shard expects for new jobs.
+    pub(crate) fn set_expected_wait(&self, wait: Span) {
+        self.expected_wait_ms.set(i64::try_from(wait.as_ms()).unwrap_or(i64::MAX));
+    }
+
     /// Sets the version of the configuration in force.
     pub(crate) fn set_config_version(&self, version: u64) {
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/node/src/shards/mod.rs
+++ b/crates/node/src/shards/mod.rs
@@ -18,6 +18,7 @@
 use stakker::CX;
 use sycamorerill_core::clock::Time;
 use sycamorerill_core::data;
+use sycamorerill_jobs::admission;
 use sycamorerill_jobs::config::Config;
 use sycamorerill_jobs::evacuation::{self, Evacuations};
 use sycamorerill_jobs::id::{InstanceName, ShardId};
@@ -49,6 +50,8 @@
         pub ownership: ownership::Settings,
         /// Settings of each owned shard.
         pub shard: shard::Settings,
+        /// Settings for refusing submitted jobs.
+        pub admission: admission::Settings,
     }
 }
 
--- a/crates/node/src/shards/owner.rs
+++ b/crates/node/src/shards/owner.rs
@@ -20,9 +20,9 @@
 use super::writes::{Change, Writes, record_id};
 use super::{Message, execute, logging};
 use crate::clock;
-use crate::frontend::{StateRow, decode, encode};
+use crate::frontend::{OutlookRow, StateRow, decode, encode};
 use crate::instance::{self, Context};
-use crate::layout::{self, AcceptedRow, CLAIM, LEASES, Layout, MODEL, SEQUENCE};
+use crate::layout::{self, AcceptedRow, CLAIM, LEASES, Layout, MODEL, OUTLOOK, SEQUENCE};
 use crate::log::{Code, Line};
 use crate::platform::{Error, Key, Platform, Row, Table, Transaction, Version};
 use crate::watch::{Subscription, Update};
@@ -304,6 +304,11 @@
             let row = LeaseRow::new(ends, self.context.platform.store_clock(), clock::now());
             changes.push((self.key(Table::Progress, LEASES), Some(encode(&row))));
         }
+        if let Some(outlook) = &batch.outlook {
+            let clock = self.context.platform.store_clock();
+            let row = OutlookRow::new(outlook.clone(), clock, clock::now());
+            changes.push((self.key(Table::States, OUTLOOK), Some(encode(&row))));
+        }
         changes
     }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -221,6 +221,13 @@
         found.map(|(_, (value, _))| value.clone()).collect()
     }
 
+    /// Returns the part that holds the first row of a table with the given name.
+    pub(crate) fn part_of(&self, table: Table, name: &str) -> String {
+        let rows = self.rows.borrow();
+        let found = rows.keys().find(|row_key| row_key.0 == table && row_key.2 == name);
+        found.map_or_else(String::new, |row_key| row_key.1.clone())
+    }
+
     /// Returns the number of runs that are running on all executors.
     pub(crate) fn running(&self) -> usize {
         self.executors.borrow().values().map(|executor| executor.running.len()).sum()
