jobs: a task waits for a near place as long as that is expected to pay

Cause: a far place was taken although a near one was free soon, and a fuller executor far away could outweigh a near one with room.

Change: shard::locality decides by expected cost (learned run times, expected ends of runs on the rack, places that other waits take, slack, load) whether a task runs far now or waits, at most 1 s. same_rack steps take the rack that can take most of their tasks; gangs are placed whole near where there is room. One log line when a wait begins and one when it ends, counter locality_waits.

--- a/crates/jobs/src/shard/ends.rs
+++ b/crates/jobs/src/shard/ends.rs
@@ -15,6 +15,7 @@
 impl Shard {
     /// Handles the end of a run that an executor reports.
     pub(super) fn handle_end(&mut self, now: Time, id: &ExecutorId, ended: &RunEnd) {
+        self.learn_from_end(now, id, ended);
         let Some(entry) = self.jobs.get_mut(&ended.task.step.job) else {
             return;
         };
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -230,6 +230,8 @@
             /// Number of those on which the task had certainly started.
             confirmed: u32,
         },
+        /// A wait for a place near the data or the group of tasks begins or has ended.
+        Locality(Box<super::LocalityWait>),
         /// The interference model was recorded; one for each latency-critical image.
         ModelRecorded(super::FitReport),
     }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -21,6 +21,7 @@
 mod health;
 mod lease_ends;
 mod lifecycle;
+mod locality;
 mod message;
 mod model;
 mod order;
@@ -61,6 +62,7 @@
 pub use self::evidence::{FirstReport, Inherited, Knowledge, LeaseBound};
 pub use self::fit::FitReport;
 pub use self::lease_ends::LeaseEnd;
+pub use self::locality::{LocalityWait, WaitChoice, WaitInputs, WaitState, decide_wait};
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
 pub use self::model::{ImageSnapshot, Snapshot};
 pub use self::restore::Records;
@@ -90,6 +92,8 @@
     lease_ends: lease_ends::Recorded,
     /// Batch that was sent to the store and is not confirmed yet.
     pending_batch: Option<write::PendingBatch>,
+    /// Waits for racks, and what they are decided by.
+    locality: locality::State,
     /// Executors permitted by the advice service, for steps of queues with a policy.
     advice: BTreeMap<StepId, advice::StepAdvice>,
     /// Executors that may be due for a probe.
@@ -163,6 +167,7 @@
             unsplit: split::Unsplit::default(),
             lease_ends: lease_ends::Recorded::default(),
             pending_batch: None,
+            locality: locality::State::default(),
             advice: BTreeMap::new(),
             probe_candidates: BTreeSet::new(),
             evacuation: evacuate::State::default(),
@@ -276,6 +281,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.retry_orders(now);
+            self.remove_finished_waits();
             if self.shortage == 0.0 {
                 self.relocate(now);
             }
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -39,6 +39,8 @@
     All,
     /// Executors on which resources were released since the previous pass.
     Released,
+    /// Executors of the rack that the step waits for.
+    Rack,
 }
 
 /// Result of trying a step, from the most to the least that was placed.
@@ -77,11 +79,19 @@
         if blocked && !self.full { Scope::Released } else { Scope::All }
     }
 
+    /// Deducts placed runs from the numbers that may still be placed.
+    pub(super) const fn take(&mut self, count: usize, best_effort: bool) {
+        self.budget = self.budget.saturating_sub(count);
+        if best_effort {
+            self.best_effort_budget = self.best_effort_budget.saturating_sub(count);
+        }
+    }
+
     /// Returns the resources that no executor in `scope` has.
     pub(super) const fn rejections(&mut self, scope: Scope) -> &mut Rejections {
         match scope {
             Scope::All => &mut self.rejections,
-            Scope::Released => &mut self.released_rejections,
+            Scope::Released | Scope::Rack => &mut self.released_rejections,
         }
     }
 }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -7,6 +7,7 @@
 use super::Shard;
 use super::entry::{OpenRun, Stage, Stop};
 use super::executors::Executor;
+use super::locality::{self, Hold};
 use super::message::{Command, Decision, Order};
 use super::pass::{Pass, Placed, Scope};
 use super::ranking::{Candidate, Ranking};
@@ -47,20 +48,32 @@
         if spec.best_effort && pass.best_effort_budget == 0 {
             return Placed::Some;
         }
-        let scope = pass.scope(step.blocked && !needs_ticket);
+        let blocked = step.blocked;
+        let hold = self.hold(now, id, spec, &service, pass);
+        let scope = match hold {
+            Hold::Idle => return Placed::Some,
+            Hold::Near => Scope::Rack,
+            Hold::None => pass.scope(blocked && !needs_ticket),
+        };
+        let Some(step) = self.jobs.get(&id.job).and_then(|entry| entry.step(id)) else {
+            return Placed::All;
+        };
         if scope == Scope::Released && pass.released.is_empty() {
             return Placed::Some;
         }
-        if !needs_ticket && pass.rejections(scope).covers(&service, spec) {
+        if hold == Hold::None && !needs_ticket && pass.rejections(scope).covers(&service, spec) {
             self.set_blocked(id, true);
             return Placed::Rejected;
         }
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         let mut request = self.request(now, id, spec, &service);
+        if scope != Scope::Released {
+            request.rack = self.choose_rack(now, &request, waiting.len());
+        }
         let (suspects, others): (Vec<u32>, Vec<u32>) =
             waiting.iter().partition(|index| self.is_suspect(&id.task(**index)));
         let placed = match spec.gang {
-            true => self.place_gang(now, &request, &waiting, pass),
+            true => self.place_gang(now, &request, &waiting, scope, pass),
             false => self.place_tasks(now, &request, &others, scope, pass),
         };
         let placed_suspects = if spec.gang {
@@ -70,6 +83,13 @@
             self.place_tasks(now, &request, &suspects, scope, pass)
         };
         let result = placed.max(placed_suspects);
+        if locality::prefers_rack(spec) {
+            self.update_wait(now, id);
+        }
+        if hold == Hold::Near {
+            // The step waits for its rack and not for room.
+            return result.min(Placed::Some);
+        }
         self.set_blocked(id, result == Placed::Blocked);
         if result == Placed::Blocked && needs_ticket {
             self.request_advice(now, &request);
@@ -104,7 +124,8 @@
         let mut ranking = self.ranking(now, request, scope, pass);
         let mut rack = request.rack.clone();
         let mut left = waiting.len();
-        for index in waiting {
+        let mut held = None;
+        for (position, index) in waiting.iter().enumerate() {
             if pass.budget == 0 || (request.step.best_effort && pass.best_effort_budget == 0) {
                 return Placed::Some;
             }
@@ -115,12 +136,17 @@
             let Some(executor) = ranking.pop(self.avoided_executor(&task)) else {
                 return Placed::Blocked;
             };
+            if self.is_far(request, rack.as_ref(), &executor) {
+                let rest = waiting.len() - position;
+                let held = *held
+                    .get_or_insert_with(|| self.tasks_to_hold(now, request, rack.as_ref(), rest));
+                if rest <= held {
+                    return Placed::Some;
+                }
+            }
             let run = self.next_run(&task);
             self.open_run(now, &task, run, executor.clone(), request.step);
-            pass.budget -= 1;
-            if request.step.best_effort {
-                pass.best_effort_budget -= 1;
-            }
+            pass.take(1, request.step.best_effort);
             left -= 1;
             rack = self.update_ranking(now, request, scope, pass, &mut ranking, &executor, rack);
         }
@@ -133,6 +159,7 @@
         now: Time,
         request: &Request<'_>,
         waiting: &[u32],
+        scope: Scope,
         pass: &mut Pass,
     ) -> Placed {
         let id = request.id;
@@ -143,7 +170,26 @@
         let run = waiting.iter().map(|index| self.next_run(&id.task(*index))).max();
         let run = run.unwrap_or(Run(1));
         self.share_checkpoint(id);
-        let mut ranking = self.ranking(now, request, Scope::All, pass);
+        let scope = if scope == Scope::Rack { scope } else { Scope::All };
+        let placed = self.place_whole(now, request, waiting, run, scope, pass);
+        if placed == Placed::All {
+            pass.take(waiting.len(), request.step.best_effort);
+        }
+        placed
+    }
+
+    /// Places all members of a gang on executors of the ranking, or none. Returns whether they are
+    /// placed.
+    pub(super) fn place_members(
+        &mut self,
+        now: Time,
+        request: &Request<'_>,
+        waiting: &[u32],
+        run: Run,
+        mut ranking: Ranking,
+        pass: &Pass,
+    ) -> bool {
+        let id = request.id;
         let mut rack = request.rack.clone();
         let mut placed = Vec::new();
         for index in waiting {
@@ -152,7 +198,7 @@
                 for (task, previous) in placed {
                     self.revert_placement(&task, run, previous);
                 }
-                return Placed::Blocked;
+                return false;
             };
             let previous = self.latest_run(&task);
             self.open_run(now, &task, run, executor.clone(), request.step);
@@ -160,11 +206,7 @@
             let all = Scope::All;
             rack = self.update_ranking(now, request, all, pass, &mut ranking, &executor, rack);
         }
-        pass.budget = pass.budget.saturating_sub(placed.len());
-        if request.step.best_effort {
-            pass.best_effort_budget = pass.best_effort_budget.saturating_sub(placed.len());
-        }
-        Placed::All
+        true
     }
 
     /// Gives all members of a gang the most advanced checkpoint among them.
@@ -248,7 +290,13 @@
     }
 
     /// Returns the executors in `scope` that may run a task of the step.
-    fn ranking(&self, now: Time, request: &Request<'_>, scope: Scope, pass: &Pass) -> Ranking {
+    pub(super) fn ranking(
+        &self,
+        now: Time,
+        request: &Request<'_>,
+        scope: Scope,
+        pass: &Pass,
+    ) -> Ranking {
         let candidate = |(id, executor): (&ExecutorId, &Executor)| {
             let score = self.score(now, request, executor)?;
             Some(Candidate { score, executor: id.clone() })
@@ -261,6 +309,12 @@
                 .filter_map(|id| self.executors.get_key_value(id))
                 .filter_map(candidate)
                 .collect(),
+            Scope::Rack => self
+                .rack_members(request.wanted_rack())
+                .iter()
+                .filter_map(|id| self.executors.get_key_value(id))
+                .filter_map(candidate)
+                .collect(),
         };
         Ranking::new(candidates)
     }
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -61,6 +61,11 @@
         self.group % 2 == 1
     }
 
+    /// Returns when the occurrence must be done to meet its objective, in milliseconds since 1970.
+    pub(super) const fn due_ms(self) -> u64 {
+        self.due_ms
+    }
+
     /// Returns whether completing the job has no value any more.
     pub(super) const fn is_expired(self) -> bool {
         self.group == EXPIRED
--- a/crates/jobs/src/shard/ranking.rs
+++ b/crates/jobs/src/shard/ranking.rs
@@ -35,6 +35,16 @@
         self.0.push(candidate);
     }
 
+    /// Returns the executors, in no particular order.
+    pub(super) fn executors(&self) -> impl Iterator<Item = &ExecutorId> {
+        self.0.iter().map(|candidate| &candidate.executor)
+    }
+
+    /// Keeps only the executors for which `keeps` is true.
+    pub(super) fn retain(&mut self, keeps: impl Fn(&ExecutorId) -> bool) {
+        self.0.retain(|candidate| keeps(&candidate.executor));
+    }
+
     /// Removes and returns the best executor; `avoided` is chosen only if all others are much
     /// worse.
     pub(super) fn pop(&mut self, avoided: Option<&ExecutorId>) -> Option<ExecutorId> {
--- a/crates/jobs/src/shard/score.rs
+++ b/crates/jobs/src/shard/score.rs
@@ -11,7 +11,7 @@
 /// Minimum fraction of its requested processor time that a best-effort task must be able to get
 /// to be placed. Tasks of a burst that all run slowly are all late; those that wait keep the order
 /// of their ranks.
-const MIN_CPU_SHARE: f64 = 0.7;
+pub(super) const MIN_CPU_SHARE: f64 = 0.7;
 /// Score deducted for an executor that is on probation after failures.
 const PROBATION_PENALTY: f64 = 0.5;
 /// Difference in the score of a latency-critical task between an executor where all
@@ -19,6 +19,9 @@
 const SAME_IMAGE_BONUS: f64 = 3.0;
 /// Score of a latency-critical task next to another task of the same step.
 const SAME_STEP_BONUS: f64 = 1.0;
+/// Range of the score for packing. A fuller executor far away does not outweigh the longer run
+/// time there.
+const PACKING_RANGE: f64 = 1.0;
 
 impl Shard {
     /// Returns the score of an executor for a task of the step, or `None` if the task may not
@@ -80,7 +83,12 @@
         let rack = executor.registration.rack();
         let away = |wanted: Option<&Label>| wanted.is_some() && wanted != rack;
         let remote = away(request.step.data_rack.as_ref()) || away(request.rack.as_ref());
-        if remote { self.settings.remote_penalty - 1.0 } else { 0.0 }
+        let weight = if request.step.best_effort || !self.decides_locality(request) {
+            0.0
+        } else {
+            PACKING_RANGE
+        };
+        if remote { self.settings.remote_penalty - 1.0 + weight } else { 0.0 }
     }
 
     /// Returns the fraction of its requested processor time that a best-effort task would get,
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -45,6 +45,14 @@
         /// Factor on the run time of a task that runs away from its data or from other tasks of
         /// its step.
         pub remote_penalty: f64,
+        /// Whether it is decided for each task how long it waits for a place near its data or near
+        /// other tasks of its step; if not, a near place is only preferred.
+        pub decides_locality: bool,
+        /// Longest time for which a task waits for a near place.
+        pub max_locality_wait: Span,
+        /// The same for long-running tasks, which are to be placed again within 3 s of their last
+        /// run.
+        pub max_locality_wait_long_running: Span,
         /// Longest time for which best-effort tasks may keep a task over its objective.
         pub max_over_objective: Span,
         /// Maximum number of runs placed in one turn.
@@ -81,6 +89,10 @@
             max_row_bytes: DEFAULT_ROW_BYTES,
             tasks_per_record: tasks_per_record(DEFAULT_ROW_BYTES),
             remote_penalty: 1.5,
+            decides_locality: true,
+            // A third of the time within which jobs must not stand still while there is room.
+            max_locality_wait: Span::from_ms(1_000),
+            max_locality_wait_long_running: Span::from_ms(500),
             max_over_objective: Span::from_ms(4_000),
             max_placed_per_turn: 128,
             outlook_interval: Span::from_ms(1_000),
--- a/crates/jobs/tests/support/executor.rs
+++ b/crates/jobs/tests/support/executor.rs
@@ -5,7 +5,7 @@
 
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::executor::{EndReason, Incarnation, Report, RunEnd, RunReport, Steady};
-use sycamorerill_jobs::id::{ExecutorId, Run, TaskId};
+use sycamorerill_jobs::id::{ExecutorId, Label, Run, TaskId};
 use sycamorerill_jobs::spec::Resources;
 
 /// Longest lease that executors grant.
@@ -64,6 +64,7 @@
     /// Whether another executor has taken over the address.
     pub(crate) replaced: bool,
     pub(crate) run_time: Span,
+    pub(crate) rack: Label,
     /// Number of an end that is kept of a run that is no task's; 0 if there is none.
     pub(crate) foreign_end: u64,
     /// Checkpoint that runs have saved.
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -48,6 +48,8 @@
     pub(crate) config: Arc<Config>,
     pub(crate) executors: BTreeMap<ExecutorId, FakeExecutor>,
     pub(crate) accepted: BTreeMap<JobId, AcceptedJob>,
+    /// Run times of the tasks of jobs, in place of those of the executors.
+    pub(crate) run_times: BTreeMap<JobId, Span>,
     pub(crate) cancelled: BTreeSet<JobId>,
     pub(crate) progress: BTreeMap<RecordId, Progress>,
     pub(crate) states: BTreeMap<JobId, State>,
@@ -149,6 +151,7 @@
             config,
             executors: BTreeMap::new(),
             accepted: BTreeMap::new(),
+            run_times: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             progress: BTreeMap::new(),
             states: BTreeMap::new(),
@@ -216,6 +219,7 @@
             refuses_probes: false,
             replaced: false,
             run_time: Span::from_ms(1_000),
+            rack: Label::from("r1"),
             foreign_end: 0,
             checkpoint: String::new(),
             tail_ms: 20,
@@ -252,7 +256,7 @@
             warm_up: executor.warm_at.since(self.now),
             remaining: None,
             capacity: executor.capacity,
-            labels: vec![Label::from("a"), Label::from("r1")],
+            labels: vec![Label::from("a"), executor.rack.clone()],
             clock: executor.clock(self.now - executor.list_age),
         }
     }
--- a/crates/jobs/tests/support/orders.rs
+++ b/crates/jobs/tests/support/orders.rs
@@ -153,8 +153,11 @@
         let long_running = self.accepted[&order.task.step.job].job.steps
             [order.task.step.step as usize]
             .long_running;
-        let ends_at = (!long_running).then(|| now + executor.run_time);
         let step = &self.accepted[&order.task.step.job].job.steps[order.task.step.step as usize];
+        let near = self.run_times.get(&order.task.step.job).copied().unwrap_or(executor.run_time);
+        let is_remote = step.data_rack.as_ref().is_some_and(|rack| *rack != executor.rack);
+        let factor = if is_remote { self.settings.remote_penalty } else { 1.0 };
+        let ends_at = (!long_running).then(|| now + near.scale(factor));
         let active = ActiveRun {
             run: order.run,
             ends_at,
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/lines.rs
@@ -8,7 +8,7 @@
 use sycamorerill_jobs::id::{DomainName, ExecutorId, InstanceName, ShardId};
 use sycamorerill_jobs::shard::{
     Closing, Decision, Evacuated, Event, FirstReport, FitReport, Inherited, Knowledge, LeaseBound,
-    Order,
+    LocalityWait, Order,
 };
 
 use crate::log::{Code, Line};
@@ -66,6 +66,7 @@
             .number("crashes", u64::from(*crashes))
             .number("confirmed", u64::from(*confirmed)),
         Decision::ModelRecorded(report) => fit(shard, report),
+        Decision::Locality(wait) => locality(shard, wait),
         Decision::Unknown { order, incarnation } => {
             run(Code::Unknown, shard, order).number("epoch", epoch).number("born", incarnation.0)
         }
@@ -215,6 +216,33 @@
         .text("weights", weights.join(" "))
 }
 
+fn locality(shard: ShardId, wait: &LocalityWait) -> Line {
+    let inputs = &wait.inputs;
+    let line = Line::new(Code::Locality)
+        .text("shard", shard)
+        .text("step", wait.step)
+        .text("rack", &wait.rack)
+        .text("state", wait.state.name())
+        .number("tasks", wait.tasks as u64)
+        .number("waited_ms", wait.waited.as_ms())
+        .number("run_ms", inputs.run.as_ms())
+        .text("penalty", format_args!("{:.2}", inputs.penalty))
+        .text("error", format_args!("{:.2}", inputs.error))
+        .text("success", format_args!("{:.2}", inputs.success))
+        .text("load", format_args!("{:.2}", inputs.load))
+        .number("limit_ms", inputs.allowance.as_ms())
+        .number("ahead", wait.ahead as u64)
+        .number("age_ms", wait.age.as_ms());
+    let line = match inputs.expected {
+        Some(expected) => line.number("expected_ms", expected.as_ms()),
+        None => line,
+    };
+    match inputs.slack {
+        Some(slack) => line.number("slack_ms", slack.as_ms()),
+        None => line,
+    }
+}
+
 fn owner(code: Code, shard: ShardId, epoch: u64) -> Line {
     Line::new(code).text("shard", shard).number("epoch", epoch)
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -57,6 +57,8 @@
     Crashed,
     /// An executor has a run that no record has as open.
     Unknown,
+    /// A wait for a place near the data or the group of tasks began or ended.
+    Locality,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
     /// probe of it failed.
     Executor,
@@ -107,6 +109,7 @@
         Self::Advised,
         Self::Crashed,
         Self::Unknown,
+        Self::Locality,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
@@ -141,6 +144,7 @@
             Self::Advised => 1205,
             Self::Crashed => 1206,
             Self::Unknown => 1207,
+            Self::Locality => 1208,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
@@ -176,6 +180,7 @@
             Self::Advised => "step.advised",
             Self::Crashed => "run.crashed",
             Self::Unknown => "run.unknown",
+            Self::Locality => "step.locality",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -62,6 +62,7 @@
     closed: Family<OutcomeLabels, Counter>,
     finished: Family<OutcomeLabels, Counter>,
     tails: Family<OutcomeLabels, Counter>,
+    locality: Family<OutcomeLabels, Counter>,
     shards: Gauge,
     ticks_percent: Gauge,
     inbox: Gauge,
@@ -96,6 +97,7 @@
             closed: Family::default(),
             finished: Family::default(),
             tails: Family::default(),
+            locality: Family::default(),
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
             inbox: Gauge::default(),
@@ -123,6 +125,8 @@
         registry.register("jobs_finished", "Jobs that ended, by state", self.finished.clone());
         let help = "Reports on latency-critical jobs, by whether their tails tell the utilization";
         registry.register("tail_reports", help, self.tails.clone());
+        let help = "Waits for a place near the data or the group of tasks, begun and by their end";
+        registry.register("locality_waits", help, self.locality.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
         let help = "Percentage of the expected ticks that an owner of shards received";
         registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
@@ -190,6 +194,10 @@
                 count("informative", report.reports.saturating_sub(report.saturated));
                 count("saturated", report.saturated);
             }
+            Decision::Locality(wait) => {
+                let outcome = wait.state.name();
+                self.locality.get_or_create(&OutcomeLabels { outcome }).inc();
+            }
             _ => {}
         }
     }
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -6,10 +6,12 @@
 use serde_json::{Value, json};
 use sycamorerill_core::clock::Span;
 use sycamorerill_jobs::executor::{EndReason, Incarnation, Outcome, Refusal, Steady};
-use sycamorerill_jobs::id::{DomainName, ExecutorId, InstanceName, JobId, Run, ShardId, StepId};
+use sycamorerill_jobs::id::{
+    DomainName, ExecutorId, InstanceName, JobId, Label, Run, ShardId, StepId,
+};
 use sycamorerill_jobs::shard::{
-    Closing, Decision, Evacuated, Event, FirstReport, Inherited, Knowledge, LeaseBound, Order,
-    Probe,
+    Closing, Decision, Evacuated, Event, FirstReport, Inherited, Knowledge, LeaseBound,
+    LocalityWait, Order, Probe, WaitInputs, WaitState,
 };
 use sycamorerill_node::lines::{self, Loss};
 use sycamorerill_node::log::{Code, Line, Queue};
@@ -192,6 +194,40 @@
     assert_fields(&lines::decision(SHARD, 7, &Decision::Fenced(first)), Code::Fenced, fields);
 }
 
+/// Without its inputs, a wait for a near place could not be told from a lack of room.
+#[test]
+fn lines_of_waits_for_a_near_place_tell_the_inputs_and_the_outcome() {
+    let inputs = WaitInputs {
+        run: Span::from_ms(1_000),
+        penalty: 1.5,
+        expected: Some(Span::from_ms(300)),
+        error: 0.4,
+        success: 0.9,
+        load: 0.6,
+        slack: Some(Span::from_ms(750)),
+        allowance: Span::from_ms(1_000),
+        is_waiting: false,
+    };
+    let wait = LocalityWait {
+        step: order().task.step,
+        rack: Label::from("r1"),
+        state: WaitState::GaveUp,
+        tasks: 2,
+        waited: Span::from_ms(420),
+        inputs,
+        ahead: 3,
+        age: Span::from_ms(80),
+    };
+    let fields = json!({
+        "shard": "s0", "step": "0000000000000001.0.0", "rack": "r1", "state": "gave_up", "tasks": 2,
+        "waited_ms": 420, "run_ms": 1_000, "penalty": "1.50", "error": "0.40", "success": "0.90",
+        "load": "0.60",
+        "limit_ms": 1_000, "ahead": 3, "age_ms": 80, "expected_ms": 300, "slack_ms": 750,
+    });
+    let line = lines::decision(SHARD, 7, &Decision::Locality(Box::new(wait)));
+    assert_fields(&line, Code::Locality, fields);
+}
+
 #[test]
 fn refusals_and_losses_tell_the_epoch_and_the_reason() {
     let refused = Outcome::Refused(Refusal::Fence, Some(Steady(538)));
