jobs: a long-running task that had no room does not wait for a near place

Cause: after a lack of room, which counts as part of the 3 s in which it is to be placed again, it waited for up to 0.5 s more. The test failed before the change.

--- a/crates/jobs/src/shard/locality/mod.rs
+++ b/crates/jobs/src/shard/locality/mod.rs
@@ -253,8 +253,10 @@
             true => self.settings.max_locality_wait_long_running,
             false => self.settings.max_locality_wait,
         };
-        // A step that was blocked had no room elsewhere either until now.
-        let is_fresh = step.blocked || now.since(step.ready_since) < longest;
+        // A step that was blocked had no room elsewhere either until now. For a long-running one that
+        // time counts all the same.
+        let had_no_room = step.blocked && !request.step.long_running;
+        let is_fresh = had_no_room || now.since(step.ready_since) < longest;
         let is_restored = self.restored_at > Time::ZERO && step.ready_since <= self.restored_at;
         (is_fresh && !is_restored && waiting < MAX_WAITS).then_some(longest)
     }
--- a/crates/jobs/tests/locality.rs
+++ b/crates/jobs/tests/locality.rs
@@ -241,6 +241,22 @@
     assert_eq!(placed(&sim, 2, 0).1, 4, "{:?}", sim.log);
 }
 
+/// Guards against a wait after a lack of room that has taken most of the time allowed.
+#[test]
+fn long_running_tasks_that_had_no_room_do_not_wait() {
+    let mut sim = racks(2, Settings::default());
+    for (id, number) in [(1, 0), (3, 1)] {
+        sim.run_times.insert(job(id), Span::from_secs(20));
+        sim.submit(job(id), vec![only_on(number, RACK_TASKS)]);
+    }
+    sim.advance(Span::from_ms(50));
+    sim.submit(job(2), vec![Step { long_running: true, ..data_on(0, 2) }]);
+    sim.advance(Span::from_ms(1_000));
+    sim.cancel(job(3));
+    sim.advance(Span::from_ms(150));
+    assert_eq!(placed(&sim, 2, 0), (0, 2), "{:?}", waits(&sim));
+}
+
 /// Guards against waits that add up over takeovers, and over runs that fail.
 #[test]
 fn a_step_waits_at_most_once_and_not_after_a_takeover() {
