--- a/crates/jobs/tests/locality.rs
+++ b/crates/jobs/tests/locality.rs
@@ -195,7 +195,7 @@
 #[test]
 fn tasks_of_one_rack_go_to_the_rack_that_can_take_most_of_them() {
     let mut sim = racks(3, Settings::default());
-    sim.submit(job(1), vec![only_on(0, 10), only_on(1, 4), only_on(2, 12)]);
+    sim.submit(job(1), vec![only_on(0, 10), only_on(1, 3), only_on(2, 12)]);
     sim.advance(Span::from_ms(50));
     sim.submit(job(2), vec![Step { same_rack: true, ..step(10) }]);
     sim.advance(Span::from_ms(50));
@@ -220,6 +220,42 @@
     assert_eq!(placed(&sim, 4, 0), (0, 4));
 }
 
+/// Guards against a gang that waits although only some of its members get a place.
+#[test]
+fn a_gang_does_not_wait_for_places_of_some_members() {
+    let mut sim = racks(2, Settings::default());
+    sim.run_times.insert(job(1), Span::from_secs(20));
+    sim.submit(job(1), vec![Step { estimate_ms: 20_000, ..only_on(0, RACK_TASKS - 2) }]);
+    sim.submit(job(2), vec![only_on(0, 2)]);
+    sim.advance(Span::from_ms(800));
+    sim.submit(job(3), vec![Step { gang: true, ..data_on(0, 4) }]);
+    sim.advance(Span::from_ms(20));
+    assert_eq!(placed(&sim, 3, 0), (0, 4));
+}
+
+/// Guards against waits that use up a pass, as steps without an executor do.
+#[test]
+fn hundreds_of_waits_do_not_keep_a_pass_from_others() {
+    const WAITS: usize = 210;
+    let mut sim = racks(20, Settings::default());
+    for (id, executor) in &mut sim.executors {
+        let number: u32 = id.to_string()[1..].parse().unwrap();
+        executor.rack = rack(number / 30);
+    }
+    sim.restart_shard();
+    sim.advance(Span::from_ms(50));
+    sim.submit(job(1), vec![only_on(0, 240)]);
+    sim.advance(Span::from_ms(800));
+    for id in 0..WAITS as u64 {
+        sim.submit(job(10 + id), vec![data_on(0, 1)]);
+    }
+    sim.advance(Span::from_ms(20));
+    assert_eq!(states(&sim), [WaitState::Begun; WAITS]);
+    sim.submit(job(1_000), vec![Step { estimate_ms: 4_000, ..step(4) }]);
+    sim.advance(Span::from_ms(20));
+    assert_eq!(placed(&sim, 1_000, 1), (4, 0));
+}
+
 /// Guards against a long-running task that is not placed within the time allowed for it.
 #[test]
 fn long_running_tasks_wait_for_a_short_time() {
@@ -261,7 +297,8 @@
 #[test]
 fn a_step_waits_at_most_once_and_not_after_a_takeover() {
     let mut sim = full_rack(2, Span::from_ms(800));
-    sim.submit(job(2), vec![data_on(0, 2)]);
+    // Far away it loses more than the time that runs take anew to the successor.
+    sim.submit(job(2), vec![Step { estimate_ms: 5_000, ..data_on(0, 2) }]);
     sim.advance(Span::from_ms(60));
     assert_eq!(states(&sim), [WaitState::Begun]);
     sim.take_over();
