--- a/crates/jobs/tests/locality.rs
+++ b/crates/jobs/tests/locality.rs
@@ -121,6 +121,23 @@
     assert_eq!(placed(&sim, 2, 0), (0, 2));
 }
 
+/// Guards against waiting for places in which nothing may start.
+#[test]
+fn a_wait_ends_when_the_domain_of_the_rack_is_evacuated() {
+    let mut sim = full_rack(2, Span::from_ms(800));
+    for id in ["x0", "x1"] {
+        sim.executor(id).domain = "evacuated";
+        list(&mut sim, id, Availability::Ready);
+    }
+    sim.submit(job(2), vec![data_on(0, 2)]);
+    sim.advance(Span::from_ms(30));
+    assert_eq!(states(&sim), [WaitState::Begun]);
+    sim.evacuate(&["evacuated"]);
+    sim.advance(Span::from_ms(160));
+    assert_eq!(states(&sim), [WaitState::Begun, WaitState::RackLost]);
+    assert_eq!(placed(&sim, 2, 0), (0, 2));
+}
+
 /// Guards against waiting for runs that do not end.
 #[test]
 fn tasks_do_not_wait_for_long_running_ones() {
