jobs: restarts of long-running tasks go before new work

A long-running task that ran before was behind all timely tasks of its priority, and small ones took each gap before it was large enough. Steps with such a task are first in their priority once it has waited for 0.5 s, and an executor is reserved for the step if none has room: others are placed there only if they leave the room that it needs.

--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -63,6 +63,8 @@
     pub(super) rank: Option<Rank>,
     /// Whether the last placement pass that tried the step found no executor for a task.
     pub(super) blocked: bool,
+    /// Whether the log has a line of a reservation for the step.
+    pub(super) reservation_logged: bool,
     /// When all steps that this step depends on were done.
     pub(super) ready_since: Time,
 }
@@ -86,6 +88,8 @@
     pub(super) avoided_executor: Option<ExecutorId>,
     /// Earliest time of the next placement.
     pub(super) not_before: Time,
+    /// When the last run was closed; at the beginning of time if a predecessor closed it.
+    pub(super) waiting_since: Time,
 }
 
 /// A run whose end is not known yet.
@@ -242,6 +246,7 @@
             waiting: BTreeSet::new(),
             rank: None,
             blocked: false,
+            reservation_logged: false,
             ready_since: now,
         }
     }
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -62,6 +62,10 @@
     pub(super) open_tasks: BTreeSet<TaskId>,
     /// Resources reserved for open runs.
     pub(super) used: Resources,
+    /// Part of `used` that long-running runs have.
+    pub(super) long_running_used: Resources,
+    /// Reservation of the executor for a task that waits.
+    pub(super) reservation: Option<super::reservation::Reservation>,
     /// Processor time that best-effort runs request, in thousandths of a core by image.
     pub(super) best_effort_cpu: BTreeMap<Image, u64>,
     /// Processor time that latency-critical runs request, in thousandths of a core by image.
@@ -129,6 +133,8 @@
             inherited_restart: false,
             open_tasks: BTreeSet::new(),
             used: Resources::default(),
+            long_running_used: Resources::default(),
+            reservation: None,
             best_effort_cpu: BTreeMap::new(),
             latency_critical_cpu: BTreeMap::new(),
             best_effort_total: 0,
@@ -181,6 +187,9 @@
     /// Reserves the resources for a run of a step.
     pub(super) fn reserve(&mut self, task: TaskId, step: &Step) {
         self.used = self.used.plus(&step.reserved());
+        if step.long_running {
+            self.long_running_used = self.long_running_used.plus(&step.reserved());
+        }
         self.forecasts = None;
         let cpu = step.resources.cpu;
         if step.best_effort {
@@ -197,6 +206,9 @@
     /// Releases the resources of a run of a step.
     pub(super) fn release(&mut self, step: &Step) {
         self.used = self.used.saturating_sub(&step.reserved());
+        if step.long_running {
+            self.long_running_used = self.long_running_used.saturating_sub(&step.reserved());
+        }
         self.forecasts = None;
         if step.best_effort {
             release_cpu(&mut self.best_effort_cpu, step);
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -95,18 +95,17 @@
         let Some(occurrence) = entry.occurrences.get(&number) else {
             return;
         };
-        let queue = self.queue_of(entry);
-        let begin_ms = occurrence.begin_ms;
-        let ready: Vec<(u32, Rank)> = (0..occurrence.steps.len() as u32)
+        let ready: Vec<(StepId, Rank)> = (0..occurrence.steps.len() as u32)
             .filter(|step| {
                 let depends_on = &entry.job.steps[*step as usize].depends_on;
                 !occurrence.steps[*step as usize].begun
                     && depends_on.iter().all(|a| occurrence.steps[*a as usize].left == 0)
             })
-            .map(|step| (step, Rank::of(entry, queue, step, begin_ms, self.wall_ms)))
+            .map(|step| StepId { job: id, occurrence: number, step })
+            .filter_map(|step| Some((step, self.current_rank(now, step)?)))
             .collect();
         for (step, rank) in ready {
-            self.begin_step(now, StepId { job: id, occurrence: number, step }, rank);
+            self.begin_step(now, step, rank);
         }
     }
 
@@ -201,7 +200,7 @@
                 if let Some(involvement) = crash {
                     self.attribute_end(now, &order, by, involvement);
                 }
-                self.requeue(task);
+                self.requeue(now, task);
             }
         }
         self.remove_finished_occurrence(task.step.job, task.step.occurrence);
@@ -349,13 +348,13 @@
         if exhausted && entry.is_active() {
             self.finish(now, id.step.job, State::Failed);
         } else {
-            self.requeue(id);
+            self.requeue(now, id);
         }
     }
 
     /// Queues a task for placement, unless it is done, still has an open run, or its job has
     /// ended.
-    fn requeue(&mut self, id: &TaskId) {
+    fn requeue(&mut self, now: Time, id: &TaskId) {
         let Some(entry) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
@@ -363,13 +362,17 @@
         let Some(step) = entry.step_mut(id.step.occurrence, id.step.step) else {
             return;
         };
-        let task = &step.tasks[id.index as usize];
+        let task = &mut step.tasks[id.index as usize];
         if !active || task.done || !task.open_runs.is_empty() || !step.begun {
             return;
         }
+        task.waiting_since = now;
         step.waiting.insert(id.index);
         if let Some(rank) = step.rank {
             self.waiting.insert((rank, id.step));
         }
+        if entry.job.steps[id.step.step as usize].long_running {
+            self.promotions.insert((now + self.settings.restart_promotion, id.step));
+        }
     }
 }
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -221,6 +221,19 @@
         /// The store rejects a record of a job for good, or it cannot be read, so the job does not
         /// go on.
         RecordRejected(RecordId),
+        /// An executor was reserved for a step that found none; one for each step.
+        Reserved {
+            /// Step with a task that waits.
+            step: StepId,
+            /// Executor that other tasks may use only as far as they leave enough room.
+            executor: ExecutorId,
+            /// Time since the step became ready.
+            waited: Span,
+            /// Time until the executor is expected to have room, by the estimates of its runs.
+            expected: Span,
+            /// Number of executors that are reserved, this one included.
+            reserved: usize,
+        },
         /// An executor crashed shortly after a task may have started there.
         Crashed {
             /// Run and executor.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -34,6 +34,7 @@
 mod ranking;
 mod rejections;
 mod relocate;
+mod reservation;
 mod restart;
 mod restore;
 mod score;
@@ -80,6 +81,11 @@
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
     waiting: BTreeSet<(Rank, StepId)>,
+    /// Steps with restarts of long-running tasks, by the time from which on these are placed before
+    /// new work.
+    promotions: BTreeSet<(Time, StepId)>,
+    /// Executors that are reserved for waiting steps.
+    reservations: BTreeMap<StepId, ExecutorId>,
     /// Records of which the tasks or the job have changed since they were last written.
     dirty: BTreeSet<RecordId>,
     /// Records and run ends that the next batches hold.
@@ -158,6 +164,8 @@
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            promotions: BTreeSet::new(),
+            reservations: BTreeMap::new(),
             dirty: BTreeSet::new(),
             round: write::Round::default(),
             unsplit: split::Unsplit::default(),
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -93,13 +93,17 @@
             return;
         }
         self.placement_due = false;
+        self.promote_restarts(now);
         let mut pass = self.begin_pass(now);
         let full = pass.full;
         let mut effort = Effort::new(full, self.resume_after);
         let (mut found_none, mut is_used_up) = (false, false);
+        if pass.full {
+            self.review_reservations(now);
+        }
         let ranked: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
         for (rank, id) in ranked {
-            if pass.full && self.update_rank(rank, id) {
+            if pass.full && self.update_rank(now, rank, id) {
                 continue;
             }
             let blocked = self.is_blocked(id);
@@ -171,31 +175,4 @@
             self.full_pass_after = now;
         }
     }
-
-    /// Moves a step to its current rank, which drops when the job becomes late or expires.
-    /// Returns whether the rank has changed.
-    fn update_rank(&mut self, rank: Rank, id: StepId) -> bool {
-        if rank.is_expired() {
-            return false;
-        }
-        let Some(entry) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
-            return false;
-        };
-        let queue = self.queue_of(entry);
-        let updated = Rank::of(entry, queue, id.step, occurrence.begin_ms, self.wall_ms);
-        if updated == rank {
-            return false;
-        }
-        self.waiting.remove(&(rank, id));
-        self.waiting.insert((updated, id));
-        if let Some(step) =
-            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
-        {
-            step.rank = Some(updated);
-        }
-        true
-    }
 }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -9,6 +9,7 @@
 use super::executors::Executor;
 use super::message::{Command, Decision, Order};
 use super::pass::{Pass, Placed, Scope};
+use super::rank::Rank;
 use super::ranking::{Candidate, Ranking};
 use crate::id::{ExecutorId, Label, Run, ServiceName, StepId, TaskId};
 use crate::spec::Step;
@@ -51,11 +52,17 @@
         if scope == Scope::Released && pass.released.is_empty() {
             return Placed::Some;
         }
-        if !needs_ticket && pass.rejections(scope).covers(&service, spec) {
+        // Others may have been refused an executor that is reserved for this step.
+        let is_tried = needs_ticket || self.has_reservation(id);
+        if !is_tried && pass.rejections(scope).covers(&service, spec) {
             self.set_blocked(id, true);
             return Placed::Rejected;
         }
-        let waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        let mut waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        let restarts = step.rank.is_some_and(Rank::is_restart);
+        if restarts {
+            waiting.sort_by_key(|index| self.latest_run(&id.task(*index)).0 == 0);
+        }
         let mut request = self.request(now, id, spec, &service);
         let (suspects, others): (Vec<u32>, Vec<u32>) =
             waiting.iter().partition(|index| self.is_suspect(&id.task(**index)));
@@ -74,6 +81,9 @@
         if result == Placed::Blocked && needs_ticket {
             self.request_advice(now, &request);
         }
+        if placed == Placed::Blocked && restarts && scope == Scope::All && !needs_ticket {
+            self.reserve_executor(now, &request);
+        }
         // Suspects are placed on fewer executors than other tasks.
         if placed == Placed::Blocked && !needs_ticket && !spec.gang {
             pass.rejections(scope).record(&service, spec);
@@ -312,6 +322,10 @@
             return;
         };
         executor.reserve(*task, spec);
+        if self.reservations.get(&task.step) == Some(&id) {
+            executor.reservation = None;
+            self.reservations.remove(&task.step);
+        }
         executor.last_placed = now;
         self.outlooks.note_start(&executor.registration.service, spec);
         if step.tasks[task.index as usize].is_suspect() {
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -1,36 +1,53 @@
 //! Order in which waiting steps are placed.
 
+use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::value;
 
-use super::entry::Entry;
+use super::Shard;
+use super::entry::{Entry, Step};
 use crate::admission::EXPIRY_FACTOR;
 use crate::config::Queue;
+use crate::id::StepId;
 
-/// Group of steps whose job is so late that its completion has no value.
-const EXPIRED: u32 = u32::MAX;
 /// Fraction of its estimated remaining time that a job needs at least.
 const CERTAIN_FRACTION: f64 = 0.8;
 
 value! {
-    /// Rank of a waiting step; lower ranks are placed first.
-    pub(crate) struct Rank {
-        /// Priority of the queue, with long-running tasks and late jobs behind the others of
-        /// the same priority.
-        group: u32,
-        /// When the occurrence must be done to meet the latency objective, in milliseconds since
-        /// 1970.
-        due_ms: u64,
+    /// Urgency of a step among those of its priority; lower variants are placed first.
+    enum Class {
+        /// A long-running task waits that has run before: its callers are without it.
+        Restart,
+        /// The job can meet its objective.
+        Timely,
+        /// The job will be late in any case, so it must not make others late. New long-running
+        /// tasks are here as well: other tasks of the same priority have several times the value
+        /// per core and second, and release their resources again.
+        Behind,
+        /// The job is so late that its completion has no value.
+        Expired,
     }
 }
 
+/// Rank of a waiting step; lower ranks are placed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Priority of the queue; that of expired steps is below all others.
+    priority: u32,
+    class: Class,
+    /// When the occurrence must be done to meet the latency objective, in milliseconds since 1970.
+    due_ms: u64,
+}
+
 impl Rank {
-    /// Returns the rank of a step of `entry` in an occurrence that begins at `begin_ms`.
-    pub(super) fn of(
+    /// Returns the rank of a step of `entry` in an occurrence that begins at `begin_ms`;
+    /// `restarts` tells whether it has restarts to be placed before new work.
+    fn of(
         entry: &Entry,
         queue: Option<&Queue>,
         step: u32,
         begin_ms: u64,
         wall_ms: u64,
+        restarts: bool,
     ) -> Self {
         let (priority, stretch, objective) = queue
             .map_or((0, 1.0, 0), |queue| (queue.priority, queue.stretch, queue.objective.as_ms()));
@@ -38,31 +55,89 @@
         let span = path_ms.saturating_add(objective);
         let due_ms = begin_ms.saturating_add(span);
         let remaining = entry.job.critical_path_from(step).scale(CERTAIN_FRACTION).as_ms();
-        let ahead = priority.saturating_mul(2).min(EXPIRED - 3);
-        let behind = ahead + 1;
-        let group = if entry.long_running {
-            // Behind other tasks of the same priority: those have several times the value per
-            // core and second, and release their resources again.
-            behind
+        let class = if restarts {
+            Class::Restart
+        } else if entry.long_running {
+            Class::Behind
         } else if wall_ms > begin_ms.saturating_add(span.saturating_mul(EXPIRY_FACTOR)) {
-            EXPIRED
+            Class::Expired
         } else if wall_ms.saturating_add(remaining) > due_ms {
-            // The job will be late in any case, so it must not make others late.
-            behind
+            Class::Behind
         } else {
-            ahead
+            Class::Timely
         };
-        Self { group, due_ms }
+        let priority = if class == Class::Expired { u32::MAX } else { priority };
+        Self { priority, class, due_ms }
     }
 
     /// Returns whether steps of the same priority that can still meet their objective come first.
     pub(super) const fn is_late(self) -> bool {
-        // Groups of late and of long-running work are odd, as is that of expired jobs.
-        self.group % 2 == 1
+        matches!(self.class, Class::Behind | Class::Expired)
     }
 
     /// Returns whether completing the job has no value any more.
     pub(super) const fn is_expired(self) -> bool {
-        self.group == EXPIRED
+        matches!(self.class, Class::Expired)
+    }
+
+    /// Returns whether the step has restarts that are placed before new work.
+    pub(super) const fn is_restart(self) -> bool {
+        matches!(self.class, Class::Restart)
+    }
+}
+
+impl Step {
+    /// Returns whether a task that has run before has waited for at least `wait`.
+    fn has_restart(&self, now: Time, wait: Span) -> bool {
+        self.tasks.iter().any(|task| {
+            task.run > 0
+                && !task.done
+                && task.open_runs.is_empty()
+                && now.since(task.waiting_since) >= wait
+        })
+    }
+}
+
+impl Shard {
+    /// Returns the present rank of a step.
+    pub(super) fn current_rank(&self, now: Time, id: StepId) -> Option<Rank> {
+        let entry = self.jobs.get(&id.job)?;
+        let begin_ms = entry.occurrences.get(&id.occurrence)?.begin_ms;
+        let queue = self.queue_of(entry);
+        let restarts = entry.job.steps.get(id.step as usize)?.long_running
+            && entry.step(id)?.has_restart(now, self.settings.restart_promotion);
+        Some(Rank::of(entry, queue, id.step, begin_ms, self.wall_ms, restarts))
+    }
+
+    /// Moves a waiting step to its present rank. Returns whether the rank has changed.
+    pub(super) fn update_rank(&mut self, now: Time, rank: Rank, id: StepId) -> bool {
+        let updated = match self.current_rank(now, id) {
+            Some(updated) if updated != rank && !rank.is_expired() => updated,
+            _ => return false,
+        };
+        self.waiting.remove(&(rank, id));
+        self.waiting.insert((updated, id));
+        if let Some(step) =
+            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
+        {
+            step.rank = Some(updated);
+        }
+        true
+    }
+
+    /// Moves the steps whose restarts are due to be placed before new work.
+    ///
+    /// Passes that update the ranks of all steps are too rare for that, and may end before they
+    /// reach the step.
+    pub(super) fn promote_restarts(&mut self, now: Time) {
+        while let Some((due, id)) = self.promotions.first().copied().filter(|(due, _)| *due <= now)
+        {
+            self.promotions.remove(&(due, id));
+            let step = self.jobs.get(&id.job).and_then(|entry| entry.step(id));
+            let rank = step.filter(|step| !step.waiting.is_empty()).and_then(|step| step.rank);
+            if let Some(rank) = rank {
+                self.update_rank(now, rank, id);
+            }
+        }
     }
 }
--- a/crates/jobs/src/shard/score.rs
+++ b/crates/jobs/src/shard/score.rs
@@ -53,13 +53,11 @@
         if step.label.as_ref().is_some_and(|label| !registration.labels.contains(label)) {
             return None;
         }
-        if !registration.capacity.saturating_sub(&executor.used).covers(&step.reserved()) {
+        let free = registration.capacity.saturating_sub(&executor.used);
+        if !free.covers(&step.reserved()) || !self.is_below_task_limit(request, executor) {
             return None;
         }
-        if step
-            .max_per_executor
-            .is_some_and(|most| step_tasks_on(request.id, executor) >= most as usize)
-        {
+        if executor.reservation.is_some_and(|held| !held.admits(now, request, &free)) {
             return None;
         }
         let mut score = if step.best_effort {
@@ -74,6 +72,12 @@
         Some(score)
     }
 
+    /// Returns whether an executor may get another task of the step.
+    pub(super) fn is_below_task_limit(&self, request: &Request<'_>, executor: &Executor) -> bool {
+        let most = request.step.max_per_executor;
+        most.is_none_or(|most| step_tasks_on(request.id, executor) < most as usize)
+    }
+
     /// Returns the score deducted if the executor is on another rack than the step's data or
     /// its running tasks.
     fn locality_penalty(&self, request: &Request<'_>, executor: &Executor) -> f64 {
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -47,6 +47,13 @@
         pub remote_penalty: f64,
         /// Longest time for which best-effort tasks may keep a task over its objective.
         pub max_over_objective: Span,
+        /// Time for which a long-running task that has run before waits behind new work of its
+        /// priority; from then on it is placed first.
+        pub restart_promotion: Span,
+        /// Time for which an executor is reserved for a task that waits for room.
+        pub reservation: Span,
+        /// Number of executors for each that may be reserved at the same time.
+        pub executors_per_reservation: usize,
         /// Maximum number of runs placed in one turn.
         pub max_placed_per_turn: usize,
         /// Time between two outlooks on the waits of new jobs.
@@ -82,6 +89,12 @@
             tasks_per_record: tasks_per_record(DEFAULT_ROW_BYTES),
             remote_penalty: 1.5,
             max_over_objective: Span::from_ms(4_000),
+            // Leaves most of the 3 s that a restart may take to the search for an executor.
+            restart_promotion: Span::from_ms(500),
+            // Most runs end within that time.
+            reservation: Span::from_ms(3_000),
+            // Bounds the room that may lie idle to a small part of the executors.
+            executors_per_reservation: 8,
             max_placed_per_turn: 128,
             outlook_interval: Span::from_ms(1_000),
             latency_critical_use: 0.5,
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/lines.rs
@@ -62,6 +62,15 @@
             .text("shard", shard)
             .text("record", record)
             .text("job", record.job),
+        Decision::Reserved { step, executor, waited, expected, reserved } => {
+            Line::new(Code::Reserved)
+                .text("shard", shard)
+                .text("step", step)
+                .text("executor", executor)
+                .number("waited_ms", waited.as_ms())
+                .number("expected_ms", expected.as_ms())
+                .number("reserved", *reserved as u64)
+        }
         Decision::Crashed { order, crashes, confirmed } => run(Code::Crashed, shard, order)
             .number("crashes", u64::from(*crashes))
             .number("confirmed", u64::from(*confirmed)),
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -57,6 +57,8 @@
     Crashed,
     /// An executor has a run that no record has as open.
     Unknown,
+    /// An executor was reserved for a step.
+    Reserved,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
     /// probe of it failed.
     Executor,
@@ -92,7 +94,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -107,6 +109,7 @@
         Self::Advised,
         Self::Crashed,
         Self::Unknown,
+        Self::Reserved,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
@@ -141,6 +144,7 @@
             Self::Advised => 1205,
             Self::Crashed => 1206,
             Self::Unknown => 1207,
+            Self::Reserved => 1210,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
@@ -176,6 +180,7 @@
             Self::Advised => "step.advised",
             Self::Crashed => "run.crashed",
             Self::Unknown => "run.unknown",
+            Self::Reserved => "step.reserved",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -62,6 +62,7 @@
     closed: Family<OutcomeLabels, Counter>,
     finished: Family<OutcomeLabels, Counter>,
     tails: Family<OutcomeLabels, Counter>,
+    reservations: Counter,
     shards: Gauge,
     ticks_percent: Gauge,
     inbox: Gauge,
@@ -96,6 +97,7 @@
             closed: Family::default(),
             finished: Family::default(),
             tails: Family::default(),
+            reservations: Counter::default(),
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
             inbox: Gauge::default(),
@@ -123,6 +125,8 @@
         registry.register("jobs_finished", "Jobs that ended, by state", self.finished.clone());
         let help = "Reports on latency-critical jobs, by whether their tails tell the utilization";
         registry.register("tail_reports", help, self.tails.clone());
+        let help = "Steps for which an executor was reserved";
+        registry.register("reservations", help, self.reservations.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
         let help = "Percentage of the expected ticks that an owner of shards received";
         registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
@@ -183,6 +187,9 @@
                 self.observe_hop(Hop::Finished, *took);
                 self.finished.get_or_create(&OutcomeLabels { outcome: state.name() }).inc();
             }
+            Decision::Reserved { .. } => {
+                self.reservations.inc();
+            }
             Decision::ModelRecorded(report) => {
                 let count = |outcome, number: u32| {
                     self.tails.get_or_create(&OutcomeLabels { outcome }).inc_by(number.into());
