jobs: a queue that uses more than its share waits behind others that lack room

By due time alone, a flood of one queue makes the jobs of all queues of its priority late. Steps of a queue that uses more than 1.25 times the mean of the competing queues go behind the others of their class while a queue that uses less has a step without an executor. The use follows from open runs, so a successor knows it. Long-running work is compared apart.

Where there is room for all, the log is the same line for line.

Shares of the jobs within a queue are not part of this.

--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -63,6 +63,8 @@
     pub(super) rank: Option<Rank>,
     /// Whether the last placement pass that tried the step found no executor for a task.
     pub(super) blocked: bool,
+    /// Whether the log has a line that the step was held back.
+    pub(super) held_back_logged: bool,
     /// Whether the log has a line of a reservation for the step.
     pub(super) reservation_logged: bool,
     /// When all steps that this step depends on were done.
@@ -246,6 +248,7 @@
             waiting: BTreeSet::new(),
             rank: None,
             blocked: false,
+            held_back_logged: false,
             reservation_logged: false,
             ready_since: now,
         }
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -223,6 +223,7 @@
         let open = found.open_runs.swap_remove(at);
         let has_other_run = found.open_runs.iter().any(|other| other.executor == open.executor);
         let step = entry.job.steps.get(task.step.step as usize)?;
+        self.shares.close(&entry.queue, step);
         if let Some(executor) = self.executors.get_mut(&open.executor) {
             executor.release(step);
             if !has_other_run {
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -11,7 +11,7 @@
 use crate::executor::{
     Advice, EndReason, Incarnation, Outcome, Refusal, Registration, Report, Steady, Ticket,
 };
-use crate::id::{DomainName, ExecutorId, JobId, Run, StepId, TaskId};
+use crate::id::{DomainName, ExecutorId, JobId, QueueName, Run, StepId, TaskId};
 use crate::progress::{Progress, State};
 use crate::record::RecordId;
 use crate::spec::AcceptedJob;
@@ -234,6 +234,20 @@
             /// Number of executors that are reserved, this one included.
             reserved: usize,
         },
+        /// A step found no executor and is placed after steps of queues that use less; one for
+        /// each step.
+        HeldBack {
+            /// Step with tasks that wait.
+            step: StepId,
+            /// Queue that uses more than its share.
+            queue: QueueName,
+            /// Use of executors by the queue, in percent of those of its service.
+            used_percent: u64,
+            /// Use by each of the competing queues if all used the same.
+            equal_percent: u64,
+            /// Time since the use was determined.
+            age: Span,
+        },
         /// An executor crashed shortly after a task may have started there.
         Crashed {
             /// Run and executor.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -39,6 +39,7 @@
 mod restore;
 mod score;
 mod settings;
+mod share;
 mod split;
 mod throttle;
 mod witness;
@@ -84,6 +85,8 @@
     /// Steps with restarts of long-running tasks, by the time from which on these are placed before
     /// new work.
     promotions: BTreeSet<(Time, StepId)>,
+    /// Use of executors by queue.
+    shares: share::Shares,
     /// Executors that are reserved for waiting steps.
     reservations: BTreeMap<StepId, ExecutorId>,
     /// Records of which the tasks or the job have changed since they were last written.
@@ -165,6 +168,7 @@
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
             promotions: BTreeSet::new(),
+            shares: share::Shares::default(),
             reservations: BTreeMap::new(),
             dirty: BTreeSet::new(),
             round: write::Round::default(),
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -100,6 +100,7 @@
         let (mut found_none, mut is_used_up) = (false, false);
         if pass.full {
             self.review_reservations(now);
+            self.review_shares(now);
         }
         let ranked: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
         for (rank, id) in ranked {
@@ -118,6 +119,9 @@
                 result @ (Placed::Blocked | Placed::Rejected) => {
                     found_none = true;
                     effort.spend(blocked, result == Placed::Blocked);
+                    if rank.is_held_back() {
+                        self.log_held_back(now, id);
+                    }
                 }
             }
             if pass.budget == 0 {
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -351,6 +351,7 @@
             progress: (0, now),
         });
         self.placed.push((*task, run));
+        self.count_placement(now, task, spec);
         self.mark_changed(task);
         let order = Order { executor: id, task: *task, run };
         self.out.push(Command::Log(Decision::Placed { order, incarnation, waited_ms }));
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -34,13 +34,16 @@
     /// Priority of the queue; that of expired steps is below all others.
     priority: u32,
     class: Class,
+    /// Whether the queue uses more than its share while others lack room.
+    held_back: bool,
     /// When the occurrence must be done to meet the latency objective, in milliseconds since 1970.
     due_ms: u64,
 }
 
 impl Rank {
     /// Returns the rank of a step of `entry` in an occurrence that begins at `begin_ms`;
-    /// `restarts` tells whether it has restarts to be placed before new work.
+    /// `restarts` tells whether it has restarts to be placed before new work, and `over_share`
+    /// whether its queue uses more than its share.
     fn of(
         entry: &Entry,
         queue: Option<&Queue>,
@@ -48,6 +51,7 @@
         begin_ms: u64,
         wall_ms: u64,
         restarts: bool,
+        over_share: bool,
     ) -> Self {
         let (priority, stretch, objective) = queue
             .map_or((0, 1.0, 0), |queue| (queue.priority, queue.stretch, queue.objective.as_ms()));
@@ -67,7 +71,8 @@
             Class::Timely
         };
         let priority = if class == Class::Expired { u32::MAX } else { priority };
-        Self { priority, class, due_ms }
+        let held_back = over_share && class != Class::Restart;
+        Self { priority, class, held_back, due_ms }
     }
 
     /// Returns whether steps of the same priority that can still meet their objective come first.
@@ -80,6 +85,11 @@
         matches!(self.class, Class::Expired)
     }
 
+    /// Returns whether the step is behind others of its class for the use of its queue.
+    pub(super) const fn is_held_back(self) -> bool {
+        self.held_back
+    }
+
     /// Returns whether the step has restarts that are placed before new work.
     pub(super) const fn is_restart(self) -> bool {
         matches!(self.class, Class::Restart)
@@ -104,9 +114,12 @@
         let entry = self.jobs.get(&id.job)?;
         let begin_ms = entry.occurrences.get(&id.occurrence)?.begin_ms;
         let queue = self.queue_of(entry);
-        let restarts = entry.job.steps.get(id.step as usize)?.long_running
-            && entry.step(id)?.has_restart(now, self.settings.restart_promotion);
-        Some(Rank::of(entry, queue, id.step, begin_ms, self.wall_ms, restarts))
+        let long_running = entry.job.steps.get(id.step as usize)?.long_running;
+        let restarts =
+            long_running && entry.step(id)?.has_restart(now, self.settings.restart_promotion);
+        let standing = self.shares.standing(&entry.queue, long_running);
+        let over_share = standing.is_some_and(|standing| standing.is_over);
+        Some(Rank::of(entry, queue, id.step, begin_ms, self.wall_ms, restarts, over_share))
     }
 
     /// Moves a waiting step to its present rank. Returns whether the rank has changed.
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -54,6 +54,9 @@
         pub reservation: Span,
         /// Number of executors for each that may be reserved at the same time.
         pub executors_per_reservation: usize,
+        /// Multiple of an equal share beyond which a queue waits behind others that lack room; with
+        /// infinity, none does.
+        pub over_share_factor: f64,
         /// Maximum number of runs placed in one turn.
         pub max_placed_per_turn: usize,
         /// Time between two outlooks on the waits of new jobs.
@@ -95,6 +98,8 @@
             reservation: Span::from_ms(3_000),
             // Bounds the room that may lie idle to a small part of the executors.
             executors_per_reservation: 8,
+            // Queues with alike use don't change places all the time.
+            over_share_factor: 1.25,
             max_placed_per_turn: 128,
             outlook_interval: Span::from_ms(1_000),
             latency_critical_use: 0.5,
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/lines.rs
@@ -71,6 +71,15 @@
                 .number("expected_ms", expected.as_ms())
                 .number("reserved", *reserved as u64)
         }
+        Decision::HeldBack { step, queue, used_percent, equal_percent, age } => {
+            Line::new(Code::HeldBack)
+                .text("shard", shard)
+                .text("step", step)
+                .text("queue", queue)
+                .number("used_percent", *used_percent)
+                .number("equal_percent", *equal_percent)
+                .number("age_ms", age.as_ms())
+        }
         Decision::Crashed { order, crashes, confirmed } => run(Code::Crashed, shard, order)
             .number("crashes", u64::from(*crashes))
             .number("confirmed", u64::from(*confirmed)),
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -57,6 +57,8 @@
     Crashed,
     /// An executor has a run that no record has as open.
     Unknown,
+    /// A step is placed after those of queues that use less.
+    HeldBack,
     /// An executor was reserved for a step.
     Reserved,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
@@ -94,7 +96,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 31] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -110,6 +112,7 @@
         Self::Crashed,
         Self::Unknown,
         Self::Reserved,
+        Self::HeldBack,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
@@ -145,6 +148,7 @@
             Self::Crashed => 1206,
             Self::Unknown => 1207,
             Self::Reserved => 1210,
+            Self::HeldBack => 1211,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
@@ -181,6 +185,7 @@
             Self::Crashed => "run.crashed",
             Self::Unknown => "run.unknown",
             Self::Reserved => "step.reserved",
+            Self::HeldBack => "step.held_back",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -63,6 +63,7 @@
     finished: Family<OutcomeLabels, Counter>,
     tails: Family<OutcomeLabels, Counter>,
     reservations: Counter,
+    held_back: Counter,
     shards: Gauge,
     ticks_percent: Gauge,
     inbox: Gauge,
@@ -98,6 +99,7 @@
             finished: Family::default(),
             tails: Family::default(),
             reservations: Counter::default(),
+            held_back: Counter::default(),
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
             inbox: Gauge::default(),
@@ -127,6 +129,8 @@
         registry.register("tail_reports", help, self.tails.clone());
         let help = "Steps for which an executor was reserved";
         registry.register("reservations", help, self.reservations.clone());
+        let help = "Steps placed after those of queues that use less";
+        registry.register("steps_held_back", help, self.held_back.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
         let help = "Percentage of the expected ticks that an owner of shards received";
         registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
@@ -187,6 +191,9 @@
                 self.observe_hop(Hop::Finished, *took);
                 self.finished.get_or_create(&OutcomeLabels { outcome: state.name() }).inc();
             }
+            Decision::HeldBack { .. } => {
+                self.held_back.inc();
+            }
             Decision::Reserved { .. } => {
                 self.reservations.inc();
             }
