--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -19,6 +19,9 @@
 use super::rejections::Rejections;
 use crate::id::{ExecutorId, StepId};
 
+/// Maximum number of searches for an executor to reserve in one pass, each of which looks at all
+/// executors.
+const MAX_RESERVATIONS_PER_PASS: usize = 8;
 /// Pause after a pass in which steps found no executor, so that releases accumulate.
 const BLOCKED_PAUSE: Span = Span::from_ms(10);
 /// Time between two passes that try blocked steps on all executors. Expected interference
@@ -61,6 +64,8 @@
     pub(super) budget: usize,
     /// Number of best-effort runs that the pass may still place.
     pub(super) best_effort_budget: usize,
+    /// Number of searches for an executor to reserve that the pass may still make.
+    pub(super) reservation_budget: usize,
     /// Whether steps that were blocked before are tried on all executors.
     full: bool,
     /// Executors on which resources were released since the previous pass.
@@ -151,6 +156,7 @@
         Pass {
             budget: self.settings.max_placed_per_turn,
             best_effort_budget: self.best_effort_budget(now),
+            reservation_budget: MAX_RESERVATIONS_PER_PASS,
             full,
             released: std::mem::take(&mut self.released),
             rejections: Rejections::default(),
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -54,12 +54,16 @@
         }
         // Others may have been refused an executor that is reserved for this step.
         let is_tried = needs_ticket || self.has_reservation(id);
+        let restarts = step.rank.is_some_and(Rank::is_restart);
         if !is_tried && pass.rejections(scope).covers(&service, spec) {
             self.set_blocked(id, true);
+            if restarts && scope == Scope::All {
+                let request = self.request(now, id, spec, &service);
+                self.reserve_executor(now, &request, pass);
+            }
             return Placed::Rejected;
         }
         let mut waiting: Vec<u32> = step.waiting.iter().copied().collect();
-        let restarts = step.rank.is_some_and(Rank::is_restart);
         if restarts {
             waiting.sort_by_key(|index| self.latest_run(&id.task(*index)).0 == 0);
         }
@@ -82,7 +86,7 @@
             self.request_advice(now, &request);
         }
         if placed == Placed::Blocked && restarts && scope == Scope::All && !needs_ticket {
-            self.reserve_executor(now, &request);
+            self.reserve_executor(now, &request, pass);
         }
         // Suspects are placed on fewer executors than other tasks.
         if placed == Placed::Blocked && !needs_ticket && !spec.gang {
--- a/crates/jobs/src/shard/reservation.rs
+++ b/crates/jobs/src/shard/reservation.rs
@@ -14,6 +14,7 @@
 use super::Shard;
 use super::executors::Executor;
 use super::message::{Command, Decision};
+use super::pass::Pass;
 use super::place::Request;
 use crate::id::{ExecutorId, StepId};
 use crate::spec::{Resources, Step};
@@ -87,11 +88,15 @@
 
     /// Reserves an executor for a step that found none, unless it has one or too many are
     /// reserved.
-    pub(super) fn reserve_executor(&mut self, now: Time, request: &Request<'_>) {
+    pub(super) fn reserve_executor(&mut self, now: Time, request: &Request<'_>, pass: &mut Pass) {
         let most = self.executors.len() / self.settings.executors_per_reservation.max(1);
         if self.has_reservation(request.id) || self.reservations.len() >= most.max(1) {
             return;
         }
+        if pass.reservation_budget == 0 {
+            return;
+        }
+        pass.reservation_budget -= 1;
         let Some((expected, executor)) = self.first_with_room(now, request) else {
             return;
         };
