--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -35,10 +35,12 @@
 mod ranking;
 mod rejections;
 mod relocate;
+mod reservation;
 mod restart;
 mod restore;
 mod score;
 mod settings;
+mod share;
 mod split;
 mod throttle;
 mod witness;
@@ -82,6 +84,13 @@
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
     waiting: BTreeSet<(Rank, StepId)>,
+    /// Steps with restarts of long-running tasks, by the time from which on these are placed before
+    /// new work.
+    promotions: BTreeSet<(Time, StepId)>,
+    /// Use of executors by queue.
+    shares: share::Shares,
+    /// Executors that are reserved for waiting steps.
+    reservations: BTreeMap<StepId, ExecutorId>,
     /// Records of which the tasks or the job have changed since they were last written.
     dirty: BTreeSet<RecordId>,
     /// Records and run ends that the next batches hold.
@@ -162,6 +171,9 @@
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            promotions: BTreeSet::new(),
+            shares: share::Shares::default(),
+            reservations: BTreeMap::new(),
             dirty: BTreeSet::new(),
             round: write::Round::default(),
             unsplit: split::Unsplit::default(),
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -10,6 +10,7 @@
 use super::locality::{self, Hold};
 use super::message::{Command, Decision, Order};
 use super::pass::{Pass, Placed, Scope};
+use super::rank::Rank;
 use super::ranking::{Candidate, Ranking};
 use crate::id::{ExecutorId, Label, Run, ServiceName, StepId, TaskId};
 use crate::spec::Step;
@@ -61,11 +62,21 @@
         if scope == Scope::Released && pass.released.is_empty() {
             return Placed::Some;
         }
-        if hold == Hold::None && !needs_ticket && pass.rejections(scope).covers(&service, spec) {
+        // Others may have been refused an executor that is reserved for this step.
+        let is_tried = needs_ticket || self.has_reservation(id);
+        let restarts = step.rank.is_some_and(Rank::is_restart);
+        if hold == Hold::None && !is_tried && pass.rejections(scope).covers(&service, spec) {
             self.set_blocked(id, true);
+            if restarts && scope == Scope::All {
+                let request = self.request(now, id, spec, &service);
+                self.reserve_executor(now, &request, pass);
+            }
             return Placed::Rejected;
         }
-        let waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        let mut waiting: Vec<u32> = step.waiting.iter().copied().collect();
+        if restarts {
+            waiting.sort_by_key(|index| self.latest_run(&id.task(*index)).0 == 0);
+        }
         let mut request = self.request(now, id, spec, &service);
         if scope != Scope::Released {
             request.rack = self.choose_rack(now, &request, waiting.len());
@@ -94,6 +105,9 @@
         if result == Placed::Blocked && needs_ticket {
             self.request_advice(now, &request);
         }
+        if placed == Placed::Blocked && restarts && scope == Scope::All && !needs_ticket {
+            self.reserve_executor(now, &request, pass);
+        }
         // Suspects are placed on fewer executors than other tasks.
         if placed == Placed::Blocked && !needs_ticket && !spec.gang {
             pass.rejections(scope).record(&service, spec);
@@ -366,6 +380,10 @@
             return;
         };
         executor.reserve(*task, spec);
+        if self.reservations.get(&task.step) == Some(&id) {
+            executor.reservation = None;
+            self.reservations.remove(&task.step);
+        }
         executor.last_placed = now;
         self.outlooks.note_start(&executor.registration.service, spec);
         if step.tasks[task.index as usize].is_suspect() {
@@ -391,6 +409,7 @@
             progress: (0, now),
         });
         self.placed.push((*task, run));
+        self.count_placement(now, task, spec);
         self.mark_changed(task);
         let order = Order { executor: id, task: *task, run };
         self.out.push(Command::Log(Decision::Placed { order, incarnation, waited_ms }));
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -55,6 +55,16 @@
         pub max_locality_wait_long_running: Span,
         /// Longest time for which best-effort tasks may keep a task over its objective.
         pub max_over_objective: Span,
+        /// Time for which a long-running task that has run before waits behind new work of its
+        /// priority; from then on it is placed first.
+        pub restart_promotion: Span,
+        /// Time for which an executor is reserved for a task that waits for room.
+        pub reservation: Span,
+        /// Number of executors for each that may be reserved at the same time.
+        pub executors_per_reservation: usize,
+        /// Multiple of an equal share beyond which a queue waits behind others that lack room; with
+        /// infinity, none does.
+        pub over_share_factor: f64,
         /// Maximum number of runs placed in one turn.
         pub max_placed_per_turn: usize,
         /// Time between two outlooks on the waits of new jobs.
@@ -94,6 +104,14 @@
             max_locality_wait: Span::from_ms(1_000),
             max_locality_wait_long_running: Span::from_ms(500),
             max_over_objective: Span::from_ms(4_000),
+            // Leaves most of the 3 s that a restart may take to the search for an executor.
+            restart_promotion: Span::from_ms(500),
+            // Most runs end within that time.
+            reservation: Span::from_ms(3_000),
+            // Bounds the room that may lie idle to a small part of the executors.
+            executors_per_reservation: 8,
+            // Queues with alike use don't change places all the time.
+            over_share_factor: 1.25,
             max_placed_per_turn: 128,
             outlook_interval: Span::from_ms(1_000),
             latency_critical_use: 0.5,
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -59,6 +59,10 @@
     Unknown,
     /// A wait for a place near the data or the group of tasks began or ended.
     Locality,
+    /// A step is placed after those of queues that use less.
+    HeldBack,
+    /// An executor was reserved for a step.
+    Reserved,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
     /// probe of it failed.
     Executor,
@@ -94,7 +98,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 32] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -110,6 +114,8 @@
         Self::Crashed,
         Self::Unknown,
         Self::Locality,
+        Self::Reserved,
+        Self::HeldBack,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
@@ -145,6 +151,8 @@
             Self::Crashed => 1206,
             Self::Unknown => 1207,
             Self::Locality => 1208,
+            Self::Reserved => 1210,
+            Self::HeldBack => 1211,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
@@ -181,6 +189,8 @@
             Self::Crashed => "run.crashed",
             Self::Unknown => "run.unknown",
             Self::Locality => "step.locality",
+            Self::Reserved => "step.reserved",
+            Self::HeldBack => "step.held_back",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
