--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -94,7 +94,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
