jobs: an entry that outlives an executor's silence shows that no task crashed it

Cause: a report in the old incarnation clears runs that lapsed on a cut-off executor.

Change: the lapsed start of a confirmed run is also cleared if the executor's entry is still listed 5.3 s after its last answer, in the same incarnation, and the owner has had writes confirmed all the while. An entry expires 3.3 s after the last heartbeat. Entries of crashed executors expire in the tests of crashes too; one test keeps them, as its orders go to executors that are gone.

--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -38,6 +38,11 @@
 const RECENT_RUN_PENALTY: f64 = 2.0;
 /// Score deducted for each run that a crash would end.
 const COST_PER_RUN: f64 = 0.1;
+/// Longest time from an executor's last report to the store until its owner knows that the entry is
+/// gone, while the owner reaches the store: 3.3 s until the entry expires, and 1 s for a change.
+const ENTRY_LIFETIME: Span = Span::from_ms(4_300);
+/// Longest time since its last confirmed write for which the owner counts as reaching the store.
+const MAX_CONFIRMATION_AGE: Span = Span::from_ms(1_000);
 /// Time for which runs that lapsed soon after their start are remembered.
 const LAPSED_START_MEMORY: Span = Span::from_ms(60_000);
 
@@ -195,6 +200,31 @@
         }
     }
 
+    /// Forgets the lapsed runs of executors that have reported to the store after the time in which
+    /// a task that they had started would have crashed them: their entries would be gone otherwise.
+    pub(super) fn forget_listed(&mut self, now: Time) {
+        let (executors, unconfirmed_at) = (&self.executors, self.unconfirmed_at);
+        let has_survived = |start: &LapsedStart| {
+            let executor = executors.get(&start.order.executor);
+            start.involvement == Involvement::Started
+                && executor.is_some_and(|executor| {
+                    executor.present
+                        && executor.registration.incarnation == start.incarnation
+                        && unconfirmed_at < executor.last_answer
+                        && now.since(executor.last_answer) >= ENTRY_LIFETIME + ATTRIBUTION_WINDOW
+                })
+        };
+        self.lapsed_starts.retain(|start| !has_survived(start));
+    }
+
+    /// Notes whether the owner has not reached the store, so that entries may be listed that have
+    /// expired.
+    pub(super) fn note_confirmation(&mut self, now: Time) {
+        if now.since(self.confirmed_at) > MAX_CONFIRMATION_AGE {
+            self.unconfirmed_at = now;
+        }
+    }
+
     /// Forgets the lapsed runs of an executor that has answered in the incarnation that they were
     /// started in: it was out of reach and has not crashed.
     pub(super) fn forget_lapsed(&mut self, id: &ExecutorId, incarnation: Incarnation) {
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -142,6 +142,8 @@
     wall_ms: u64,
     /// When the last confirmed write under the claim was sent.
     confirmed_at: Time,
+    /// When the owner last had no write confirmed for a second.
+    unconfirmed_at: Time,
     /// Executors that show whether there is a successor, while the claim is not confirmed.
     witnesses: BTreeSet<ExecutorId>,
     /// Executor that has refused an order or a probe because it has seen a higher epoch.
@@ -199,6 +201,7 @@
             has_new_ends: false,
             wall_ms: 0,
             confirmed_at: Time::MAX,
+            unconfirmed_at: Time::ZERO,
             witnesses: BTreeSet::new(),
             superseded_by: None,
             restored_at: Time::ZERO,
@@ -282,6 +285,8 @@
     }
 
     fn tick(&mut self, now: Time) {
+        self.note_confirmation(now);
+        self.forget_listed(now);
         self.ask_witnesses(now);
         self.note_reach(now);
         self.begin_due(now);
--- a/crates/jobs/tests/crashes.rs
+++ b/crates/jobs/tests/crashes.rs
@@ -8,12 +8,15 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
 use sycamorerill_jobs::progress::State;
+use sycamorerill_jobs::shard::Event;
 use sycamorerill_jobs::spec::Step;
 
 /// Time from an executor's crash to its return; less than a lease.
 const DOWNTIME: Span = Span::from_ms(3_300);
 /// A time from an executor's crash to its return that is longer than a lease.
 const LONG_DOWNTIME: Span = Span::from_ms(8_000);
+/// Time from an executor's crash until the store removes its entry.
+const ENTRY_LIFETIME: Span = Span::from_ms(3_300);
 
 /// Executors that crash when a task starts there or when a test says so, and return after
 /// a while.
@@ -25,6 +28,8 @@
     /// Number of crashes under each of these tasks.
     crashes: BTreeMap<TaskId, u32>,
     down: BTreeMap<ExecutorId, Time>,
+    /// Whether the entries of crashed executors stay listed.
+    keeps_entries: bool,
 }
 
 fn task(id: u64, index: u32) -> TaskId {
@@ -46,7 +51,7 @@
         sim.advance(Span::from_ms(20));
         let deadly = deadly.iter().copied().collect();
         let (crashes, down) = (BTreeMap::new(), BTreeMap::new());
-        Self { sim, downtime: DOWNTIME, deadly, crashes, down }
+        Self { sim, downtime: DOWNTIME, deadly, crashes, down, keeps_entries: false }
     }
 
     fn advance(&mut self, span: Span) {
@@ -54,6 +59,7 @@
         while self.sim.now < until {
             self.sim.advance(Span::from_ms(10));
             self.crash_executors();
+            self.expire_entries();
             self.return_executors();
         }
     }
@@ -81,6 +87,22 @@
         self.down.insert(id.clone(), now + self.downtime);
     }
 
+    /// Removes the entries of executors that have not reported for [`ENTRY_LIFETIME`].
+    fn expire_entries(&mut self) {
+        if self.keeps_entries {
+            return;
+        }
+        let crashed = |until: Time| Time::ZERO + until.since(Time::ZERO + self.downtime);
+        let is_expired = |until: Time| self.sim.now >= crashed(until) + ENTRY_LIFETIME;
+        let expired = self.down.iter().filter(|(_, until)| is_expired(**until));
+        let expired: Vec<ExecutorId> = expired.map(|(id, _)| id.clone()).collect();
+        for id in expired {
+            if !std::mem::replace(&mut self.sim.executor(id.as_str()).unlisted, true) {
+                self.sim.handle(Event::Unlisted(id));
+            }
+        }
+    }
+
     fn return_executors(&mut self) {
         let now = self.sim.now;
         let back: Vec<ExecutorId> =
@@ -88,6 +110,7 @@
         for id in back {
             self.down.remove(&id);
             self.sim.executor(&id.to_string()).reachable = true;
+            self.sim.executor(&id.to_string()).unlisted = false;
             self.sim.list_executor(&id);
         }
     }
@@ -130,6 +153,21 @@
 /// the job was given up after one crash.
 #[test]
 fn a_run_that_lapsed_behind_a_partition_is_no_crash_when_its_executor_crashes_later() {
+    // Whether the executor answers before it crashes, or its entry alone shows that it went on.
+    for answers in [true, false] {
+        assert_eq!(crashes_after_a_partition(answers, true), (1, Some(State::Completed)));
+    }
+}
+
+/// While the owner does not reach the store, the entry of an executor that is gone stays listed.
+#[test]
+fn a_listed_entry_shows_nothing_while_the_store_is_out_of_reach() {
+    assert_eq!(crashes_after_a_partition(false, false).0, 2);
+}
+
+/// Returns the number of crashes that are counted under a task, and the state of its job, after
+/// its executor was cut off at its start and crashed later together with the next one.
+fn crashes_after_a_partition(answers: bool, reaches_store: bool) -> (usize, Option<State>) {
     let mut fleet = Fleet::new(4, &[]);
     for executor in fleet.sim.executors.values_mut() {
         executor.run_time = Span::from_secs(20);
@@ -138,11 +176,16 @@
     fleet.advance(Span::from_ms(50));
     let first = ExecutorId::from(fleet.sim.executors_running(&task(1, 0)).remove(0).as_str());
     fleet.sim.executor(first.as_str()).reachable = false;
+    if !reaches_store {
+        fleet.sim.cut_owner_from_store();
+        fleet.advance(Span::from_ms(1_200));
+        fleet.sim.heal_owner();
+    }
     // The lease ends, and the task has just started again.
     while fleet.sim.executors_running(&task(1, 0)).iter().all(|id| *id == first.as_str()) {
         fleet.advance(Span::from_ms(10));
     }
-    fleet.sim.executor(first.as_str()).reachable = true;
+    fleet.sim.executor(first.as_str()).reachable = answers;
     fleet.advance(Span::from_ms(300));
     let second = ExecutorId::from(fleet.sim.executors_running(&task(1, 0)).remove(0).as_str());
     assert_ne!(first, second);
@@ -150,8 +193,7 @@
     fleet.crash(&second);
     fleet.advance(Span::from_secs(40));
     let crashes = fleet.sim.log.iter().filter(|line| line.contains("Crashed")).count();
-    assert_eq!(crashes, 1);
-    assert_eq!(fleet.sim.state(1), Some(State::Completed));
+    (crashes, fleet.sim.state(1))
 }
 
 /// A lease that lapses behind a partition is no crash.
@@ -182,6 +224,7 @@
     let mut fleet = Fleet::new(6, &[]);
     // Several orders in a row lapse before the first executor returns.
     fleet.downtime = Span::from_secs(21);
+    fleet.keeps_entries = true;
     let ids: Vec<ExecutorId> = fleet.sim.executors.keys().cloned().collect();
     for id in &ids {
         fleet.crash(id);
