node: the test of a refusal that cannot be stored refuses that write and no other

The stand-in refused the next transaction of any kind; a renewal of the owner's claim, each 0.4 s, could use that up, and the refusal of the job was then stored, rightly. Change: the stand-in refuses the next transaction on an accepted job. The assertion is unchanged.

--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -142,7 +142,7 @@
             let name = refused_job(&platform, &a).await;
             let other = format!("{}1", &name[..15]);
             put_outlook(&platform, LONG_WAIT_MS, 0);
-            platform.refusals.set(1);
+            platform.job_refusals.set(1);
             assert_eq!(submit(&a, &other).await, Reply::Accepted);
         },
         2,
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -71,6 +71,8 @@
     pub(crate) run_ms: Cell<u64>,
     /// Number of upcoming transactions that are refused.
     pub(crate) refusals: Cell<u32>,
+    /// Number of further transactions on accepted jobs that the store refuses.
+    pub(crate) job_refusals: Cell<u32>,
     executors: RefCell<BTreeMap<ExecutorId, FakeExecutor>>,
     /// For each probe that was sent, whether it renewed leases.
     pub(crate) probes: RefCell<Vec<bool>>,
@@ -300,6 +302,12 @@
         if self.platform.store_refuses_records.get() && transaction.writes.iter().any(is_record) {
             return Err(Error::Refused(503));
         }
+        let is_job = |(key, _): &(Key, Bytes)| key.table == Table::Accepted;
+        let job_refusals = self.platform.job_refusals.get();
+        if job_refusals > 0 && transaction.writes.iter().any(is_job) {
+            self.platform.job_refusals.set(job_refusals - 1);
+            return Err(Error::Refused(503));
+        }
         if self.platform.refusals.get() > 0 {
             self.platform.refusals.set(self.platform.refusals.get() - 1);
             return Err(Error::Refused(503));
