listeners: bound what misbehaving clients can hold of a process

Cause: the server received each body before it looked at the path, kept the buffers that the body was read into, and had no limit over all connections or on the time of a body. Each of three listeners could use all descriptors, and the kernel held megabytes for each connection.

Change: node::listener decides on connections (the one that has waited for its client longest is replaced) and on the memory for bodies (the one that has been received longest is given up), with limits from limits.memory_mb. The server checks route, method and stated length first, receives bodies in blocks within the budget, and limits the times for heads, bodies and responses; requests sent ahead wait until the response before them is sent. Metric listener_refusals, event listener.refused.

A head's time limit that went on into the idle time after a fast request was found while reading and mended; a_connection_is_kept_between_requests guards against it and passes, but was not run against the fault.

--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -93,8 +93,7 @@
         pub max_head_bytes: usize,
         /// Maximum size of a request's body, in bytes.
         pub max_body_bytes: usize,
-        /// Maximum time to receive a request's head. The server does not apply it:
-        /// `idle_timeout` covers the head too.
+        /// Maximum time to receive a request's head, from its first byte.
         pub head_timeout: Span,
         /// Maximum time that a connection may be idle.
         pub idle_timeout: Span,
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -300,6 +300,17 @@
     config.map(|config| config.limits).unwrap_or_default()
 }
 
+/// Returns whether a job can be submitted to `host` and `path`, so that its body need be read.
+///
+/// # Errors
+///
+/// Returns the reply to a submission that can't be accepted, whatever its body is.
+pub fn check_submission(config: Option<&Config>, host: &str, path: &str) -> Result<(), Reply> {
+    let config = config.ok_or(Reply::NotDone(submit::RETRY_AFTER))?;
+    let queue = config.route(host, path).ok_or(Reply::NoQueue)?;
+    path[queue.prefix.len()..].parse::<JobId>().map(drop).map_err(|_| Reply::NotAJob)
+}
+
 /// Decodes the value of a row; returns none if the row is removed or can't be decoded.
 pub(crate) fn decode<'a, T: Deserialize<'a>>(row: &'a Row) -> Option<T> {
     serde_json::from_slice(row.value.as_ref()?).ok()
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -18,6 +18,7 @@
 
 use crate::clock;
 use crate::frontend::{self, Frontend, Reply, Request};
+use crate::listener::{Kind, Reason, Reports};
 use crate::log::{Code, Line};
 use crate::metrics::Metrics;
 use crate::platform::{Platform, Table, Version};
@@ -140,6 +141,7 @@
     inbox: Sender<Message>,
     status: Rc<Status>,
     metrics: Rc<Metrics>,
+    reports: Rc<Reports>,
     config: Rc<std::cell::RefCell<Option<Arc<Config>>>>,
 }
 
@@ -182,6 +184,11 @@
         self.metrics.text()
     }
 
+    /// Counts and logs a request that a listener refused, or a connection that it closed.
+    pub fn report(&self, listener: Kind, reason: Reason) {
+        self.reports.add(&self.metrics, listener, reason, clock::now());
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.borrow().clone()
@@ -211,8 +218,13 @@
         metrics: Rc::clone(&metrics),
         inbox: inbox.clone(),
     };
-    let instance =
-        Instance { inbox, status: Rc::clone(&status), metrics, config: Rc::clone(&config) };
+    let instance = Instance {
+        inbox,
+        status: Rc::clone(&status),
+        metrics,
+        reports: Rc::default(),
+        config: Rc::clone(&config),
+    };
     spawner.spawn(watch_config(context.clone(), Rc::clone(&status)));
     let max_executors = settings.manager.ownership.max_executors;
     let max_row_bytes = settings.manager.shard.max_row_bytes;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod frontend;
 pub mod lines;
+pub mod listener;
 pub mod log;
 pub mod platform;
 
@@ -17,6 +18,8 @@
 mod shards;
 mod watch;
 
+pub use async_executor::Task;
+
 pub use self::instance::{Instance, Settings, Spawner, start};
 pub use self::layout::Machine;
 pub use self::shards::Settings as ManagerSettings;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -94,11 +94,13 @@
     Config,
     /// The address for metrics can't be listened on.
     Metrics,
+    /// A listener refused requests or closed connections.
+    ListenerRefused,
 }
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -131,6 +133,7 @@
         Self::Rejected,
         Self::Config,
         Self::Metrics,
+        Self::ListenerRefused,
     ];
 
     /// Returns the number of the event.
@@ -168,6 +171,7 @@
             Self::Rejected => 1421,
             Self::Config => 1500,
             Self::Metrics => 1501,
+            Self::ListenerRefused => 1502,
         }
     }
 
@@ -206,6 +210,7 @@
             Self::Rejected => "row.rejected",
             Self::Config => "config.state",
             Self::Metrics => "metrics.failed",
+            Self::ListenerRefused => "listener.refused",
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,13 @@
     outcome: &'static str,
 }
 
+/// Labels of the counter of refusals by a listener.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ListenerLabels {
+    listener: &'static str,
+    reason: &'static str,
+}
+
 /// Labels of the histogram of hop durations.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct HopLabels {
@@ -65,6 +72,7 @@
     locality: Family<OutcomeLabels, Counter>,
     reservations: Counter,
     held_back: Counter,
+    refusals: Family<ListenerLabels, Counter>,
     shards: Gauge,
     ticks_percent: Gauge,
     inbox: Gauge,
@@ -102,6 +110,7 @@
             locality: Family::default(),
             reservations: Counter::default(),
             held_back: Counter::default(),
+            refusals: Family::default(),
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
             inbox: Gauge::default(),
@@ -135,6 +144,8 @@
         registry.register("reservations", help, self.reservations.clone());
         let help = "Steps placed after those of queues that use less";
         registry.register("steps_held_back", help, self.held_back.clone());
+        let help = "Requests refused and connections closed by a listener, by reason";
+        registry.register("listener_refusals", help, self.refusals.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
         let help = "Percentage of the expected ticks that an owner of shards received";
         registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
@@ -170,6 +181,11 @@
         self.submissions.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a request that a listener refused, or a connection that it closed.
+    pub(crate) fn count_listener(&self, listener: &'static str, reason: &'static str) {
+        self.refusals.get_or_create(&ListenerLabels { listener, reason }).inc();
+    }
+
     /// Counts an order to an executor by its outcome.
     pub(crate) fn count_order(&self, order: &'static str, outcome: Outcome) {
         let outcome = match outcome {
