config: classes that no team may run, early key expiry and targets without a share are problems

Cause: `check` accepted folders with entries that can never take effect, or whose limits contradict each other.

Change: three kinds. `quota`: a class larger than the quota of every team, none of which may borrow; the scheduler refuses each job of it. `retention`: `key_retention` shorter than `deadline` of a service that is not idempotent; the time of a key counts from the start of its call, so a call repeated at its deadline runs twice. `share`: a target with a share of 0%. All three are errors, exit code 3 as before.

--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod fields;
 mod jobs;
+mod limits;
 mod references;
 mod value;
 
@@ -33,6 +34,7 @@
             checker.check_references();
             checker.check_deadlines(&config);
             checker.check_capacity(&config);
+            checker.check_limits(&config);
         }
         match checker.problems.is_empty() {
             true => Ok(config),
--- a/crates/config/src/problem/kind.rs
+++ b/crates/config/src/problem/kind.rs
@@ -170,6 +170,34 @@
         /// Total size of the workers.
         capacity: Size,
     },
+    /// A task is larger than the quota of every team, and no team may borrow.
+    #[error("a task of class `{class}` takes {size}, more than the quota of any team")]
+    TaskExceedsQuotas {
+        /// Name of the class.
+        class: String,
+        /// Size of a task of the class.
+        size: Size,
+    },
+    /// The keys of a service expire before the deadline of its calls.
+    #[error(
+        "service `{service}` keeps keys for {}, shorter than the deadline of {} of its calls",
+        format_span(*.retention),
+        format_span(*.deadline)
+    )]
+    RetentionTooShort {
+        /// Name of the service.
+        service: String,
+        /// Declared or default retention of keys.
+        retention: Span,
+        /// Declared deadline.
+        deadline: Span,
+    },
+    /// A target whose goal nothing has to meet.
+    #[error("target `{target}` has a share of 0%, expected more, since none has to meet its goal")]
+    TargetWithoutShare {
+        /// Name of the target.
+        target: String,
+    },
 }
 
 /// Errors of parsing the value of a setting.
@@ -254,6 +282,16 @@
             Self::QuotasTooLarge { .. } => {
                 Some("a quota is held at any time, so all must fit; lower some".to_owned())
             }
+            Self::TaskExceedsQuotas { .. } => {
+                Some("shrink the task, raise a quota or let a team borrow".to_owned())
+            }
+            Self::RetentionTooShort { .. } => Some(
+                "a call repeated at its deadline would run twice; lengthen `key_retention`"
+                    .to_owned(),
+            ),
+            Self::TargetWithoutShare { .. } => {
+                Some("state the share that must meet the goal, or remove the target".to_owned())
+            }
             _ => None,
         }
     }
@@ -290,6 +328,9 @@
             Self::TooFewExecutors { .. } => "executors",
             Self::TaskTooLarge { .. } => "worker",
             Self::QuotasTooLarge { .. } => "quotas",
+            Self::TaskExceedsQuotas { .. } => "quota",
+            Self::RetentionTooShort { .. } => "retention",
+            Self::TargetWithoutShare { .. } => "share",
         }
     }
 }
