cli: `check` shows what differs from a saved version, another folder or the newest version

Cause: what a folder would change was visible only after `apply` had changed it.

Only `GET /v1/config` is sent, and nothing without `--instance`: addresses of the environment are not used. Reading the version in force moves from `apply` to `commands/base.rs`.

With the environment used as `apply` uses it, `without_flags_no_instance_is_asked` fails.

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -5,12 +5,13 @@
 
 use argh::FromArgs;
 use serde::Serialize;
-use sycamorerill_config::{Folder, Key, decode_text, difference, encode_text};
+use sycamorerill_config::{Folder, Key, difference, encode_text};
 use sycamorerill_core::api::{Accepted, Conflict, Proposal};
 use sycamorerill_core::id::Version;
 use sycamorerill_core::model::Config;
 
 use crate::client::{Address, Client, Error};
+use crate::commands::base::{BaseConfig, fetch_newest};
 use crate::commands::wait;
 use crate::failure::Failure;
 use crate::output::{self, Format};
@@ -64,12 +65,6 @@
     in_force_ms: Option<u64>,
 }
 
-/// Newest accepted configuration, on which the proposal is based.
-struct BaseConfig {
-    version: u64,
-    config: Config,
-}
-
 /// Applies the folder.
 pub(crate) fn run(args: &Args) -> Result<(), Failure> {
     let config = Folder::read(&args.folder)?.check()?;
@@ -84,15 +79,6 @@
     report(args.format, &applied(accepted.version, &base, &keys, in_force_ms))
 }
 
-fn fetch_newest(client: &Client) -> Result<BaseConfig, Failure> {
-    let newest = client.configuration()?;
-    let config = match newest.version {
-        0 => Config::default(),
-        _ => decode_text(&newest.config).map_err(Failure::Encoding)?,
-    };
-    Ok(BaseConfig { version: newest.version, config })
-}
-
 fn propose(
     client: &Client,
     args: &Args,
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Commands of the program, one module each.
 
 pub(crate) mod apply;
+mod base;
 pub(crate) mod cancel;
 pub(crate) mod check;
 pub(crate) mod demo;
@@ -15,6 +16,8 @@
 use crate::Failure;
 use crate::args::{Args, Command};
 
+pub(crate) use base::BaseError;
+
 /// Runs the command in the arguments.
 pub(crate) fn run(args: &Args) -> Result<(), Failure> {
     match &args.command {
--- a/crates/cli/src/failure/mod.rs
+++ b/crates/cli/src/failure/mod.rs
@@ -8,6 +8,7 @@
 use sycamorerill_config::{CodecError, Key, Problem, ProblemKind, Report};
 
 use crate::client;
+use crate::commands::BaseError;
 use crate::demo;
 
 pub(crate) use print::print;
@@ -36,6 +37,17 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Folder(#[from] sycamorerill_config::FolderError),
+    /// The configuration to compare with cannot be read.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Base(#[from] BaseError),
+    /// Two configurations to compare with are given.
+    #[error("both --against and --instance are given, expected one of them")]
+    #[diagnostic(
+        code(two_bases),
+        help("compare with the saved version and with the instance one after the other")
+    )]
+    TwoBases,
     /// No address of an entry instance is given, or one is malformed.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -115,6 +127,7 @@
             Self::Report(_) => REFUSED,
             Self::Folder(sycamorerill_config::FolderError::Unreadable { .. }) => WRONG_USE,
             Self::Folder(_) => REFUSED,
+            Self::Base(_) | Self::TwoBases => WRONG_USE,
             Self::Settings(_) | Self::NoCaller | Self::EmptyPeriod => WRONG_USE,
             Self::Request(error) => request_code(error),
             Self::Conflict { .. } => CONFLICT,
