check: warn of domains and teams that have no effect

Cause: a domain without workers and executors, and a team for which nothing can run, passed the check in silence. As errors they would refuse folders that are right: a later file takes an entry out of use by emptying it, as it can't remove it.

Change: warnings `empty_domain` and `idle_team`, which `check` prints for a folder without problems, on standard error or in `warnings` of the JSON. The exit code stays 0.

The test of the example folders also asserts that they have no warnings; that test became stricter.

--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -9,7 +9,7 @@
 
 use crate::client::{Address, Client};
 use crate::commands::base;
-use crate::failure::Failure;
+use crate::failure::{Failure, ProblemBody, problem_body, warn};
 use crate::output::{self, Format, Table};
 
 /// Checks a configuration folder; needs no network unless --instance is given.
@@ -55,6 +55,8 @@
     settings: Vec<Setting>,
     #[serde(skip_serializing_if = "Option::is_none")]
     against: Option<Against>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    warnings: Vec<ProblemBody>,
 }
 
 /// Differences from another configuration.
@@ -81,10 +83,17 @@
     let config = merged.check()?;
     let settings = if args.explain { settings(&merged) } else { Vec::new() };
     let against = compare(args, &config)?;
+    let warnings = merged.warnings(&config);
     let summary = Summary { against, ..summary(&config, settings) };
     match args.format {
-        Format::Json => output::json(&summary),
-        Format::Text => print(summary),
+        Format::Json => {
+            let warnings = warnings.iter().map(problem_body).collect();
+            output::json(&Summary { warnings, ..summary })
+        }
+        Format::Text => {
+            warn(&warnings);
+            print(summary)
+        }
     }
 }
 
@@ -131,6 +140,7 @@
         executors: domains.map(|domain| u64::from(domain.executors)).sum(),
         settings,
         against: None,
+        warnings: Vec::new(),
     }
 }
 
--- a/crates/cli/src/failure/mod.rs
+++ b/crates/cli/src/failure/mod.rs
@@ -11,7 +11,7 @@
 use crate::commands::BaseError;
 use crate::demo;
 
-pub(crate) use print::print;
+pub(crate) use print::{ProblemBody, print, problem_body, warn};
 
 /// Exit code when a response could not be decoded or the demo found a fault.
 const FAULT: u8 = 1;
--- a/crates/cli/src/failure/print.rs
+++ b/crates/cli/src/failure/print.rs
@@ -39,8 +39,9 @@
     Empty {},
 }
 
+/// JSON representation of a problem of a configuration.
 #[derive(Serialize)]
-struct ProblemBody {
+pub(crate) struct ProblemBody {
     file: String,
     line: usize,
     column: usize,
@@ -62,12 +63,19 @@
     ExitCode::from(failure.code())
 }
 
-fn render(failure: &Failure) -> String {
+/// Prints warnings to standard error.
+pub(crate) fn warn(warnings: &[Problem]) {
+    for warning in warnings {
+        eprint!("{}", render(warning));
+    }
+}
+
+fn render(diagnostic: &dyn Diagnostic) -> String {
     let handler = GraphicalReportHandler::new_themed(theme());
     let mut text = String::new();
-    match handler.render_report(&mut text, failure) {
+    match handler.render_report(&mut text, diagnostic) {
         Ok(()) => text.lines().map(|line| format!("{}\n", line.trim_end())).collect(),
-        Err(_) => format!("{failure}\n"),
+        Err(_) => format!("{diagnostic}\n"),
     }
 }
 
@@ -120,7 +128,8 @@
     keys.iter().map(Key::to_string).collect()
 }
 
-fn problem_body(problem: &Problem) -> ProblemBody {
+/// Returns the JSON representation of a problem.
+pub(crate) fn problem_body(problem: &Problem) -> ProblemBody {
     ProblemBody {
         file: problem.file().to_owned(),
         line: problem.line(),
--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod references;
 mod value;
+mod warnings;
 
 use sycamorerill_core::model::Config;
 
--- a/crates/config/src/problem/kind.rs
+++ b/crates/config/src/problem/kind.rs
@@ -198,6 +198,23 @@
         /// Name of the target.
         target: String,
     },
+    /// A domain has neither workers nor executors. A warning.
+    #[error("domain `{domain}` has no workers and no executors, so nothing runs there")]
+    EmptyDomain {
+        /// Name of the domain.
+        domain: String,
+    },
+    /// A team has no service, may not borrow, and its quota holds no task. A warning.
+    #[error(
+        "team `{team}` has no service, may not borrow and has a quota of {quota}, \
+         so nothing can run for it"
+    )]
+    IdleTeam {
+        /// Name of the team.
+        team: String,
+        /// Quota of the team.
+        quota: Size,
+    },
 }
 
 /// Errors of parsing the value of a setting.
@@ -292,10 +309,19 @@
             Self::TargetWithoutShare { .. } => {
                 Some("state the share that must meet the goal, or remove the target".to_owned())
             }
+            Self::EmptyDomain { .. } => {
+                Some("declare workers or executors, or remove the domain".to_owned())
+            }
+            Self::IdleTeam { .. } => Some("raise the quota, or remove the team".to_owned()),
             _ => None,
         }
     }
 
+    /// Returns whether the problem is a warning, with which a configuration is accepted.
+    pub const fn is_warning(&self) -> bool {
+        matches!(self, Self::EmptyDomain { .. } | Self::IdleTeam { .. })
+    }
+
     /// Returns whether the problem may hide declarations of its file.
     pub(crate) const fn hides_declarations(&self) -> bool {
         matches!(
@@ -331,6 +357,8 @@
             Self::TaskExceedsQuotas { .. } => "quota",
             Self::RetentionTooShort { .. } => "retention",
             Self::TargetWithoutShare { .. } => "share",
+            Self::EmptyDomain { .. } => "empty_domain",
+            Self::IdleTeam { .. } => "idle_team",
         }
     }
 }
--- a/crates/config/src/problem/report.rs
+++ b/crates/config/src/problem/report.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use miette::{Diagnostic, LabeledSpan, SourceCode};
+use miette::{Diagnostic, LabeledSpan, Severity, SourceCode};
 
 use super::kind::ProblemKind;
 use crate::source::Location;
@@ -39,7 +39,7 @@
         self.location.source.position(self.location.span.start).1
     }
 
-    fn sort_key(&self) -> (&str, usize) {
+    pub(crate) fn sort_key(&self) -> (&str, usize) {
         (self.file(), self.location.span.start)
     }
 }
@@ -57,6 +57,10 @@
         Some(Box::new(self.kind.code()))
     }
 
+    fn severity(&self) -> Option<Severity> {
+        self.kind.is_warning().then_some(Severity::Warning)
+    }
+
     fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
         self.kind.hint().map(|hint| Box::new(hint) as Box<dyn fmt::Display>)
     }
--- a/crates/config/tests/examples.rs
+++ b/crates/config/tests/examples.rs
@@ -10,7 +10,10 @@
 
 fn example(name: &str) -> Config {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
-    Folder::read(root.join(name)).unwrap().check().unwrap()
+    let merged = Folder::read(root.join(name)).unwrap().merge();
+    let config = merged.check().unwrap();
+    assert_eq!(merged.warnings(&config), [], "an example has entries without effect");
+    config
 }
 
 fn totals(config: &Config) -> (usize, u32, u32) {
--- a/crates/config/tests/scenarios.rs
+++ b/crates/config/tests/scenarios.rs
@@ -1,8 +1,9 @@
 //! Runs the scripts in `tests/scenarios`, which hold folders and the expected output.
 //!
 //! `file NAME` adds a file with the lines below it. `check` prints the report or the numbers
-//! of entries, `merge` prints the merged settings, `render` prints the report as the command
-//! line does, and `jobs` parses a file of jobs.
+//! of entries, `warnings` prints the warnings of a folder without errors, `merge` prints the
+//! merged settings, `render` prints the report as the command line does, and `jobs` parses a
+//! file of jobs.
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
@@ -10,7 +11,7 @@
 
 use datadriven::{TestCase, walk};
 use miette::{GraphicalReportHandler, GraphicalTheme};
-use sycamorerill_config::{Folder, Report, parse_jobs};
+use sycamorerill_config::{Folder, Problem, Report, parse_jobs};
 use sycamorerill_core::model::Config;
 
 #[test]
@@ -27,6 +28,7 @@
                 Ok(config) => summary(&config),
                 Err(report) => list(&report),
             },
+            "warnings" => warnings(&Folder::from_files(std::mem::take(&mut files))),
             "jobs" => match parse_jobs("jobs.toml", &case.input) {
                 Ok(jobs) => jobs.iter().map(|job| format!("{job:?}\n")).collect(),
                 Err(report) => list(&report),
@@ -64,9 +66,18 @@
     )
 }
 
+fn warnings(folder: &Folder) -> String {
+    let merged = folder.merge();
+    list_problems(&merged.warnings(&merged.check().unwrap()))
+}
+
 fn list(report: &Report) -> String {
+    list_problems(report.problems())
+}
+
+fn list_problems(problems: &[Problem]) -> String {
     let mut text = String::new();
-    for problem in report.problems() {
+    for problem in problems {
         let location = format!("{}:{}:{}", problem.file(), problem.line(), problem.column());
         writeln!(text, "{location}: {problem}").unwrap();
         if let Some(hint) = problem.kind().hint() {
