--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -18,6 +18,7 @@
 mod evidence;
 mod executors;
 mod fit;
+mod gang;
 mod health;
 mod lease_ends;
 mod lifecycle;
