--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Forgets the lapsed runs of an executor that has answered in the incarnation that they were
+    /// started in: it was out of reach and has not crashed.
+    pub(super) fn forget_lapsed(&mut self, id: &ExecutorId, incarnation: Incarnation) {
+        let has_survived =
+            |start: &LapsedStart| start.order.executor == *id && start.incarnation == incarnation;
+        self.lapsed_starts.retain(|start| !has_survived(start));
+    }
+
     /// Returns whether a run of the task has outlasted the time in which it would have crashed its
     /// executor.
     fn has_surviving_run(&self, task: &TaskId) -> bool {
@@ -218,7 +226,7 @@
             return;
         };
         let long_running = entry.long_running;
-        let queue = self.config.queues.get(&entry.queue);
+        let queue = self.dropped.queue_of(&self.config, entry);
         let max_attempts = queue.map_or(MIN_CRASHES, |queue| queue.max_attempts);
         let Some(task) = entry.task_mut(&order.task) else {
             return;
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -84,6 +84,8 @@
         pub model: Option<super::Snapshot>,
         /// Lease ends of all executors that do not answer, if they have changed.
         pub lease_ends: Option<Vec<super::LeaseEnd>>,
+        /// Expected waits of new jobs, if any is long or was.
+        pub outlook: Option<crate::admission::Outlook>,
     }
 }
 
@@ -138,7 +140,8 @@
             probe: Probe,
             /// Address of the executor.
             address: SocketAddr,
-            /// Incarnation to whose clock the deadline belongs; no other one may receive it.
+            /// Incarnation to whose clock the deadline belongs and that has numbered the acknowledged
+            /// run ends; no other one may receive them.
             incarnation: Incarnation,
             /// Number up to which run ends are recorded, so that the executor may discard them.
             acknowledged: u64,
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -11,6 +11,8 @@
 mod clock;
 mod crash;
 mod drain;
+mod effort;
+mod ends;
 mod entry;
 mod evacuate;
 mod evidence;
@@ -22,9 +24,11 @@
 mod message;
 mod model;
 mod order;
+mod outlook;
 mod pass;
 mod place;
 mod probe;
+mod queues;
 mod ranges;
 mod rank;
 mod ranking;
@@ -70,6 +74,8 @@
 pub struct Shard {
     settings: Settings,
     config: Arc<Config>,
+    /// Queues of jobs in progress that the configuration no longer names.
+    dropped: queues::Dropped,
     jobs: BTreeMap<JobId, Entry>,
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
@@ -107,6 +113,8 @@
     best_effort_after: Time,
     /// Earliest time of the next placement pass that tries blocked steps on all executors.
     full_pass_after: Time,
+    /// Step behind which the next full pass goes on, once it has tried those of the highest rank.
+    resume_after: Option<(Rank, StepId)>,
     /// Executors on which resources were released since the last placement pass.
     released: BTreeSet<ExecutorId>,
     /// Runs that lapsed soon after their start.
@@ -132,6 +140,8 @@
     /// When this owner had reached half of those.
     reached_at: Option<Time>,
     next_tick: Time,
+    /// Expected waits of new jobs.
+    outlooks: outlook::Outlooks,
     /// Time of the next pass over all open runs.
     next_sweep: Time,
     estimator: throttle::Estimator,
@@ -144,6 +154,7 @@
         Self {
             settings,
             config,
+            dropped: queues::Dropped::default(),
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
@@ -162,6 +173,7 @@
             shortage: 0.0,
             best_effort_after: Time::ZERO,
             full_pass_after: Time::ZERO,
+            resume_after: None,
             released: BTreeSet::new(),
             lapsed_starts: Vec::new(),
             write_after: Time::ZERO,
@@ -176,6 +188,7 @@
             known: BTreeSet::new(),
             reached_at: None,
             next_tick: Time::ZERO,
+            outlooks: outlook::Outlooks::default(),
             estimator: throttle::Estimator::default(),
             out: Vec::new(),
         }
@@ -259,6 +272,7 @@
         self.check_lease_ends(now);
         self.stop_on_draining(now);
         self.log_evacuated();
+        self.update_outlook(now);
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.retry_orders(now);
@@ -271,6 +285,7 @@
 
     fn configure(&mut self, config: Arc<Config>) {
         if config.version > self.config.version || self.config.version == 0 {
+            self.keep_dropped(&config);
             self.config = config;
             self.placement_due = true;
         }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -35,7 +35,7 @@
         let Some(entry) = self.jobs.get(&id.job) else {
             return Placed::All;
         };
-        let Some(queue) = self.config.queues.get(&entry.queue) else {
+        let Some(queue) = self.queue_of(entry) else {
             return Placed::Some;
         };
         let service = queue.service.clone();
@@ -53,7 +53,7 @@
         }
         if !needs_ticket && pass.rejections(scope).covers(&service, spec) {
             self.set_blocked(id, true);
-            return Placed::Blocked;
+            return Placed::Rejected;
         }
         let waiting: Vec<u32> = step.waiting.iter().copied().collect();
         let mut request = self.request(now, id, spec, &service);
@@ -224,7 +224,7 @@
         }
         let column = self.estimator.model.column(&super::throttle::image(step));
         let entry = self.jobs.get(&id.job);
-        let queue = entry.and_then(|entry| self.config.queues.get(&entry.queue));
+        let queue = entry.and_then(|entry| self.queue_of(entry));
         let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
         Request {
             id,
@@ -313,6 +313,7 @@
         };
         executor.reserve(*task, spec);
         executor.last_placed = now;
+        self.outlooks.note_start(&executor.registration.service, spec);
         if step.tasks[task.index as usize].is_suspect() {
             executor.trial_until = now + super::crash::TRIAL;
         }
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -131,6 +131,9 @@
             executor.registration.incarnation = reported;
             self.correct_clock(now, id, sent, report.clock);
         }
+        if let Some(incarnation) = report.incarnation {
+            self.forget_lapsed(id, incarnation);
+        }
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -230,7 +233,6 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let first_under_epoch = !executor.fenced;
         let current = executor.registration.incarnation;
         let mut unlisted = Vec::new();
         for PlacedRun { task, open, .. } in self.runs_on(executor) {
@@ -239,7 +241,8 @@
             }
             let missing = match open.stage {
                 Stage::Running { since_probe } => probe.number >= since_probe,
-                Stage::Inherited => first_under_epoch,
+                // The executor has seen the epoch, so an order of a predecessor has no effect there.
+                Stage::Inherited => true,
                 Stage::Recording | Stage::Sent | Stage::Unknown => false,
             };
             let stopped = matches!(open.stop, Stop::Answered { since_probe }
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -16,7 +16,8 @@
 use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
-use sycamorerill_jobs::config::{Config, Limits, Queue, Service};
+use sycamorerill_jobs::admission::Outlook;
+use sycamorerill_jobs::config::{Config, Limits, Queue, Service, Terms};
 use sycamorerill_jobs::executor::{
     Availability, EndReason, Incarnation, Outcome, Registration, Steady,
 };
@@ -52,6 +53,8 @@
     pub(crate) states: BTreeMap<JobId, State>,
     /// Lease ends that are recorded, with the times at which all leases have ended.
     pub(crate) lease_ends: BTreeMap<ExecutorId, Time>,
+    /// Outlook that was recorded last.
+    pub(crate) outlook: Option<Outlook>,
     /// Largest number of tasks in a record.
     pub(crate) largest_record: usize,
     /// Entries that the next successors read in place of the present ones.
@@ -107,7 +110,7 @@
     last_recorded: Time,
 }
 
-pub(crate) fn job(id: u64) -> JobId {
+pub(crate) const fn job(id: u64) -> JobId {
     JobId(id)
 }
 
@@ -150,6 +153,7 @@
             progress: BTreeMap::new(),
             states: BTreeMap::new(),
             lease_ends: BTreeMap::new(),
+            outlook: None,
             largest_record: 0,
             stale_entries: BTreeMap::new(),
             unreadable: Vec::new(),
@@ -185,7 +189,7 @@
         sim
     }
 
-    fn add_executor(&mut self, number: u32) {
+    pub(crate) fn add_executor(&mut self, number: u32) {
         let id = ExecutorId::from(format!("x{number}").as_str());
         let executor = FakeExecutor {
             id: id.clone(),
@@ -276,7 +280,14 @@
         schedule: Option<Schedule>,
     ) {
         let job = Job { text: "text".to_owned(), steps, schedule };
-        let accepted = AcceptedJob { queue: QueueName::from("q"), at_ms: self.wall_ms(), job };
+        self.submit_to("q", id, job, self.wall_ms());
+    }
+
+    /// Accepts a job into a queue; its objective counts from `at_ms`.
+    pub(crate) fn submit_to(&mut self, queue: &str, id: JobId, job: Job, at_ms: u64) {
+        let queue = QueueName::from(queue);
+        let terms = self.config.queues.get(&queue).map(Terms::of);
+        let accepted = AcceptedJob { queue, terms, at_ms, job };
         self.accepted.insert(id, accepted.clone());
         self.handle(Event::Accepted(id, Box::new(accepted)));
     }
@@ -438,6 +449,7 @@
                     let ends = ends.into_iter().map(|end| (end.executor, self.now + end.left));
                     self.lease_ends = ends.collect();
                 }
+                self.outlook = batch.outlook.or(self.outlook.take());
                 self.batch_pending = true;
                 self.note_record();
             }
@@ -468,9 +480,10 @@
                 if executor.address != address {
                     return self.handle(Event::ProbeFailed(probe, Outcome::Unknown));
                 }
-                // A deadline reaches only the incarnation that it names.
+                // A deadline or an acknowledgement reaches only the incarnation that it names.
                 let is_right = !self.binds_orders || executor.incarnation == incarnation.0;
                 let deadline = deadline.filter(|_| is_right);
+                let acknowledged = if is_right { acknowledged } else { 0 };
                 self.start_probe(probe, acknowledged, deadline, wait);
             }
             Command::Log(decision) => {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -221,6 +221,13 @@
         found.map(|(_, (value, _))| value.clone()).collect()
     }
 
+    /// Returns the part that holds the first row of a table with the given name.
+    pub(crate) fn part_of(&self, table: Table, name: &str) -> String {
+        let rows = self.rows.borrow();
+        let found = rows.keys().find(|row_key| row_key.0 == table && row_key.2 == name);
+        found.map_or_else(String::new, |row_key| row_key.1.clone())
+    }
+
     /// Returns the number of runs that are running on all executors.
     pub(crate) fn running(&self) -> usize {
         self.executors.borrow().values().map(|executor| executor.running.len()).sum()
@@ -466,11 +473,12 @@
         let Some(value) = row.value.as_ref().filter(|_| row.name == "config") else {
             return Ok(None);
         };
-        let version: u64 = String::from_utf8_lossy(value)
-            .parse()
-            .map_err(|_| format!("`{value:?}` is not a version"))?;
+        // The version, and the name of the queue after it.
+        let text = String::from_utf8_lossy(value);
+        let (version, name) = text.split_once(' ').unwrap_or((&text, "q"));
+        let version: u64 = version.parse().map_err(|_| format!("`{text}` is not a version"))?;
         let queue = Queue {
-            name: QueueName::from("q"),
+            name: QueueName::from(name),
             host: "h".to_owned(),
             prefix: "/q/".to_owned(),
             service: ServiceName::from("s"),
