--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -21,6 +21,7 @@
 mod health;
 mod lease_ends;
 mod lifecycle;
+mod locality;
 mod message;
 mod model;
 mod order;
@@ -34,10 +35,12 @@
 mod ranking;
 mod rejections;
 mod relocate;
+mod reservation;
 mod restart;
 mod restore;
 mod score;
 mod settings;
+mod share;
 mod split;
 mod throttle;
 mod witness;
@@ -61,6 +64,7 @@
 pub use self::evidence::{FirstReport, Inherited, Knowledge, LeaseBound};
 pub use self::fit::FitReport;
 pub use self::lease_ends::LeaseEnd;
+pub use self::locality::{LocalityWait, WaitChoice, WaitInputs, WaitState, decide_wait};
 pub use self::message::{Batch, Closing, Command, Decision, Event, Order, Probe};
 pub use self::model::{ImageSnapshot, Snapshot};
 pub use self::restore::Records;
@@ -80,6 +84,13 @@
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
     waiting: BTreeSet<(Rank, StepId)>,
+    /// Steps with restarts of long-running tasks, by the time from which on these are placed before
+    /// new work.
+    promotions: BTreeSet<(Time, StepId)>,
+    /// Use of executors by queue.
+    shares: share::Shares,
+    /// Executors that are reserved for waiting steps.
+    reservations: BTreeMap<StepId, ExecutorId>,
     /// Records of which the tasks or the job have changed since they were last written.
     dirty: BTreeSet<RecordId>,
     /// Records and run ends that the next batches hold.
@@ -90,6 +101,8 @@
     lease_ends: lease_ends::Recorded,
     /// Batch that was sent to the store and is not confirmed yet.
     pending_batch: Option<write::PendingBatch>,
+    /// Waits for racks, and what they are decided by.
+    locality: locality::State,
     /// Executors permitted by the advice service, for steps of queues with a policy.
     advice: BTreeMap<StepId, advice::StepAdvice>,
     /// Executors that may be due for a probe.
@@ -129,6 +142,8 @@
     wall_ms: u64,
     /// When the last confirmed write under the claim was sent.
     confirmed_at: Time,
+    /// When the owner last had no write confirmed for a second.
+    unconfirmed_at: Time,
     /// Executors that show whether there is a successor, while the claim is not confirmed.
     witnesses: BTreeSet<ExecutorId>,
     /// Executor that has refused an order or a probe because it has seen a higher epoch.
@@ -158,11 +173,15 @@
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            promotions: BTreeSet::new(),
+            shares: share::Shares::default(),
+            reservations: BTreeMap::new(),
             dirty: BTreeSet::new(),
             round: write::Round::default(),
             unsplit: split::Unsplit::default(),
             lease_ends: lease_ends::Recorded::default(),
             pending_batch: None,
+            locality: locality::State::default(),
             advice: BTreeMap::new(),
             probe_candidates: BTreeSet::new(),
             evacuation: evacuate::State::default(),
@@ -182,6 +201,7 @@
             has_new_ends: false,
             wall_ms: 0,
             confirmed_at: Time::MAX,
+            unconfirmed_at: Time::ZERO,
             witnesses: BTreeSet::new(),
             superseded_by: None,
             restored_at: Time::ZERO,
@@ -265,6 +285,8 @@
     }
 
     fn tick(&mut self, now: Time) {
+        self.note_confirmation(now);
+        self.forget_listed(now);
         self.ask_witnesses(now);
         self.note_reach(now);
         self.begin_due(now);
@@ -276,6 +298,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + self.settings.sweep;
             self.retry_orders(now);
+            self.remove_finished_waits();
             if self.shortage == 0.0 {
                 self.relocate(now);
             }
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -19,6 +19,9 @@
 use super::rejections::Rejections;
 use crate::id::{ExecutorId, StepId};
 
+/// Maximum number of searches for an executor to reserve in one pass, each of which looks at all
+/// executors.
+const MAX_RESERVATIONS_PER_PASS: usize = 8;
 /// Pause after a pass in which steps found no executor, so that releases accumulate.
 const BLOCKED_PAUSE: Span = Span::from_ms(10);
 /// Time between two passes that try blocked steps on all executors. Expected interference
@@ -39,6 +42,8 @@
     All,
     /// Executors on which resources were released since the previous pass.
     Released,
+    /// Executors of the rack that the step waits for.
+    Rack,
 }
 
 /// Result of trying a step, from the most to the least that was placed.
@@ -61,6 +66,8 @@
     pub(super) budget: usize,
     /// Number of best-effort runs that the pass may still place.
     pub(super) best_effort_budget: usize,
+    /// Number of searches for an executor to reserve that the pass may still make.
+    pub(super) reservation_budget: usize,
     /// Whether steps that were blocked before are tried on all executors.
     full: bool,
     /// Executors on which resources were released since the previous pass.
@@ -77,11 +84,19 @@
         if blocked && !self.full { Scope::Released } else { Scope::All }
     }
 
+    /// Deducts placed runs from the numbers that may still be placed.
+    pub(super) const fn take(&mut self, count: usize, best_effort: bool) {
+        self.budget = self.budget.saturating_sub(count);
+        if best_effort {
+            self.best_effort_budget = self.best_effort_budget.saturating_sub(count);
+        }
+    }
+
     /// Returns the resources that no executor in `scope` has.
     pub(super) const fn rejections(&mut self, scope: Scope) -> &mut Rejections {
         match scope {
             Scope::All => &mut self.rejections,
-            Scope::Released => &mut self.released_rejections,
+            Scope::Released | Scope::Rack => &mut self.released_rejections,
         }
     }
 }
@@ -93,13 +108,18 @@
             return;
         }
         self.placement_due = false;
+        self.promote_restarts(now);
         let mut pass = self.begin_pass(now);
         let full = pass.full;
         let mut effort = Effort::new(full, self.resume_after);
         let (mut found_none, mut is_used_up) = (false, false);
+        if pass.full {
+            self.review_reservations(now);
+            self.review_shares(now);
+        }
         let ranked: Vec<(Rank, StepId)> = self.waiting.iter().copied().collect();
         for (rank, id) in ranked {
-            if pass.full && self.update_rank(rank, id) {
+            if pass.full && self.update_rank(now, rank, id) {
                 continue;
             }
             let blocked = self.is_blocked(id);
@@ -114,6 +134,9 @@
                 result @ (Placed::Blocked | Placed::Rejected) => {
                     found_none = true;
                     effort.spend(blocked, result == Placed::Blocked);
+                    if rank.is_held_back() {
+                        self.log_held_back(now, id);
+                    }
                 }
             }
             if pass.budget == 0 {
@@ -143,6 +166,7 @@
         Pass {
             budget: self.settings.max_placed_per_turn,
             best_effort_budget: self.best_effort_budget(now),
+            reservation_budget: MAX_RESERVATIONS_PER_PASS,
             full,
             released: std::mem::take(&mut self.released),
             rejections: Rejections::default(),
@@ -171,31 +195,4 @@
             self.full_pass_after = now;
         }
     }
-
-    /// Moves a step to its current rank, which drops when the job becomes late or expires.
-    /// Returns whether the rank has changed.
-    fn update_rank(&mut self, rank: Rank, id: StepId) -> bool {
-        if rank.is_expired() {
-            return false;
-        }
-        let Some(entry) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
-            return false;
-        };
-        let queue = self.queue_of(entry);
-        let updated = Rank::of(entry, queue, id.step, occurrence.begin_ms, self.wall_ms);
-        if updated == rank {
-            return false;
-        }
-        self.waiting.remove(&(rank, id));
-        self.waiting.insert((updated, id));
-        if let Some(step) =
-            self.jobs.get_mut(&id.job).and_then(|e| e.step_mut(id.occurrence, id.step))
-        {
-            step.rank = Some(updated);
-        }
-        true
-    }
 }
--- a/crates/jobs/src/shard/score.rs
+++ b/crates/jobs/src/shard/score.rs
@@ -11,7 +11,7 @@
 /// Minimum fraction of its requested processor time that a best-effort task must be able to get
 /// to be placed. Tasks of a burst that all run slowly are all late; those that wait keep the order
 /// of their ranks.
-const MIN_CPU_SHARE: f64 = 0.7;
+pub(super) const MIN_CPU_SHARE: f64 = 0.7;
 /// Score deducted for an executor that is on probation after failures.
 const PROBATION_PENALTY: f64 = 0.5;
 /// Difference in the score of a latency-critical task between an executor where all
@@ -19,6 +19,9 @@
 const SAME_IMAGE_BONUS: f64 = 3.0;
 /// Score of a latency-critical task next to another task of the same step.
 const SAME_STEP_BONUS: f64 = 1.0;
+/// Range of the score for packing. A fuller executor far away does not outweigh the longer run
+/// time there.
+const PACKING_RANGE: f64 = 1.0;
 
 impl Shard {
     /// Returns the score of an executor for a task of the step, or `None` if the task may not
@@ -53,13 +56,11 @@
         if step.label.as_ref().is_some_and(|label| !registration.labels.contains(label)) {
             return None;
         }
-        if !registration.capacity.saturating_sub(&executor.used).covers(&step.reserved()) {
+        let free = registration.capacity.saturating_sub(&executor.used);
+        if !free.covers(&step.reserved()) || !self.is_below_task_limit(request, executor) {
             return None;
         }
-        if step
-            .max_per_executor
-            .is_some_and(|most| step_tasks_on(request.id, executor) >= most as usize)
-        {
+        if executor.reservation.is_some_and(|held| !held.admits(now, request, &free)) {
             return None;
         }
         let mut score = if step.best_effort {
@@ -74,13 +75,24 @@
         Some(score)
     }
 
+    /// Returns whether an executor may get another task of the step.
+    pub(super) fn is_below_task_limit(&self, request: &Request<'_>, executor: &Executor) -> bool {
+        let most = request.step.max_per_executor;
+        most.is_none_or(|most| step_tasks_on(request.id, executor) < most as usize)
+    }
+
     /// Returns the score deducted if the executor is on another rack than the step's data or
     /// its running tasks.
     fn locality_penalty(&self, request: &Request<'_>, executor: &Executor) -> f64 {
         let rack = executor.registration.rack();
         let away = |wanted: Option<&Label>| wanted.is_some() && wanted != rack;
         let remote = away(request.step.data_rack.as_ref()) || away(request.rack.as_ref());
-        if remote { self.settings.remote_penalty - 1.0 } else { 0.0 }
+        let weight = if request.step.best_effort || !self.decides_locality(request) {
+            0.0
+        } else {
+            PACKING_RANGE
+        };
+        if remote { self.settings.remote_penalty - 1.0 + weight } else { 0.0 }
     }
 
     /// Returns the fraction of its requested processor time that a best-effort task would get,
--- a/crates/jobs/src/shard/settings.rs
+++ b/crates/jobs/src/shard/settings.rs
@@ -45,8 +45,26 @@
         /// Factor on the run time of a task that runs away from its data or from other tasks of
         /// its step.
         pub remote_penalty: f64,
+        /// Whether it is decided for each task how long it waits for a place near its data or near
+        /// other tasks of its step; if not, a near place is only preferred.
+        pub decides_locality: bool,
+        /// Longest time for which a task waits for a near place.
+        pub max_locality_wait: Span,
+        /// The same for long-running tasks, which are to be placed again within 3 s of their last
+        /// run.
+        pub max_locality_wait_long_running: Span,
         /// Longest time for which best-effort tasks may keep a task over its objective.
         pub max_over_objective: Span,
+        /// Time for which a long-running task that has run before waits behind new work of its
+        /// priority; from then on it is placed first.
+        pub restart_promotion: Span,
+        /// Time for which an executor is reserved for a task that waits for room.
+        pub reservation: Span,
+        /// Number of executors for each that may be reserved at the same time.
+        pub executors_per_reservation: usize,
+        /// Multiple of an equal share beyond which a queue waits behind others that lack room; with
+        /// infinity, none does.
+        pub over_share_factor: f64,
         /// Maximum number of runs placed in one turn.
         pub max_placed_per_turn: usize,
         /// Time between two outlooks on the waits of new jobs.
@@ -81,7 +99,19 @@
             max_row_bytes: DEFAULT_ROW_BYTES,
             tasks_per_record: tasks_per_record(DEFAULT_ROW_BYTES),
             remote_penalty: 1.5,
+            decides_locality: true,
+            // A third of the time within which jobs must not stand still while there is room.
+            max_locality_wait: Span::from_ms(1_000),
+            max_locality_wait_long_running: Span::from_ms(500),
             max_over_objective: Span::from_ms(4_000),
+            // Leaves most of the 3 s that a restart may take to the search for an executor.
+            restart_promotion: Span::from_ms(500),
+            // Most runs end within that time.
+            reservation: Span::from_ms(3_000),
+            // Bounds the room that may lie idle to a small part of the executors.
+            executors_per_reservation: 8,
+            // Queues with alike use don't change places all the time.
+            over_share_factor: 1.25,
             max_placed_per_turn: 128,
             outlook_interval: Span::from_ms(1_000),
             latency_critical_use: 0.5,
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -57,6 +57,12 @@
     Crashed,
     /// An executor has a run that no record has as open.
     Unknown,
+    /// A wait for a place near the data or the group of tasks began or ended.
+    Locality,
+    /// A step is placed after those of queues that use less.
+    HeldBack,
+    /// An executor was reserved for a step.
+    Reserved,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
     /// probe of it failed.
     Executor,
@@ -88,11 +94,13 @@
     Config,
     /// The address for metrics can't be listened on.
     Metrics,
+    /// A listener refused requests or closed connections.
+    ListenerRefused,
 }
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 33] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -107,6 +115,9 @@
         Self::Advised,
         Self::Crashed,
         Self::Unknown,
+        Self::Locality,
+        Self::Reserved,
+        Self::HeldBack,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
@@ -122,6 +133,7 @@
         Self::Rejected,
         Self::Config,
         Self::Metrics,
+        Self::ListenerRefused,
     ];
 
     /// Returns the number of the event.
@@ -141,6 +153,9 @@
             Self::Advised => 1205,
             Self::Crashed => 1206,
             Self::Unknown => 1207,
+            Self::Locality => 1208,
+            Self::Reserved => 1210,
+            Self::HeldBack => 1211,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
@@ -156,6 +171,7 @@
             Self::Rejected => 1421,
             Self::Config => 1500,
             Self::Metrics => 1501,
+            Self::ListenerRefused => 1502,
         }
     }
 
@@ -176,6 +192,9 @@
             Self::Advised => "step.advised",
             Self::Crashed => "run.crashed",
             Self::Unknown => "run.unknown",
+            Self::Locality => "step.locality",
+            Self::Reserved => "step.reserved",
+            Self::HeldBack => "step.held_back",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
@@ -191,6 +210,7 @@
             Self::Rejected => "row.rejected",
             Self::Config => "config.state",
             Self::Metrics => "metrics.failed",
+            Self::ListenerRefused => "listener.refused",
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,13 @@
     outcome: &'static str,
 }
 
+/// Labels of the counter of refusals by a listener.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ListenerLabels {
+    listener: &'static str,
+    reason: &'static str,
+}
+
 /// Labels of the histogram of hop durations.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct HopLabels {
@@ -62,6 +69,10 @@
     closed: Family<OutcomeLabels, Counter>,
     finished: Family<OutcomeLabels, Counter>,
     tails: Family<OutcomeLabels, Counter>,
+    locality: Family<OutcomeLabels, Counter>,
+    reservations: Counter,
+    held_back: Counter,
+    refusals: Family<ListenerLabels, Counter>,
     shards: Gauge,
     ticks_percent: Gauge,
     inbox: Gauge,
@@ -96,6 +107,10 @@
             closed: Family::default(),
             finished: Family::default(),
             tails: Family::default(),
+            locality: Family::default(),
+            reservations: Counter::default(),
+            held_back: Counter::default(),
+            refusals: Family::default(),
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
             inbox: Gauge::default(),
@@ -123,6 +138,14 @@
         registry.register("jobs_finished", "Jobs that ended, by state", self.finished.clone());
         let help = "Reports on latency-critical jobs, by whether their tails tell the utilization";
         registry.register("tail_reports", help, self.tails.clone());
+        let help = "Waits for a place near the data or the group of tasks, begun and by their end";
+        registry.register("locality_waits", help, self.locality.clone());
+        let help = "Steps for which an executor was reserved";
+        registry.register("reservations", help, self.reservations.clone());
+        let help = "Steps placed after those of queues that use less";
+        registry.register("steps_held_back", help, self.held_back.clone());
+        let help = "Requests refused and connections closed by a listener, by reason";
+        registry.register("listener_refusals", help, self.refusals.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
         let help = "Percentage of the expected ticks that an owner of shards received";
         registry.register("owner_ticks_percent", help, self.ticks_percent.clone());
@@ -158,6 +181,11 @@
         self.submissions.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a request that a listener refused, or a connection that it closed.
+    pub(crate) fn count_listener(&self, listener: &'static str, reason: &'static str) {
+        self.refusals.get_or_create(&ListenerLabels { listener, reason }).inc();
+    }
+
     /// Counts an order to an executor by its outcome.
     pub(crate) fn count_order(&self, order: &'static str, outcome: Outcome) {
         let outcome = match outcome {
@@ -183,6 +211,12 @@
                 self.observe_hop(Hop::Finished, *took);
                 self.finished.get_or_create(&OutcomeLabels { outcome: state.name() }).inc();
             }
+            Decision::HeldBack { .. } => {
+                self.held_back.inc();
+            }
+            Decision::Reserved { .. } => {
+                self.reservations.inc();
+            }
             Decision::ModelRecorded(report) => {
                 let count = |outcome, number: u32| {
                     self.tails.get_or_create(&OutcomeLabels { outcome }).inc_by(number.into());
@@ -190,6 +224,10 @@
                 count("informative", report.reports.saturating_sub(report.saturated));
                 count("saturated", report.saturated);
             }
+            Decision::Locality(wait) => {
+                let outcome = wait.state.name();
+                self.locality.get_or_create(&OutcomeLabels { outcome }).inc();
+            }
             _ => {}
         }
     }
