jobs: attempts to place a gang are no use of executors

Callers of a queue with a gang that found only some places waited behind those of other queues: its other steps were held back (`step.held_back`).

Cause: each attempt opened runs for the members that found a place and closed them again when one found none. Closing undid the open use, but not the decaying use by recent placements, nor the work that the outlook counts as started.

Change: a gang is not tried where the executors that may run it have too few places, and placements count once all members have one.

--- a/crates/jobs/src/shard/gang.rs
+++ b/crates/jobs/src/shard/gang.rs
@@ -62,6 +62,9 @@
             let all = Scope::All;
             rack = self.update_ranking(now, request, all, pass, &mut ranking, &executor, rack);
         }
+        for (task, _) in &placed {
+            self.count_placement(now, task, request.step);
+        }
         true
     }
 
--- a/crates/jobs/src/shard/locality/group.rs
+++ b/crates/jobs/src/shard/locality/group.rs
@@ -10,7 +10,7 @@
 use super::super::place::Request;
 use super::super::ranking::Ranking;
 use super::forecast::Need;
-use crate::id::{Label, Run, StepId};
+use crate::id::{ExecutorId, Label, Run, StepId};
 
 /// Number of racks whose expected places are compared, those with the most places now.
 const MAX_COMPARED_RACKS: usize = 4;
@@ -101,6 +101,9 @@
         pass: &Pass,
     ) -> Placed {
         let mut ranking = self.ranking(now, request, scope, pass);
+        if self.places_on(request, ranking.executors(), waiting.len()) < waiting.len() {
+            return Placed::Blocked;
+        }
         if let Some(rack) = request.wanted_rack().filter(|_| self.decides_locality(request)) {
             let rack = rack.clone();
             if self.near_places(request, &rack, &ranking, waiting.len()) >= waiting.len() {
@@ -128,8 +131,20 @@
         ranking: &Ranking,
         most: usize,
     ) -> usize {
-        let near = ranking.executors().filter_map(|id| self.executors.get(id));
-        let near = near.filter(|executor| executor.registration.rack() == Some(rack));
-        near.map(|executor| self.places_now(request, executor, most)).sum()
+        let is_near = |id: &&ExecutorId| {
+            self.executors.get(*id).is_some_and(|found| found.registration.rack() == Some(rack))
+        };
+        self.places_on(request, ranking.executors().filter(is_near), most)
+    }
+
+    /// Returns how many tasks of the step some executors have room for; not exact beyond `most`.
+    fn places_on<'a>(
+        &self,
+        request: &Request<'_>,
+        executors: impl Iterator<Item = &'a ExecutorId>,
+        most: usize,
+    ) -> usize {
+        let found = executors.filter_map(|id| self.executors.get(id));
+        found.map(|executor| self.places_now(request, executor, most)).sum()
     }
 }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -160,6 +160,7 @@
             }
             let run = self.next_run(&task);
             self.open_run(now, &task, run, executor.clone(), request.step);
+            self.count_placement(now, &task, request.step);
             pass.take(1, request.step.best_effort);
             left -= 1;
             rack = self.update_ranking(now, request, scope, pass, &mut ranking, &executor, rack);
@@ -306,7 +307,6 @@
             self.reservations.remove(&task.step);
         }
         executor.last_placed = now;
-        self.outlooks.note_start(&executor.registration.service, spec);
         if step.tasks[task.index as usize].is_suspect() {
             executor.trial_until = now + super::crash::TRIAL;
         }
@@ -330,7 +330,7 @@
             progress: (0, now),
         });
         self.placed.push((*task, run));
-        self.count_placement(now, task, spec);
+        self.count_open(task, spec);
         self.mark_changed(task);
         let order = Order { executor: id, task: *task, run };
         self.out.push(Command::Log(Decision::Placed { order, incarnation, waited_ms }));
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -189,7 +189,7 @@
         let until = now + self.settings.predecessor_grace;
         executor.record_unanswered(now, until, &self.settings);
         executor.reserve(*task, step);
-        self.count_inherited(task, step);
+        self.count_open(task, step);
         self.probe_candidates.insert(id.clone());
     }
 }
--- a/crates/jobs/src/shard/share.rs
+++ b/crates/jobs/src/shard/share.rs
@@ -96,9 +96,8 @@
         usage.open.iter_mut().zip(amounts).for_each(|(open, added)| *open += added);
     }
 
-    /// Adds a run that was placed at `now`.
+    /// Adds an open run that was placed at `now` to the recent placements.
     pub(super) fn place(&mut self, now: Time, queue: &QueueName, step: &Step) {
-        self.open(queue, step);
         let usage = self.usage(queue, step);
         usage.decay(now);
         let part = (step.estimate_ms as f64 / RECENT.as_ms_f64()).min(1.0);
@@ -124,15 +123,18 @@
 }
 
 impl Shard {
-    /// Counts a run that was placed at `now`.
+    /// Counts a placement at `now` that is not taken back any more.
     pub(super) fn count_placement(&mut self, now: Time, task: &TaskId, step: &Step) {
         if let Some(entry) = self.jobs.get(&task.step.job) {
             self.shares.place(now, &entry.queue, step);
+            if let Some(queue) = self.dropped.queue_of(&self.config, entry) {
+                self.outlooks.note_start(&queue.service, step);
+            }
         }
     }
 
-    /// Counts an open run that predecessors have recorded.
-    pub(super) fn count_inherited(&mut self, task: &TaskId, step: &Step) {
+    /// Counts an open run.
+    pub(super) fn count_open(&mut self, task: &TaskId, step: &Step) {
         if let Some(entry) = self.jobs.get(&task.step.job) {
             self.shares.open(&entry.queue, step);
         }
