jobs: steps that no executor can run are kept apart from the queue

What callers saw (tests, not the field): with two jobs of 10,000 tasks that no executor can run, all callers of a lower priority are told 503 for as long as those jobs are timely. A queue with one such job holds back others of its priority. With 10,240 such steps, a label each, jobs that had to wait once wait further after room is free. 40 long-running ones leave a restart without a reservation.

Change: a step is compared with the largest capacities of listed executors by service and label before it is tried; one that none could run leaves the queue and returns when the list or the configuration changes so that one could. E1212 step.unschedulable, the gauge steps_unschedulable. Why it works: what is not in the queue is in no pass, outlook, share or reservation, and each event that could make a step schedulable (entry added, changed, removed; evacuation; configuration) has the comparison made again.

The budget of a pass is still tested: steps_that_find_no_room_for_long_hold_up_no_others fails without it.

--- a/crates/jobs/src/shard/advice.rs
+++ b/crates/jobs/src/shard/advice.rs
@@ -50,6 +50,11 @@
         (*incarnation == executor.registration.incarnation).then_some(&permit.ticket)
     }
 
+    /// Returns whether the policy does not allow an executor.
+    pub(super) fn denies(&self, executor: &ExecutorId) -> bool {
+        matches!(self.permits.get(executor), Some((_, None)))
+    }
+
     /// Returns whether a query for an executor may yield a new ticket.
     fn needs_query(&self, now: Time, executor: &Executor) -> bool {
         match self.permits.get(&executor.registration.id) {
--- a/crates/jobs/src/shard/backlog.rs
+++ b/crates/jobs/src/shard/backlog.rs
@@ -10,6 +10,8 @@
     pub struct Backlog {
         /// Steps with tasks that wait for an executor.
         pub waiting_steps: u64,
+        /// Steps with tasks that wait although no listed executor could run them.
+        pub unschedulable_steps: u64,
         /// Runs on executors whose failure domain is evacuated.
         pub evacuated_runs: u64,
         /// Best-effort runs on executors.
@@ -30,6 +32,7 @@
         }
         Backlog {
             waiting_steps: self.waiting.len() as u64,
+            unschedulable_steps: self.unschedulable.len() as u64,
             evacuated_runs: self.evacuated().runs as u64,
             best_effort_runs: count,
             mean_limit_percent: sum.checked_div(count).unwrap_or(100),
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -37,6 +37,8 @@
     /// Whether a record of the job was rejected by the store or cannot be read, so that none of its
     /// tasks is placed.
     pub(super) is_rejected: bool,
+    /// Whether the log has a line that no executor could run a step of the job.
+    pub(super) unschedulable_logged: bool,
     /// Lowest number of an occurrence that has not begun.
     pub(super) next_occurrence: u32,
 }
@@ -183,6 +185,7 @@
             occurrences: BTreeMap::new(),
             finished: Ranges::default(),
             is_rejected: false,
+            unschedulable_logged: false,
             next_occurrence: 0,
         }
     }
--- a/crates/jobs/src/shard/evacuate.rs
+++ b/crates/jobs/src/shard/evacuate.rs
@@ -67,7 +67,11 @@
         let domain = &executor.registration.domain;
         let is_evacuated = self.evacuation.domains.contains(domain);
         self.evacuation.is_log_due |= self.evacuation.unknown.remove(domain);
-        if std::mem::replace(&mut executor.is_evacuated, is_evacuated) && !is_evacuated {
+        if std::mem::replace(&mut executor.is_evacuated, is_evacuated) == is_evacuated {
+            return;
+        }
+        self.unschedulable.note_change();
+        if !is_evacuated {
             self.released.insert(id.clone());
         }
     }
--- a/crates/jobs/src/shard/executors.rs
+++ b/crates/jobs/src/shard/executors.rs
@@ -7,6 +7,7 @@
 use super::Shard;
 use super::entry::{Entry, OpenRun};
 use super::message::Closing;
+use super::unschedulable::is_other_host;
 use crate::executor::{Availability, Registration, Steady};
 use crate::id::{ExecutorId, Image, JobId, TaskId};
 use crate::spec::{Resources, Step};
@@ -298,6 +299,7 @@
             let executor = Executor::new(now, registration);
             let executor = Executor { lease_end_recorded: recorded, ..executor };
             self.executors.insert(id.clone(), executor);
+            self.unschedulable.note_change();
             self.update_evacuated(&id);
             self.probe_candidates.insert(id);
             return;
@@ -312,6 +314,9 @@
             return;
         };
         executor.update_clock_from_entry(now, registration.clock);
+        if !executor.present || is_other_host(&executor.registration, &registration) {
+            self.unschedulable.note_change();
+        }
         executor.registration = registration;
         executor.present = true;
         executor.update_times(now);
@@ -325,6 +330,7 @@
             return;
         };
         executor.present = false;
+        self.unschedulable.note_change();
         if executor.open_tasks.is_empty() && executor.ends_acknowledged >= executor.ends_processed {
             self.executors.remove(id);
         } else if executor.probe_sent.is_none() {
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -172,8 +172,9 @@
                 }
             }
         }
-        for waiting in &steps {
-            self.waiting.remove(waiting);
+        for (rank, step) in steps {
+            self.waiting.remove(&(rank, step));
+            self.unschedulable.remove(step);
         }
         for (task, run) in dropped {
             self.close(now, &task, run, Closing::NotRecorded);
@@ -286,6 +287,7 @@
             && let Some(rank) = step.rank
         {
             self.waiting.remove(&(rank, id));
+            self.unschedulable.remove(id);
         }
         let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
             return;
--- a/crates/jobs/src/shard/locality/forecast.rs
+++ b/crates/jobs/src/shard/locality/forecast.rs
@@ -57,15 +57,15 @@
 
 /// Resources that a task needs, and those that an executor has free for it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Need {
-    pub(super) resources: Resources,
+pub(in super::super) struct Need {
+    pub(in super::super) resources: Resources,
     best_effort: bool,
 }
 
 impl Need {
     /// Returns what a task of a step needs. A best-effort task needs a share of the processor time
     /// that it requests.
-    pub(super) fn of(step: &Step) -> Self {
+    pub(in super::super) fn of(step: &Step) -> Self {
         let cpu = match step.best_effort {
             true => share(step.resources.cpu),
             false => step.resources.cpu,
@@ -89,7 +89,7 @@
     }
 
     /// Returns how many tasks fit into `free`, up to `most`.
-    pub(super) fn count_in(&self, free: &Resources, most: usize) -> usize {
+    pub(in super::super) fn count_in(&self, free: &Resources, most: usize) -> usize {
         let need = self.resources;
         let fits = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
         let count = fits(free.cpu, need.cpu)
--- a/crates/jobs/src/shard/locality/mod.rs
+++ b/crates/jobs/src/shard/locality/mod.rs
@@ -26,7 +26,7 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_core::data;
 
-use self::forecast::{Need, Rack};
+use self::forecast::Rack;
 use self::weigh::Weighed;
 use super::Shard;
 use super::message::{Command, Decision};
@@ -37,6 +37,7 @@
 use crate::spec::Step;
 
 pub use self::decision::{WaitChoice, WaitInputs, decide_wait};
+pub(super) use self::forecast::Need;
 use self::forecast::is_away;
 
 /// Time between two decisions on a wait that has begun.
--- a/crates/jobs/src/shard/message.rs
+++ b/crates/jobs/src/shard/message.rs
@@ -11,10 +11,12 @@
 use crate::executor::{
     Advice, EndReason, Incarnation, Outcome, Refusal, Registration, Report, Steady, Ticket,
 };
-use crate::id::{DomainName, ExecutorId, JobId, QueueName, Run, StepId, TaskId};
+use crate::id::{
+    DomainName, ExecutorId, JobId, Label, QueueName, Run, ServiceName, StepId, TaskId,
+};
 use crate::progress::{Progress, State};
 use crate::record::RecordId;
-use crate::spec::AcceptedJob;
+use crate::spec::{AcceptedJob, Resources};
 
 data! {
     /// An input of a shard.
@@ -248,6 +250,20 @@
             /// Time since the use was determined.
             age: Span,
         },
+        /// No listed executor could run a step, however much room it had, so the step is kept apart
+        /// from those that wait for room; one for each job.
+        Unschedulable {
+            /// Step that waits for another executor.
+            step: StepId,
+            /// What no executor meets.
+            obstacle: super::Obstacle,
+            /// Service that runs the job.
+            service: ServiceName,
+            /// Label that the step asks for.
+            label: Option<Label>,
+            /// Resources that a task needs.
+            needs: Resources,
+        },
         /// An executor crashed shortly after a task may have started there.
         Crashed {
             /// Run and executor.
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -44,6 +44,7 @@
 mod share;
 mod split;
 mod throttle;
+mod unschedulable;
 mod witness;
 mod write;
 
@@ -70,6 +71,7 @@
 pub use self::model::{ImageSnapshot, Snapshot};
 pub use self::restore::Records;
 pub use self::settings::Settings;
+pub use self::unschedulable::Obstacle;
 
 /// Decides for a shard under one epoch what is placed, recorded, sent and stopped.
 ///
@@ -85,6 +87,8 @@
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
     waiting: BTreeSet<(Rank, StepId)>,
+    /// Steps with tasks that wait although no listed executor could run them.
+    unschedulable: unschedulable::Unschedulable,
     /// Steps with restarts of long-running tasks, by the time from which on these are placed before
     /// new work.
     promotions: BTreeSet<(Time, StepId)>,
@@ -174,6 +178,7 @@
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            unschedulable: unschedulable::Unschedulable::default(),
             promotions: BTreeSet::new(),
             shares: share::Shares::default(),
             reservations: BTreeMap::new(),
@@ -222,7 +227,7 @@
     pub fn handle(&mut self, now: Time, wall_ms: u64, event: Event) {
         self.wall_ms = wall_ms;
         match event {
-            Event::Configured(config) => self.configure(config),
+            Event::Configured(config) => self.configure(now, config),
             Event::Evacuated(domains) => self.set_evacuated(domains),
             Event::Accepted(job, accepted) => self.handle_accepted(now, job, *accepted),
             Event::Cancelled(job) => self.cancel(now, job),
@@ -307,10 +312,11 @@
         self.placement_due = true;
     }
 
-    fn configure(&mut self, config: Arc<Config>) {
+    fn configure(&mut self, now: Time, config: Arc<Config>) {
         if config.version > self.config.version || self.config.version == 0 {
             self.keep_dropped(&config);
             self.config = config;
+            self.requeue_unschedulable(now);
             self.placement_due = true;
         }
     }
--- a/crates/jobs/src/shard/pass.rs
+++ b/crates/jobs/src/shard/pass.rs
@@ -51,6 +51,8 @@
 pub(super) enum Placed {
     /// No task of the step waits any more.
     All,
+    /// The step is kept apart, as no executor could run it.
+    Unschedulable,
     /// Tasks of the step wait until another pass.
     Some,
     /// No executor was found for a task of the step.
@@ -84,6 +86,11 @@
         if blocked && !self.full { Scope::Released } else { Scope::All }
     }
 
+    /// Returns whether steps that were blocked before are tried on all executors.
+    pub(super) const fn is_full(&self) -> bool {
+        self.full
+    }
+
     /// Deducts placed runs from the numbers that may still be placed.
     pub(super) const fn take(&mut self, count: usize, best_effort: bool) {
         self.budget = self.budget.saturating_sub(count);
@@ -109,6 +116,7 @@
         }
         self.placement_due = false;
         self.promote_restarts(now);
+        self.requeue_schedulable(now);
         let mut pass = self.begin_pass(now);
         let full = pass.full;
         let mut effort = Effort::new(full, self.resume_after);
@@ -130,6 +138,10 @@
                 Placed::All => {
                     self.waiting.remove(&(rank, id));
                 }
+                Placed::Unschedulable => {
+                    self.waiting.remove(&(rank, id));
+                    effort.spend(blocked, false);
+                }
                 Placed::Some => {}
                 result @ (Placed::Blocked | Placed::Rejected) => {
                     found_none = true;
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -50,6 +50,11 @@
             return Placed::Some;
         }
         let blocked = step.blocked;
+        if (!blocked || pass.is_full())
+            && self.set_aside_unschedulable(id, spec, &service, needs_ticket)
+        {
+            return Placed::Unschedulable;
+        }
         let hold = self.hold(now, id, spec, &service, pass);
         let scope = match hold {
             Hold::Idle => return Placed::Some,
--- a/crates/jobs/src/shard/restart.rs
+++ b/crates/jobs/src/shard/restart.rs
@@ -177,6 +177,7 @@
         };
         if executor.registration.address == address {
             executor.present = false;
+            self.unschedulable.note_change();
         }
         let open: Vec<TaskId> = executor.open_tasks.iter().copied().collect();
         for task in open {
--- a/crates/jobs/tests/placement.rs
+++ b/crates/jobs/tests/placement.rs
@@ -88,6 +88,32 @@
     }
 }
 
+/// The same for steps that an executor could run, but for a task there that goes on for ever.
+#[test]
+fn steps_that_find_no_room_for_long_hold_up_no_others() {
+    for is_each_tried in [false, true] {
+        let mut sim = Simulation::new(1);
+        sim.submit(job(1), vec![Step { long_running: true, ..step(1) }]);
+        sim.advance(Span::from_ms(300));
+        let max_per_executor = is_each_tried.then_some(1);
+        let wide = Step { resources: cores(8), max_per_executor, estimate_ms: 10_000, ..step(1) };
+        for id in 2..6 {
+            sim.submit(job(id), vec![wide.clone(); 210]);
+        }
+        sim.advance(Span::from_ms(300));
+        sim.submit(job(10), vec![step(7)]);
+        sim.advance(Span::from_ms(100));
+        assert_eq!(sim.run_count(), 8);
+        // They are due after the others.
+        for id in 11..18 {
+            sim.submit(job(id), vec![Step { estimate_ms: 100_000, ..step(1) }]);
+        }
+        sim.advance(Span::from_secs(3));
+        let done = (11..18).filter(|id| sim.state(*id) == Some(State::Completed)).count();
+        assert_eq!(done, 7, "each tried: {is_each_tried}");
+    }
+}
+
 #[test]
 fn a_backlog_takes_resources_as_they_are_released() {
     const WAITING_JOBS: u64 = 400;
--- a/crates/node/src/lines.rs
+++ b/crates/node/src/lines.rs
@@ -80,6 +80,17 @@
                 .number("equal_percent", *equal_percent)
                 .number("age_ms", age.as_ms())
         }
+        Decision::Unschedulable { step, obstacle, service, label, needs } => {
+            let line = Line::new(Code::Unschedulable)
+                .text("shard", shard)
+                .text("step", step)
+                .text("obstacle", obstacle.name())
+                .text("service", service)
+                .number("cpu", needs.cpu)
+                .number("memory", needs.memory)
+                .number("accelerators", needs.accelerators);
+            label.iter().fold(line, |line, label| line.text("label", label))
+        }
         Decision::Crashed { order, crashes, confirmed } => run(Code::Crashed, shard, order)
             .number("crashes", u64::from(*crashes))
             .number("confirmed", u64::from(*confirmed)),
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -63,6 +63,8 @@
     HeldBack,
     /// An executor was reserved for a step.
     Reserved,
+    /// No listed executor could run a step.
+    Unschedulable,
     /// An executor became unreachable or reachable again, restarted or was unlisted, or a
     /// probe of it failed.
     Executor,
@@ -100,7 +102,7 @@
 
 impl Code {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 34] = [
         Self::Started,
         Self::Draining,
         Self::Stopped,
@@ -118,6 +120,7 @@
         Self::Locality,
         Self::Reserved,
         Self::HeldBack,
+        Self::Unschedulable,
         Self::Executor,
         Self::Quarantined,
         Self::Model,
@@ -156,6 +159,7 @@
             Self::Locality => 1208,
             Self::Reserved => 1210,
             Self::HeldBack => 1211,
+            Self::Unschedulable => 1212,
             Self::Executor => 1300,
             Self::Quarantined => 1301,
             Self::Model => 1302,
@@ -195,6 +199,7 @@
             Self::Locality => "step.locality",
             Self::Reserved => "step.reserved",
             Self::HeldBack => "step.held_back",
+            Self::Unschedulable => "step.unschedulable",
             Self::Executor => "executor.state",
             Self::Quarantined => "executor.quarantined",
             Self::Model => "model.recorded",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -72,6 +72,7 @@
     locality: Family<OutcomeLabels, Counter>,
     reservations: Counter,
     held_back: Counter,
+    unschedulable: Gauge,
     refusals: Family<ListenerLabels, Counter>,
     shards: Gauge,
     ticks_percent: Gauge,
@@ -110,6 +111,7 @@
             locality: Family::default(),
             reservations: Counter::default(),
             held_back: Counter::default(),
+            unschedulable: Gauge::default(),
             refusals: Family::default(),
             shards: Gauge::default(),
             ticks_percent: Gauge::default(),
@@ -144,6 +146,8 @@
         registry.register("reservations", help, self.reservations.clone());
         let help = "Steps placed after those of queues that use less";
         registry.register("steps_held_back", help, self.held_back.clone());
+        let help = "Waiting steps of owned shards that no listed executor could run";
+        registry.register("steps_unschedulable", help, self.unschedulable.clone());
         let help = "Requests refused and connections closed by a listener, by reason";
         registry.register("listener_refusals", help, self.refusals.clone());
         registry.register("shards_owned", "Shards owned", self.shards.clone());
@@ -244,11 +248,11 @@
         self.inbox.set(i64::try_from(inbox).unwrap_or(i64::MAX));
     }
 
-    /// Sets the values of [`Self::set_load`] and [`Self::set_evacuated_runs`] to those of an instance
-    /// that owns no shard.
+    /// Sets the values that are those of owned shards to those of an instance that owns none.
     pub(crate) fn clear_load(&self) {
         self.set_load(100, 0);
         self.set_evacuated_runs(0);
+        self.set_unschedulable_steps(0);
     }
 
     /// Sets the number of evacuated failure domains.
@@ -261,6 +265,11 @@
         self.evacuated_runs.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of waiting steps of owned shards that no listed executor could run.
+    pub(crate) fn set_unschedulable_steps(&self, number: u64) {
+        self.unschedulable.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Sets the longest wait that the owner of a shard expects for new jobs.
     pub(crate) fn set_expected_wait(&self, wait: Span) {
         self.expected_wait_ms.set(i64::try_from(wait.as_ms()).unwrap_or(i64::MAX));
--- a/crates/node/src/shards/load.rs
+++ b/crates/node/src/shards/load.rs
@@ -35,22 +35,25 @@
         self.next_load_log = now + LOAD_LOG_INTERVAL;
         let (ticks, inbox) = (self.ticks_percent(now), self.context.inbox_len());
         self.context.metrics.set_load(ticks, inbox);
-        let mut evacuated_runs = 0;
+        let (mut evacuated_runs, mut unschedulable_steps) = (0, 0);
         for (shard, state) in &self.shards {
             let Some(owner) = &state.owner else { continue };
             let backlog = owner.backlog();
             evacuated_runs += backlog.evacuated_runs;
+            unschedulable_steps += backlog.unschedulable_steps;
             Line::new(Code::Load)
                 .text("shard", shard)
                 .number("ticks_percent", ticks)
                 .number("inbox", inbox as u64)
                 .number("waiting_steps", backlog.waiting_steps)
+                .number("unschedulable_steps", backlog.unschedulable_steps)
                 .number("evacuated_runs", backlog.evacuated_runs)
                 .number("best_effort_runs", backlog.best_effort_runs)
                 .number("mean_limit_percent", backlog.mean_limit_percent)
                 .write();
         }
         self.context.metrics.set_evacuated_runs(evacuated_runs);
+        self.context.metrics.set_unschedulable_steps(unschedulable_steps);
     }
 
     /// Returns the percentage of the expected ticks that arrived recently.
