jobs: a limit without an answer is ordered again until it can't come late

What users saw (a test, not the field): an order to suspend a best-effort task got no answer; seconds later, after newer orders had lifted the limit, the executor carried it out, and the task stood still for good. The other way round a limit that was lifted late kept a task over its objective.

The owner took the limit last answered for the one in force. A report does not tell the limit.

Change: an order without an answer leaves the limit in doubt for the 12 s in which it may be carried out (jobs::shard::limit). Meanwhile, and until an order sent after that time is answered, the present limit is ordered again: every 2 s, with each report while a task is over its objective. Why it works: the last order that the executor carries out is one that was sent when no earlier one could come any more.

The simulation delivers limits as it does other orders now, so they may be lost, delayed or refused by the epoch; before they always arrived.

--- a/crates/jobs/src/shard/backlog.rs
+++ b/crates/jobs/src/shard/backlog.rs
@@ -28,7 +28,7 @@
         let (mut count, mut sum) = (0, 0);
         for placed in runs.filter(|placed| placed.step.best_effort) {
             count += 1;
-            sum += u64::from(placed.open.limit_percent);
+            sum += u64::from(placed.open.limit.percent());
         }
         Backlog {
             waiting_steps: self.waiting.len() as u64,
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -6,6 +6,7 @@
 
 use sycamorerill_core::clock::Time;
 
+use super::limit::Limit;
 use super::ranges::Ranges;
 use super::rank::Rank;
 use crate::config::Queue;
@@ -107,8 +108,7 @@
     pub(super) stage: Stage,
     /// Whether the run is to be stopped, and the progress of the order to stop it.
     pub(super) stop: Stop,
-    /// Processor limit last ordered, in percent of the requested processor time.
-    pub(super) limit_percent: u32,
+    pub(super) limit: Limit,
     /// Since when the limit has been low enough to move the run elsewhere.
     pub(super) throttled_since: Option<Time>,
     /// When the order to start the run was first sent.
--- a/crates/jobs/src/shard/locality/learn.rs
+++ b/crates/jobs/src/shard/locality/learn.rs
@@ -39,7 +39,7 @@
         let (Some(step), Some(open), Some(executor)) = (step, open, self.executors.get(id)) else {
             return;
         };
-        let is_whole = open.run.0 == 1 && open.limit_percent == 100 && !step.long_running;
+        let is_whole = open.run.0 == 1 && open.limit.percent() == 100 && !step.long_running;
         let Some(started_at) = open.started_at.filter(|_| is_whole) else {
             return;
         };
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -22,6 +22,7 @@
 mod health;
 mod lease_ends;
 mod lifecycle;
+mod limit;
 mod locality;
 mod message;
 mod model;
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -7,6 +7,7 @@
 use super::Shard;
 use super::entry::{OpenRun, Stage, Stop};
 use super::executors::Executor;
+use super::limit::Limit;
 use super::locality::{self, Hold};
 use super::message::{Command, Decision, Order};
 use super::pass::{Pass, Placed, Scope};
@@ -327,7 +328,7 @@
             address: Some(executor.registration.address),
             stage: Stage::Recording,
             stop: Stop::NotRequested,
-            limit_percent: 100,
+            limit: Limit::none(),
             throttled_since: None,
             first_sent: now,
             last_sent: now,
--- a/crates/jobs/src/shard/relocate.rs
+++ b/crates/jobs/src/shard/relocate.rs
@@ -82,7 +82,8 @@
 fn is_throttled(open: &OpenRun, now: Time) -> bool {
     matches!(open.stage, Stage::Running { .. })
         && open.stop == Stop::NotRequested
-        && open.limit_percent <= THROTTLED_PERCENT
+        && open.limit.is_certain()
+        && open.limit.percent() <= THROTTLED_PERCENT
         && open.throttled_since.is_some_and(|since| now.since(since) >= MIN_THROTTLED)
         && open.progress.0 < MAX_PROGRESS_PERCENT
         && open.run.0 < MAX_RUN
@@ -92,7 +93,7 @@
     /// Records the limit that is ordered, in percent, and since when the run counts as
     /// throttled.
     pub(super) fn set_limit(&mut self, now: Time, percent: u32) {
-        self.limit_percent = percent;
+        self.limit.order(now, percent);
         self.throttled_since =
             (percent <= THROTTLED_PERCENT).then(|| self.throttled_since.unwrap_or(now));
     }
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -11,6 +11,7 @@
 use super::evidence::LeaseBound;
 use super::executors::Executor;
 use super::lease_ends::LeaseEnd;
+use super::limit::Limit;
 use super::message::{Command, Decision};
 use crate::executor::{Availability, Incarnation, Registration, Steady};
 use crate::id::{DomainName, JobId, Run, ServiceName, StepId, TaskId};
@@ -158,7 +159,7 @@
                 address: open.address,
                 stage: Stage::Inherited,
                 stop,
-                limit_percent: 100,
+                limit: Limit::none(),
                 throttled_since: None,
                 first_sent: now,
                 last_sent: now,
--- a/crates/jobs/src/shard/throttle.rs
+++ b/crates/jobs/src/shard/throttle.rs
@@ -6,6 +6,7 @@
 
 use super::Shard;
 use super::executors::{Executor, PlacedRun};
+use super::limit::Limit;
 use super::message::{Command, Decision, Order};
 use super::model::{Model, Sample, Shares};
 use crate::executor::{Outcome, RunReport};
@@ -87,7 +88,7 @@
     image: Image,
     /// Share of the executor's processors that the run requests.
     share: f64,
-    limit_percent: u32,
+    limit: Limit,
 }
 
 impl Shard {
@@ -150,18 +151,20 @@
         }
         let raise_interval = MAX_RAISE_INTERVAL.scale(self.shortage);
         let may_raise = executor.throttled_at.is_none_or(|at| now.since(at) >= raise_interval);
+        let is_over = Self::is_over_objective(executor);
         let runs = self.best_effort_runs(executor);
         let wanted = self.limits(now, executor, &runs);
         let orders: Vec<(TaskId, Run, u32)> = runs
             .iter()
             .zip(wanted)
-            .map(|(run, percent)| (run, percent.min(run.limit_percent + MAX_INCREASE_PERCENT)))
+            .map(|(run, percent)| (run, percent.min(run.limit.percent() + MAX_INCREASE_PERCENT)))
             .filter(|(run, percent)| {
-                let change = percent.abs_diff(run.limit_percent);
-                let allowed = may_raise || *percent < run.limit_percent;
+                let change = percent.abs_diff(run.limit.percent());
+                let allowed = may_raise || *percent <= run.limit.percent();
                 allowed
                     && (change >= MIN_CHANGE_PERCENT
-                        || (change > 0 && (*percent == 0 || *percent == 100)))
+                        || (change > 0 && (*percent == 0 || *percent == 100))
+                        || run.limit.is_repeat_due(now, is_over))
             })
             .map(|(run, percent)| (run.task, run.run, percent))
             .collect();
@@ -184,7 +187,7 @@
             run: open.run,
             image: image(step),
             share: step.resources.cpu as f64 / capacity,
-            limit_percent: open.limit_percent,
+            limit: open.limit,
         };
         runs.map(to_run).collect()
     }
@@ -220,7 +223,7 @@
         let current: f64 = runs
             .iter()
             .zip(&weights)
-            .map(|pair| interference(pair) * f64::from(pair.0.limit_percent) / 100.0)
+            .map(|pair| interference(pair) * f64::from(pair.0.limit.percent()) / 100.0)
             .sum();
         // Interference that the best-effort runs may cause in total: by the model and, if the
         // reported tail is over the objective nonetheless, by the report.
@@ -274,18 +277,13 @@
         outcome: Outcome,
     ) {
         self.record_outcome(now, &order.executor, outcome);
-        if matches!(outcome, Outcome::Done(_)) {
-            return;
-        }
-        // The executor may not have applied the limit. A recorded limit that differs from the
-        // one ordered makes the next pass order it again.
+        let max_delay = self.settings.max_order_delay;
         if let Some(open) = self.open_run_mut(order)
-            && open.limit_percent == percent
+            && !open.limit.note_outcome(percent, outcome, max_delay)
+            && let Some(executor) = self.executors.get_mut(&order.executor)
         {
-            open.limit_percent = if percent == 100 { 0 } else { 100 };
-            if let Some(executor) = self.executors.get_mut(&order.executor) {
-                executor.throttled_at = None;
-            }
+            // The limit is ordered again with the next report.
+            executor.throttled_at = None;
         }
     }
 
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -18,9 +18,7 @@
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::admission::Outlook;
 use sycamorerill_jobs::config::{Config, Limits, Queue, Service, Terms};
-use sycamorerill_jobs::executor::{
-    Availability, EndReason, Incarnation, Outcome, Registration, Steady,
-};
+use sycamorerill_jobs::executor::{Availability, EndReason, Incarnation, Outcome, Registration};
 use sycamorerill_jobs::id::{
     DomainName, ExecutorId, JobId, Label, QueueName, Run, ServiceName, TaskId,
 };
@@ -468,12 +466,10 @@
                 let outcome = self.deliver(&order.executor, address, command.clone());
                 self.handle(Event::Stopped(order, outcome));
             }
-            Command::Throttle { order, percent, .. } => {
-                let executor = self.executors.get_mut(&order.executor).expect("known executor");
-                if let Some(active) = executor.running.get_mut(&order.task) {
-                    active.limit_percent = percent;
-                }
-                self.handle(Event::ThrottleCompleted(order, percent, Outcome::Done(Steady(0))));
+            Command::Throttle { ref order, address, percent } => {
+                let order = order.clone();
+                let outcome = self.deliver(&order.executor, address, command.clone());
+                self.handle(Event::ThrottleCompleted(order, percent, outcome));
             }
             Command::Advise { step, executors } => {
                 let advice = self.answer_query(step, &executors);
--- a/crates/jobs/tests/support/orders.rs
+++ b/crates/jobs/tests/support/orders.rs
@@ -4,7 +4,7 @@
 
 use sycamorerill_jobs::executor::{EndReason, Outcome, Refusal};
 use sycamorerill_jobs::id::ExecutorId;
-use sycamorerill_jobs::shard::Command;
+use sycamorerill_jobs::shard::{Command, Order};
 
 use super::Simulation;
 use super::executor::ActiveRun;
@@ -80,16 +80,36 @@
     /// Drops the delayed orders to an executor, as a crash of the executor does.
     pub(crate) fn drop_delayed_orders(&mut self, id: &ExecutorId) {
         self.delayed_orders.retain(|(_, command)| match command {
-            Command::Start { order, .. } | Command::Stop { order, .. } => order.executor != *id,
+            Command::Start { order, .. }
+            | Command::Stop { order, .. }
+            | Command::Throttle { order, .. } => order.executor != *id,
             _ => true,
         });
     }
 
+    fn apply_limit(&mut self, epoch: u64, order: &Order, percent: u32) -> Outcome {
+        let now = self.now;
+        let executor = self.executors.get_mut(&order.executor).expect("known executor");
+        if epoch < executor.fence {
+            return Outcome::Refused(Refusal::Fence, Some(executor.clock(now)));
+        }
+        executor.fence = epoch;
+        if let Some(active) = executor.running.get_mut(&order.task)
+            && active.run == order.run
+        {
+            active.limit_percent = percent;
+        }
+        Outcome::Done(executor.clock(now))
+    }
+
     fn apply_order(&mut self, epoch: u64, command: &Command) -> Outcome {
         let now = self.now;
         let (order, deadline) = match command {
             Command::Start { order, deadline, .. } => (order, Some(deadline.0)),
             Command::Stop { order, .. } => (order, None),
+            Command::Throttle { order, percent, .. } => {
+                return self.apply_limit(epoch, order, *percent);
+            }
             _ => return Outcome::Unknown,
         };
         let has_ticket = match command {
