jobs: a successor orders the limits of the runs that it inherits

What users saw (a test, not the field): after a takeover best-effort tasks that the former owner had suspended or limited stayed so, though the tasks next to them were far under their objective.

Cause: limits are not recorded, and a successor took each inherited run for unlimited, so that no change was due.

Change: the limit of an inherited run is not known. It is ordered with the first report, unless the run is seen to use nearly all of the processor time that it requests. Late orders of the former owner are of a lower epoch, which the executor refuses by then.

Weighed: recording the limits costs a write for each change; an order for each inherited run would cost an owner of hundreds of them time at a takeover, when it has least.

Evidence: a_successor_lifts_the_limits_of_its_predecessor fails without the change; a_successor_orders_no_limits_where_there_are_none holds with and without it.

--- a/crates/jobs/src/shard/limit.rs
+++ b/crates/jobs/src/shard/limit.rs
@@ -2,7 +2,10 @@
 //!
 //! An executor may apply a limit seconds after newer ones if it did not answer the order. Such an
 //! order leaves the limit in doubt until it can't be carried out any more, and for that time the
-//! present limit is ordered again now and then.
+//! present limit is ordered again now and then. The limits that a predecessor ordered are not
+//! recorded, so those of inherited runs are in doubt as well until they are ordered, or the run is
+//! seen to have its processor time. Orders of the predecessor itself come too late by then: they
+//! are of a lower epoch.
 
 use sycamorerill_core::clock::{Span, Time};
 
@@ -12,6 +15,10 @@
 const UNLIMITED: u32 = 100;
 /// Time between two orders of a limit that is in doubt while no task is over its objective.
 const REPEAT_INTERVAL: Span = Span::from_ms(2_000);
+/// Fraction of its requested processor time that a run uses at least if it is not limited, as a
+/// divisor and a factor: reports are rough.
+const UNLIMITED_USE: (u64, u64) = (10, 9);
+
 /// Processor limit of a run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Limit {
@@ -31,6 +38,11 @@
         Self { percent: UNLIMITED, sent: Time::ZERO, is_answered: true, disputed_until: None }
     }
 
+    /// Returns the limit of a run of a predecessor, which is not known.
+    pub(super) const fn inherited() -> Self {
+        Self { is_answered: false, ..Self::none() }
+    }
+
     /// Returns the limit last ordered, in percent of the requested processor time.
     pub(super) const fn percent(&self) -> u32 {
         self.percent
@@ -68,4 +80,12 @@
         }
         self.is_answered
     }
+
+    /// Notes the processor time that the run uses of what it requests. An inherited run that uses
+    /// nearly all of it is not limited.
+    pub(super) fn note_use(&mut self, used: u64, requested: u64) {
+        let is_inherited = self.sent == Time::ZERO;
+        let is_unlimited = used * UNLIMITED_USE.0 >= requested * UNLIMITED_USE.1;
+        self.is_answered |= is_inherited && is_unlimited;
+    }
 }
--- a/crates/jobs/src/shard/probe.rs
+++ b/crates/jobs/src/shard/probe.rs
@@ -205,6 +205,7 @@
         let probe = executor.latest_probe;
         let incarnation = executor.registration.incarnation;
         let address = executor.registration.address;
+        let requested = self.step_of(&row.task).map_or(0, |step| step.resources.cpu);
         let found = self.jobs.get_mut(&row.task.step.job).and_then(|e| e.task_mut(&row.task));
         let open = found.and_then(|task| {
             task.set_checkpoint(&row.checkpoint);
@@ -216,6 +217,7 @@
             self.out.push(Command::Stop { order, address });
             return;
         };
+        open.limit.note_use(row.load.unwrap_or(0), requested);
         open.incarnation = incarnation;
         open.address = Some(address);
         if !matches!(open.stage, Stage::Running { .. }) {
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -159,7 +159,7 @@
                 address: open.address,
                 stage: Stage::Inherited,
                 stop,
-                limit: Limit::none(),
+                limit: Limit::inherited(),
                 throttled_since: None,
                 first_sent: now,
                 last_sent: now,
--- a/crates/jobs/src/shard/throttle.rs
+++ b/crates/jobs/src/shard/throttle.rs
@@ -135,7 +135,7 @@
     }
 
     /// Returns the specification of a task's step.
-    fn step_of(&self, task: &TaskId) -> Option<&Step> {
+    pub(super) fn step_of(&self, task: &TaskId) -> Option<&Step> {
         self.jobs.get(&task.step.job)?.job.steps.get(task.step.step as usize)
     }
 
--- a/crates/jobs/tests/limits.rs
+++ b/crates/jobs/tests/limits.rs
@@ -1,4 +1,4 @@
-//! Limits of best-effort runs beside orders that are carried out late.
+//! Limits of best-effort runs beside orders that are carried out late, and takeovers.
 
 mod support;
 
@@ -84,3 +84,27 @@
     sim.advance(MAX_HARM);
     assert_eq!(limit(&mut sim), 0);
 }
+
+/// A successor took the runs that its predecessor had suspended for unlimited ones, so they stayed
+/// suspended.
+#[test]
+fn a_successor_lifts_the_limits_of_its_predecessor() {
+    let mut sim = with_suspended_run();
+    sim.take_over();
+    sim.executor("x0").tail_ms = SHORT_TAIL_MS;
+    sim.advance(REACTION);
+    assert_eq!(limit(&mut sim), 100);
+}
+
+/// Runs without a limit get no order from a successor.
+#[test]
+fn a_successor_orders_no_limits_where_there_are_none() {
+    let mut sim = with_suspended_run();
+    sim.executor("x0").tail_ms = SHORT_TAIL_MS;
+    sim.advance(REACTION);
+    assert_eq!(limit(&mut sim), 100);
+    sim.take_over();
+    let before = sim.log.len();
+    sim.advance(REACTION);
+    assert!(!sim.log[before..].iter().any(|line| line.contains("Throttled")));
+}
