jobs: a ticket belongs to the life of the executor in which the query named it

What users saw (a test, not the field): an executor restarted while a query of the advice service was under way; the start with the ticket was refused, and the task waited for another query.

The permit was kept with the incarnation known when the answer came, though the service had granted it to the one that was known when the query was sent.

Change: a query in flight keeps the incarnations of the executors that it names, and a permit is that one's. After a restart the executor is asked about again before the first start.

Evidence: a_ticket_of_a_former_life_of_an_executor_is_not_used fails without the change (1 start refused).

--- a/crates/jobs/src/shard/advice.rs
+++ b/crates/jobs/src/shard/advice.rs
@@ -31,7 +31,8 @@
     /// Permit by executor, with the incarnation that it was queried for; `None` if the policy
     /// does not allow the executor.
     permits: BTreeMap<ExecutorId, (Incarnation, Option<Permit>)>,
-    in_flight: bool,
+    /// Executors that the query in flight names, each with the incarnation known when it was sent.
+    in_flight: Option<BTreeMap<ExecutorId, Incarnation>>,
     /// Earliest time of the next query.
     query_after: Time,
 }
@@ -76,9 +77,9 @@
     /// Sends a query for executors that have the resources for a task of the step, unless one is in
     /// flight.
     pub(super) fn request_advice(&mut self, now: Time, request: &Request<'_>) {
-        let in_flight = self.advice.values().filter(|advice| advice.in_flight).count();
+        let in_flight = self.advice.values().filter(|found| found.in_flight.is_some()).count();
         let advice = self.advice.entry(request.id).or_default();
-        if advice.in_flight || now < advice.query_after || in_flight >= MAX_IN_FLIGHT {
+        if advice.in_flight.is_some() || now < advice.query_after || in_flight >= MAX_IN_FLIGHT {
             return;
         }
         let advice = &self.advice[&request.id];
@@ -99,8 +100,12 @@
         if executors.is_empty() {
             return;
         }
+        let named = executors
+            .iter()
+            .filter_map(|id| Some((id.clone(), self.executors.get(id)?.registration.incarnation)));
+        let named = named.collect();
         if let Some(advice) = self.advice.get_mut(&request.id) {
-            advice.in_flight = true;
+            advice.in_flight = Some(named);
         }
         self.out.push(Command::Advise { step: request.id, executors });
     }
@@ -117,7 +122,7 @@
         let Some(step_advice) = self.advice.get_mut(&id) else {
             return;
         };
-        step_advice.in_flight = false;
+        let named = step_advice.in_flight.take().unwrap_or_default();
         let Some(advice) = advice else {
             step_advice.query_after = now + RETRY_DELAY;
             return;
@@ -127,9 +132,8 @@
         let valid_until = now + advice.valid.saturating_sub(reserved);
         let mut tickets: BTreeMap<ExecutorId, Ticket> = advice.permitted.into_iter().collect();
         for executor in queried {
-            let Some(incarnation) =
-                self.executors.get(executor).map(|found| found.registration.incarnation)
-            else {
+            // A ticket is granted to the life of the executor in which the query named it.
+            let Some(incarnation) = named.get(executor).copied() else {
                 continue;
             };
             let permit = tickets.remove(executor).map(|ticket| Permit { ticket, valid_until });
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -73,3 +73,22 @@
     assert_eq!(sim.state(1), Some(State::Completed));
     assert!(sim.violations.is_empty(), "{:?}", sim.violations);
 }
+
+/// A ticket that was granted to an executor before its restart was used after it, and refused.
+#[test]
+fn a_ticket_of_a_former_life_of_an_executor_is_not_used() {
+    let mut sim = Simulation::new(1);
+    sim.allow_only(&["x0"]);
+    sim.held_advice = Some(Vec::new());
+    sim.submit(job(1), vec![step(1)]);
+    sim.advance(Span::from_ms(100));
+    let (now, born) = (sim.now, sim.wall_ms());
+    sim.executor("x0").restart(now, born);
+    sim.list_executor(&"x0".into());
+    sim.advance(Span::from_ms(100));
+    for answer in sim.held_advice.take().unwrap_or_default() {
+        sim.handle(answer);
+    }
+    sim.advance(Span::from_ms(500));
+    assert_eq!((sim.run_count(), sim.tickets_refused), (1, 0));
+}
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -103,6 +103,8 @@
     pub(crate) allowed_executors: Option<BTreeSet<ExecutorId>>,
     /// Number of further queries that the advice service refuses.
     pub(crate) queries_to_refuse: u32,
+    /// Answers of the advice service that arrive later, if they do.
+    pub(crate) held_advice: Option<Vec<Event>>,
     /// Number of queries that the advice service has answered.
     pub(crate) queries_answered: u32,
     /// Number of starts that were refused because of a missing or invalid ticket.
@@ -180,6 +182,7 @@
             slow_store: false,
             allowed_executors: None,
             queries_to_refuse: 0,
+            held_advice: None,
             queries_answered: 0,
             tickets_refused: 0,
             last_recorded: Time::ZERO,
@@ -473,7 +476,11 @@
             }
             Command::Advise { step, executors } => {
                 let advice = self.answer_query(step, &executors);
-                self.handle(Event::Advised(step, executors, advice));
+                let answer = Event::Advised(step, executors, advice);
+                match &mut self.held_advice {
+                    Some(held) => held.push(answer),
+                    None => self.handle(answer),
+                }
             }
             Command::Probe { probe, address, incarnation, acknowledged, deadline, wait } => {
                 let executor = &self.executors[&probe.executor];
--- a/crates/jobs/tests/support/policy.rs
+++ b/crates/jobs/tests/support/policy.rs
@@ -13,8 +13,9 @@
 /// Validity of tickets.
 const TICKET_VALIDITY: Span = Span::from_ms(3_000);
 
-fn ticket(step: StepId, executor: &ExecutorId, at: Time) -> Ticket {
-    Ticket::from(format!("{step}-{executor}@{}", at.as_ms()).as_str())
+/// Returns the ticket for a step in one life of an executor.
+fn ticket(step: StepId, executor: &ExecutorId, incarnation: u64, at: Time) -> Ticket {
+    Ticket::from(format!("{step}-{executor}-{incarnation}@{}", at.as_ms()).as_str())
 }
 
 impl Simulation {
@@ -44,9 +45,11 @@
         }
         self.queries_answered += 1;
         let allowed = self.allowed_executors.as_ref()?;
-        let now = self.now;
         let permitted = executors.iter().filter(|id| allowed.contains(*id));
-        let permitted = permitted.map(|id| (id.clone(), ticket(step, id, now))).collect();
+        let grant = |id: &ExecutorId| {
+            (id.clone(), ticket(step, id, self.executors[id].incarnation, self.now))
+        };
+        let permitted = permitted.map(grant).collect();
         Some(Advice { permitted, valid: TICKET_VALIDITY })
     }
 
@@ -60,7 +63,8 @@
             let (subject, at) =
                 ticket.as_str().split_once('@').expect("a ticket of the simulation");
             let at = Time::from_ms(at.parse().expect("a time"));
-            subject == format!("{}-{}", order.task.step, order.executor) && at >= oldest
+            let born = self.executors[&order.executor].incarnation;
+            subject == format!("{}-{}-{born}", order.task.step, order.executor) && at >= oldest
         };
         allowed.contains(&order.executor) && given.is_some_and(valid)
     }
