jobs: owners record the settings of a queue that the row of a job lacks

Rows of earlier versions hold no settings, and those that were last in force were kept by the owner that saw the change alone.

Change: an owner completes a job without settings while the configuration names its queue, and keeps those last in force when the queue goes, both in the first record of the job. A successor has them from there. Earlier versions ignore the field. Texts of over 600 bytes are not recorded, so that the largest record still fits into a row (the_largest_record_fits_into_a_row holds the settings now).

Evidence: jobs_of_an_earlier_version_go_on_after_a_takeover and jobs_go_on_under_the_settings_last_in_force_after_a_takeover fail without the change. Tests of two renames in turn, a rename back, a move to another service and a rename during an outage, each with a takeover, hold with and without it.

--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -7,6 +7,7 @@
 use sycamorerill_core::data;
 
 use crate::id::{QueueName, ServiceName};
+use crate::record::json_bytes;
 
 data! {
     /// Duration of queries to the advice service and validity of its advice.
@@ -143,6 +144,11 @@
         }
     }
 
+    /// Returns the length of the texts in these settings, in bytes of their JSON form.
+    pub(crate) fn text_bytes(&self) -> usize {
+        json_bytes(self.service.as_str())
+    }
+
     /// Returns a queue with these settings to which no request is routed.
     pub(crate) fn into_queue(self, name: &QueueName) -> Queue {
         let advice = self.advice.map(|advice| AdviceSettings {
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sycamorerill_core::{data, value};
 
+use crate::config::Terms;
 use crate::id::ExecutorId;
 
 value! {
@@ -113,6 +114,10 @@
         /// State of the job when the record was written; only in the first record of the job.
         #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
         pub state: Option<State>,
+        /// Settings of the queue for the time when the configuration does not name it any more, where
+        /// those in the row of the accepted job are missing or outdated; only in the first record.
+        #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+        pub terms: Option<Terms>,
         /// First and last numbers of ranges of finished occurrences; only in the first record.
         #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
         pub finished: Vec<(u32, u32)>,
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -15,6 +15,9 @@
 
 /// Maximum length of a checkpoint that is recorded, in bytes of its JSON form.
 pub const MAX_CHECKPOINT_BYTES: usize = 256;
+/// Maximum length of the texts in the settings of a queue that are recorded, in bytes of their JSON
+/// form.
+pub const MAX_TERMS_BYTES: usize = 600;
 /// Maximum number of occurrences of a job that are in progress at the same time.
 pub const MAX_OPEN_OCCURRENCES: usize = 256;
 
--- a/crates/jobs/src/shard/crash.rs
+++ b/crates/jobs/src/shard/crash.rs
@@ -256,7 +256,7 @@
             return;
         };
         let long_running = entry.long_running;
-        let queue = self.dropped.queue_of(&self.config, entry);
+        let queue = entry.queue_in(&self.config);
         let max_attempts = queue.map_or(MIN_CRASHES, |queue| queue.max_attempts);
         let Some(task) = entry.task_mut(&order.task) else {
             return;
--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -22,8 +22,12 @@
     pub(super) job: Arc<Job>,
     pub(super) text: Arc<str>,
     pub(super) queue: QueueName,
-    /// Settings of the queue at the acceptance; `None` in rows of earlier versions.
-    pub(super) accepted_under: Option<Queue>,
+    /// Settings of the queue for the time when the configuration does not name it any more: those of
+    /// the acceptance, unless an owner has kept others.
+    pub(super) kept: Option<Queue>,
+    /// Whether `kept` differs from the settings in the row of the accepted job, so that the first
+    /// record of the job holds it.
+    pub(super) records_terms: bool,
     /// When the job was accepted, in milliseconds since 1970.
     pub(super) accepted_ms: u64,
     pub(super) long_running: bool,
@@ -176,7 +180,8 @@
             text: Arc::from(accepted.job.text.as_str()),
             long_running: accepted.job.is_long_running(),
             job: Arc::new(accepted.job),
-            accepted_under: accepted.terms.map(|terms| terms.into_queue(&accepted.queue)),
+            kept: accepted.terms.map(|terms| terms.into_queue(&accepted.queue)),
+            records_terms: false,
             queue: accepted.queue,
             accepted_ms: accepted.at_ms,
             cancelled: false,
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -24,6 +24,7 @@
             return;
         }
         self.jobs.insert(id, Entry::new(accepted));
+        self.complete_settings(id);
         if self.cancelled_early.remove(&id) {
             self.cancel(now, id);
         }
@@ -336,7 +337,7 @@
             return;
         };
         let long_running = entry.job.steps[id.step.step as usize].long_running;
-        let queue = self.dropped.queue_of(&self.config, entry);
+        let queue = entry.queue_in(&self.config);
         let max_attempts = queue.map(|queue| queue.max_attempts);
         let Some(task) = entry.task_mut(id) else {
             return;
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -82,8 +82,6 @@
 pub struct Shard {
     settings: Settings,
     config: Arc<Config>,
-    /// Queues of jobs in progress that the configuration no longer names.
-    dropped: queues::Dropped,
     jobs: BTreeMap<JobId, Entry>,
     executors: BTreeMap<ExecutorId, Executor>,
     /// Steps with tasks that wait for placement, in placement order.
@@ -175,7 +173,6 @@
         Self {
             settings,
             config,
-            dropped: queues::Dropped::default(),
             jobs: BTreeMap::new(),
             executors: BTreeMap::new(),
             waiting: BTreeSet::new(),
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -76,6 +76,7 @@
         let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in jobs {
             self.restore_finished(now, id);
+            self.complete_settings(id);
             self.begin(now, id);
             self.send_requested_stops(now, id);
         }
@@ -92,6 +93,10 @@
             entry.state = state;
             entry.reported_state = state;
         }
+        if let Some(terms) = progress.terms.clone() {
+            entry.kept = Some(terms.into_queue(&entry.queue));
+            entry.records_terms = true;
+        }
         let last = entry.job.occurrences() - 1;
         for (begin, end) in &progress.finished {
             entry.finished.insert(*begin, (*end).min(last));
--- a/crates/jobs/src/shard/share.rs
+++ b/crates/jobs/src/shard/share.rs
@@ -127,7 +127,7 @@
     pub(super) fn count_placement(&mut self, now: Time, task: &TaskId, step: &Step) {
         if let Some(entry) = self.jobs.get(&task.step.job) {
             self.shares.place(now, &entry.queue, step);
-            if let Some(queue) = self.dropped.queue_of(&self.config, entry) {
+            if let Some(queue) = entry.queue_in(&self.config) {
                 self.outlooks.note_start(&queue.service, step);
             }
         }
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -8,10 +8,11 @@
 use super::entry::{Entry, Stage, Task};
 use super::executors::Executor;
 use super::message::{Batch, Closing, Command, Decision};
+use crate::config::Terms;
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, JobId, Run, TaskId};
 use crate::progress::{DoneRecord, OpenRun, Progress, State, TaskRecord};
-use crate::record::RecordId;
+use crate::record::{MAX_TERMS_BYTES, RecordId};
 
 /// Maximum number of records in one batch. Each takes up to two of the 100 entries of a
 /// transaction, as it may come with the state of its job.
@@ -272,6 +273,9 @@
         progress.state = Some(entry.state);
         let finished = entry.finished.iter().filter(|_| !has_ended);
         progress.finished = finished.collect();
+        let kept = entry.kept.as_ref().filter(|_| entry.records_terms && !has_ended);
+        let terms = kept.map(Terms::of);
+        progress.terms = terms.filter(|terms| terms.text_bytes() <= MAX_TERMS_BYTES);
     }
     let Some(occurrence) = entry.occurrences.get(&id.occurrence) else {
         return progress;
--- a/crates/jobs/tests/records.rs
+++ b/crates/jobs/tests/records.rs
@@ -8,11 +8,12 @@
 use arbtest::arbtest;
 use support::{Simulation, job, step};
 use sycamorerill_core::clock::Span;
-use sycamorerill_jobs::id::{ExecutorId, StepId, TaskId};
+use sycamorerill_jobs::config::{AdviceSettings, Queue, Terms};
+use sycamorerill_jobs::id::{ExecutorId, QueueName, ServiceName, StepId, TaskId};
 use sycamorerill_jobs::progress::{DoneRecord, OpenRun, Progress, State, TaskRecord};
 use sycamorerill_jobs::record::{
-    DEFAULT_ROW_BYTES, MAX_CHECKPOINT_BYTES, MAX_OPEN_OCCURRENCES, RecordId, json_bytes,
-    tasks_per_record,
+    DEFAULT_ROW_BYTES, MAX_CHECKPOINT_BYTES, MAX_OPEN_OCCURRENCES, MAX_TERMS_BYTES, RecordId,
+    json_bytes, tasks_per_record,
 };
 use sycamorerill_jobs::spec::{Job, Schedule, Step};
 
@@ -27,6 +28,24 @@
     serde_json::to_vec(progress).map_or(usize::MAX, |json| json.len())
 }
 
+/// Returns a queue with the longest values that are recorded.
+fn longest_queue() -> Queue {
+    let name = "n".repeat(MAX_TERMS_BYTES);
+    let span = Span::from_ms(u64::MAX);
+    let advice = AdviceSettings { query_time: span, per_executor: span, valid: span };
+    Queue {
+        name: QueueName::from(name.as_str()),
+        host: String::new(),
+        prefix: String::new(),
+        service: ServiceName::from(name.as_str()),
+        priority: u32::MAX,
+        max_attempts: u32::MAX,
+        stretch: f64::MIN_POSITIVE,
+        objective: span,
+        advice: Some(advice),
+    }
+}
+
 fn assert_no_violations(sim: &Simulation) {
     assert!(sim.violations.is_empty(), "{:?}", sim.violations);
 }
@@ -56,6 +75,7 @@
         let done = DoneRecord { occurrence: u32::MAX, step: 255, indices: vec![9_999] };
         let progress = Progress {
             state: Some(State::Completed),
+            terms: Some(Terms::of(&longest_queue())),
             finished: vec![(u32::MAX, u32::MAX); MAX_OPEN_OCCURRENCES + 1],
             done: vec![done; tasks as usize],
             tasks: vec![record; tasks as usize],
--- a/crates/jobs/tests/renamed_queues.rs
+++ b/crates/jobs/tests/renamed_queues.rs
@@ -12,17 +12,40 @@
 use sycamorerill_jobs::shard::Event;
 use sycamorerill_jobs::spec::Step;
 
+/// Puts a version of the configuration into force with these queues, each with its name, path and
+/// service.
+fn configure(sim: &mut Simulation, queues: &[(&str, &str, &str)]) {
+    let pattern = sim
+        .config
+        .queues
+        .values()
+        .next()
+        .cloned()
+        .unwrap_or_else(|| Simulation::new(0).config.queues[&QueueName::from("q")].clone());
+    let queue = |(name, prefix, service): &(&str, &str, &str)| {
+        let (name, prefix) = (QueueName::from(*name), (*prefix).to_owned());
+        let service = ServiceName::from(*service);
+        (name.clone(), Queue { name, prefix, service, ..pattern.clone() })
+    };
+    let queues = queues.iter().map(queue).collect();
+    let version = sim.config.version + 1;
+    sim.config = Arc::new(Config { version, queues, ..Config::clone(&sim.config) });
+    sim.handle(Event::Configured(Arc::clone(&sim.config)));
+}
+
 /// Replaces the only queue by one of another name and service at the same path.
 fn rename(sim: &mut Simulation) {
-    let mut config = Config::clone(&sim.config);
-    let (name, service) = (QueueName::from("q2"), ServiceName::from("s2"));
-    let queues = std::mem::take(&mut config.queues).into_values();
-    let renamed =
-        queues.map(|queue| Queue { name: name.clone(), service: service.clone(), ..queue });
-    config.queues = renamed.map(|queue| (queue.name.clone(), queue)).collect();
-    config.version += 1;
-    sim.config = Arc::new(config);
-    sim.handle(Event::Configured(Arc::clone(&sim.config)));
+    configure(sim, &[("q2", "/q/", "s2")]);
+}
+
+/// Returns two steps, of which the second begins after a second.
+fn two_steps() -> Vec<Step> {
+    vec![step(2), Step { depends_on: vec![0], ..step(2) }]
+}
+
+fn assert_completed(mut sim: Simulation) {
+    sim.advance(Span::from_secs(4));
+    assert_eq!(sim.state(1), Some(State::Completed));
 }
 
 /// Returns a simulation whose queue was renamed while the first step of job 1 ran.
@@ -67,3 +90,90 @@
     sim.advance(Span::from_secs(4));
     assert_eq!(sim.state(1), Some(State::Completed));
 }
+
+/// A successor of the owner that saw the change knows neither the queue nor, from the row, its
+/// settings. An owner has to record them while the configuration names the queue.
+#[test]
+fn jobs_of_an_earlier_version_go_on_after_a_takeover() {
+    for takes_over_before in [false, true] {
+        let mut sim = Simulation::new(2);
+        sim.submit(job(1), two_steps());
+        if let Some(accepted) = sim.accepted.get_mut(&job(1)) {
+            accepted.terms = None;
+        }
+        if takes_over_before {
+            sim.take_over();
+        } else {
+            let accepted = sim.accepted[&job(1)].clone();
+            sim.restart_shard();
+            sim.handle(Event::Accepted(job(1), Box::new(accepted)));
+        }
+        sim.advance(Span::from_ms(300));
+        rename(&mut sim);
+        sim.take_over();
+        assert_completed(sim);
+    }
+}
+
+/// The settings of the acceptance may be outdated when the queue goes: its former service has no
+/// executors any more.
+#[test]
+fn jobs_go_on_under_the_settings_last_in_force_after_a_takeover() {
+    let mut sim = Simulation::new(2);
+    configure(&mut sim, &[("q", "/q/", "former")]);
+    sim.submit(job(1), two_steps());
+    sim.advance(Span::from_ms(300));
+    assert_eq!(sim.run_count(), 0);
+    configure(&mut sim, &[("q", "/q/", "s")]);
+    sim.advance(Span::from_ms(300));
+    rename(&mut sim);
+    sim.advance(Span::from_ms(100));
+    sim.take_over();
+    assert_completed(sim);
+}
+
+/// Each owner sees one of the changes.
+#[test]
+fn jobs_go_on_after_two_renames_and_one_back() {
+    for back in [false, true] {
+        let mut sim = Simulation::new(2);
+        sim.submit(job(1), two_steps());
+        sim.advance(Span::from_ms(300));
+        rename(&mut sim);
+        sim.take_over();
+        sim.advance(Span::from_ms(100));
+        let (name, service) = if back { ("q", "s") } else { ("q3", "s3") };
+        configure(&mut sim, &[(name, "/q/", service)]);
+        sim.advance(Span::from_ms(100));
+        sim.take_over();
+        assert_completed(sim);
+    }
+}
+
+/// A queue that moves to another service at its path takes its jobs along.
+#[test]
+fn jobs_follow_their_queue_to_another_service() {
+    let mut sim = Simulation::new(2);
+    configure(&mut sim, &[("q", "/q/", "former")]);
+    sim.submit(job(1), two_steps());
+    sim.advance(Span::from_ms(300));
+    configure(&mut sim, &[("q", "/q/", "s")]);
+    sim.take_over();
+    assert_completed(sim);
+}
+
+/// The queue is renamed while the store is away, and the owner is replaced before it has recorded
+/// anything.
+#[test]
+fn jobs_go_on_after_a_rename_during_an_outage() {
+    let mut sim = Simulation::new(2);
+    sim.submit(job(1), two_steps());
+    sim.advance(Span::from_ms(300));
+    sim.store_available = false;
+    rename(&mut sim);
+    sim.advance(Span::from_secs(2));
+    sim.take_over();
+    sim.store_available = true;
+    sim.advance(Span::from_secs(8));
+    assert_completed(sim);
+}
