jobs: a queue that takes over the name of another one takes over none of its jobs

What callers saw (a test, not the field): a configuration renames queue q and gives its name to a queue at another path and on another service. Jobs that q had accepted were told `running` for good, as the other service had no executors.

A job kept the name of its queue alone, so whatever had the name decided how the job runs.

Change: the settings in a job's row tell the host and path prefix at which it was accepted. A queue of the name that has another path and another service is not the job's; the job goes on under the settings that were last in force. A queue that changes either its path or its service keeps its jobs. Both choices start tasks only on a service to which a configuration has sent the queue.

Evidence: jobs_go_on_beside_another_queue_of_their_name fails without the change, whether an owner saw the configuration change or not. About 30 bytes more in each row of an accepted job.

--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -54,6 +54,10 @@
     /// Settings of a queue that decide how its jobs run, as stored with each job.
     #[derive(Serialize, Deserialize)]
     pub struct Terms {
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        host: String,
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        prefix: String,
         service: ServiceName,
         priority: u32,
         #[serde(rename = "attempts")]
@@ -135,6 +139,8 @@
             valid_ms: advice.valid.as_ms(),
         });
         Self {
+            host: queue.host.clone(),
+            prefix: queue.prefix.clone(),
             service: queue.service.clone(),
             priority: queue.priority,
             max_attempts: queue.max_attempts,
@@ -146,10 +152,10 @@
 
     /// Returns the length of the texts in these settings, in bytes of their JSON form.
     pub(crate) fn text_bytes(&self) -> usize {
-        json_bytes(self.service.as_str())
+        json_bytes(self.service.as_str()) + json_bytes(&self.host) + json_bytes(&self.prefix)
     }
 
-    /// Returns a queue with these settings to which no request is routed.
+    /// Returns a queue with these settings. Rows of earlier versions tell no path, which is empty then.
     pub(crate) fn into_queue(self, name: &QueueName) -> Queue {
         let advice = self.advice.map(|advice| AdviceSettings {
             query_time: Span::from_ms(advice.query_ms),
@@ -158,8 +164,8 @@
         });
         Queue {
             name: name.clone(),
-            host: String::new(),
-            prefix: String::new(),
+            host: self.host,
+            prefix: self.prefix,
             service: self.service,
             priority: self.priority,
             max_attempts: self.max_attempts,
@@ -170,6 +176,16 @@
     }
 }
 
+impl Queue {
+    /// Returns whether `other`, which has the name of this queue in another configuration, is a
+    /// queue of its own: other requests submit to it, and their jobs run on another service.
+    pub(crate) fn is_replaced_by(&self, other: &Self) -> bool {
+        let has_path = !self.host.is_empty() || !self.prefix.is_empty();
+        let is_at_path = self.host == other.host && self.prefix == other.prefix;
+        has_path && !is_at_path && self.service != other.service
+    }
+}
+
 impl Config {
     /// Returns the queue for a request to `host` and `path`, if there is one.
     ///
--- a/crates/jobs/src/shard/queues.rs
+++ b/crates/jobs/src/shard/queues.rs
@@ -22,7 +22,9 @@
 
     /// Returns the job's queue in a configuration that still has it.
     fn named_in<'a>(&self, config: &'a Config) -> Option<&'a Queue> {
-        config.queues.get(&self.queue)
+        let found = config.queues.get(&self.queue)?;
+        let is_replaced = self.kept.as_ref().is_some_and(|kept| kept.is_replaced_by(found));
+        (!is_replaced).then_some(found)
     }
 
     /// Keeps settings for the time after the configuration names the queue. Returns whether they are
--- a/crates/jobs/tests/renamed_queues.rs
+++ b/crates/jobs/tests/renamed_queues.rs
@@ -150,6 +150,23 @@
     }
 }
 
+/// All instances restart, and find a configuration in which another queue, on a service without
+/// executors, has the name.
+#[test]
+fn jobs_go_on_beside_another_queue_of_their_name() {
+    for is_seen in [false, true] {
+        let mut sim = Simulation::new(2);
+        sim.submit(job(1), two_steps());
+        sim.advance(Span::from_ms(300));
+        configure(&mut sim, &[("q2", "/q/", "s"), ("q", "/other/", "s2")]);
+        if is_seen {
+            sim.advance(Span::from_ms(100));
+        }
+        sim.take_over();
+        assert_completed(sim);
+    }
+}
+
 /// A queue that moves to another service at its path takes its jobs along.
 #[test]
 fn jobs_follow_their_queue_to_another_service() {
