jobs: runs of a renamed queue count as use of executors

What callers saw (a test, not the field): after a rename, jobs of a calm queue waited behind those of the new name while the jobs of the former name used all executors and were not held back themselves.

Shares looked the service and priority of a queue up in the configuration by its name, so the use of a queue without an entry counted for none.

Change: the use of a queue keeps the competitors of its latest run, by the settings in force for the run's job, for the time when the configuration does not name the queue. A successor has them from the runs that it inherits.

Evidence: jobs_of_a_renamed_queue_count_as_use fails without the change, with and without a takeover.

--- a/crates/jobs/src/shard/share.rs
+++ b/crates/jobs/src/shard/share.rs
@@ -16,6 +16,7 @@
 
 use super::Shard;
 use super::message::{Command, Decision};
+use crate::config::Queue;
 use crate::id::{QueueName, ServiceName, StepId, TaskId};
 use crate::spec::{Resources, Step};
 
@@ -52,6 +53,9 @@
     /// estimates.
     recent: Amounts,
     recent_at: Time,
+    /// Competitors of the queue when its latest run was opened. They count once the configuration
+    /// does not name the queue any more.
+    group: Option<Group>,
     /// Standing in the competition for executors, while there is one.
     standing: Option<Standing>,
 }
@@ -73,6 +77,12 @@
 #[derive(Debug, Default)]
 pub(super) struct Shares(BTreeMap<Unit, Usage>);
 
+impl Group {
+    fn of(queue: &Queue, long_running: bool) -> Self {
+        Self { service: queue.service.clone(), priority: queue.priority, long_running }
+    }
+}
+
 impl Usage {
     fn decay(&mut self, now: Time) {
         let elapsed = now.since(self.recent_at).as_ms_f64() / RECENT.as_ms_f64();
@@ -89,9 +99,10 @@
 }
 
 impl Shares {
-    /// Adds an open run of a queue.
-    pub(super) fn open(&mut self, queue: &QueueName, step: &Step) {
+    /// Adds an open run of a queue that competes in `group`.
+    fn open(&mut self, queue: &QueueName, step: &Step, group: Option<Group>) {
         let usage = self.usage(queue, step);
+        usage.group = group;
         let amounts = amounts(&step.resources);
         usage.open.iter_mut().zip(amounts).for_each(|(open, added)| *open += added);
     }
@@ -136,7 +147,9 @@
     /// Counts an open run.
     pub(super) fn count_open(&mut self, task: &TaskId, step: &Step) {
         if let Some(entry) = self.jobs.get(&task.step.job) {
-            self.shares.open(&entry.queue, step);
+            let group =
+                entry.queue_in(&self.config).map(|queue| Group::of(queue, step.long_running));
+            self.shares.open(&entry.queue, step, group);
         }
     }
 
@@ -192,12 +205,13 @@
         let entry = self.jobs.get(&id.job)?;
         entry.step(id).filter(|step| step.blocked)?;
         let long_running = entry.job.steps.get(id.step as usize)?.long_running;
-        Some((self.group_of(&entry.queue, long_running)?, entry.queue.clone()))
+        Some((Group::of(self.queue_of(entry)?, long_running), entry.queue.clone()))
     }
 
-    fn group_of(&self, queue: &QueueName, long_running: bool) -> Option<Group> {
-        let queue = self.config.queues.get(queue)?;
-        Some(Group { service: queue.service.clone(), priority: queue.priority, long_running })
+    /// Returns the competitors of a queue with runs.
+    fn group_of(&self, unit: &Unit, usage: &Usage) -> Option<Group> {
+        let queue = self.config.queues.get(&unit.queue);
+        queue.map(|queue| Group::of(queue, unit.long_running)).or_else(|| usage.group.clone())
     }
 
     /// Compares the use of the queues of one group; those in `waiting` lack room.
@@ -206,9 +220,7 @@
         let mut used: BTreeMap<QueueName, f64> =
             waiting.iter().map(|queue| (queue.clone(), 0.0)).collect();
         for (unit, usage) in &self.shares.0 {
-            if unit.long_running == group.long_running
-                && self.group_of(&unit.queue, unit.long_running).as_ref() == Some(group)
-            {
+            if self.group_of(unit, usage).as_ref() == Some(group) {
                 used.insert(unit.queue.clone(), usage.dominant(&capacity));
             }
         }
--- a/crates/jobs/tests/renamed_queues.rs
+++ b/crates/jobs/tests/renamed_queues.rs
@@ -9,8 +9,8 @@
 use sycamorerill_jobs::config::{Config, Queue};
 use sycamorerill_jobs::id::{QueueName, ServiceName};
 use sycamorerill_jobs::progress::State;
-use sycamorerill_jobs::shard::Event;
-use sycamorerill_jobs::spec::Step;
+use sycamorerill_jobs::shard::{Decision, Event};
+use sycamorerill_jobs::spec::{Job, Step};
 
 /// Puts a version of the configuration into force with these queues, each with its name, path and
 /// service.
@@ -194,3 +194,32 @@
     sim.advance(Span::from_secs(8));
     assert_completed(sim);
 }
+
+/// Jobs of a renamed queue used all executors and counted for none, so that a third queue seemed to
+/// use more than its share.
+#[test]
+fn jobs_of_a_renamed_queue_count_as_use() {
+    for takes_over in [false, true] {
+        let mut sim = Simulation::new(2);
+        configure(&mut sim, &[("q", "/q/", "s"), ("calm", "/calm/", "s")]);
+        for id in 1..40 {
+            sim.submit(job(id), vec![step(8)]);
+        }
+        sim.advance(Span::from_ms(100));
+        configure(&mut sim, &[("q2", "/q/", "s"), ("calm", "/calm/", "s")]);
+        if takes_over {
+            sim.take_over();
+        }
+        for id in 100..112 {
+            let text = "text".to_owned();
+            let steps = vec![step(1)];
+            let (queue, at_ms) = (if id % 2 == 0 { "q2" } else { "calm" }, sim.wall_ms());
+            sim.submit_to(queue, job(id), Job { text, steps, schedule: None }, at_ms);
+            sim.advance(Span::from_ms(200));
+        }
+        let held_back = |found: &&Decision| matches!(found, Decision::HeldBack { queue, .. } if queue.as_str() == "calm");
+        assert_eq!(sim.decisions.iter().find(held_back), None);
+        let is_held_back = |found: &Decision| matches!(found, Decision::HeldBack { queue, .. } if queue.as_str() == "q");
+        assert!(sim.decisions.iter().any(is_held_back));
+    }
+}
