jobs: tasks that were never placed take no memory at their owner

What operators would see (a test, not the field): 50 jobs of 100,000 tasks, each a legal request of some kilobytes, take 541 MB of the owner for as long as they wait, for good if no executor can run them, and after a cancellation too. An instance has 160 to 512 MB; each owner in turn would be killed.

Cause: each task of a step that has begun had a state of 108 bytes of its own.

Change: the tasks of a step share one state until one of them changes (jobs::shard::task_list). What a job that has ended holds of its tasks is given back once it has no open runs, and records of tasks that were never placed are neither written nor removed.

Evidence: jobs_of_the_largest_size_may_wait_in_numbers fails without the change at 541,336 KiB, and holds with 33,020 KiB; its bound is the memory of the smallest instance. Tests of jobs and node pass.

--- a/crates/jobs/src/shard/entry.rs
+++ b/crates/jobs/src/shard/entry.rs
@@ -9,6 +9,7 @@
 use super::limit::Limit;
 use super::ranges::Ranges;
 use super::rank::Rank;
+use super::task_list::TaskList;
 use crate::config::Queue;
 use crate::executor::Incarnation;
 use crate::id::{ExecutorId, QueueName, Run, StepId, TaskId};
@@ -63,7 +64,7 @@
     pub(super) begun: bool,
     /// Number of tasks that are not done.
     pub(super) left: u32,
-    pub(super) tasks: Vec<Task>,
+    pub(super) tasks: TaskList,
     /// Indices of tasks that wait for placement.
     pub(super) waiting: BTreeSet<u32>,
     /// Rank under which the step is queued for placement.
@@ -79,7 +80,7 @@
 }
 
 /// One task of a step.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Task {
     pub(super) done: bool,
     /// Highest run number that was assigned; 0 before the first run.
@@ -197,13 +198,13 @@
 
     /// Returns a task of the job, if its occurrence is in memory.
     pub(super) fn task(&self, id: &TaskId) -> Option<&Task> {
-        self.step(id.step)?.tasks.get(id.index as usize)
+        self.step(id.step)?.tasks.get(id.index)
     }
 
     /// Returns a mutable reference to a task of the job, if its occurrence is in memory.
     pub(super) fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
         let step = self.step_mut(id.step.occurrence, id.step.step)?;
-        step.tasks.get_mut(id.index as usize)
+        step.tasks.get_mut(id.index)
     }
 
     /// Returns a step of the job, if its occurrence is in memory.
@@ -245,14 +246,26 @@
     }
 }
 
+impl Occurrence {
+    /// Returns whether the end of a run is not known.
+    pub(super) fn has_open_runs(&self) -> bool {
+        let mut tasks = self.steps.iter().flat_map(|step| step.tasks.changed());
+        tasks.any(|(_, task)| !task.open_runs.is_empty())
+    }
+
+    /// Returns whether no task has changed since the occurrence began, so that nothing of it is
+    /// recorded.
+    pub(super) fn is_unchanged(&self) -> bool {
+        self.steps.iter().all(|step| step.tasks.changed().next().is_none())
+    }
+}
+
 impl Step {
     fn new(count: u32, now: Time) -> Self {
-        let mut tasks = Vec::new();
-        tasks.resize_with(count as usize, Task::default);
         Self {
             begun: false,
             left: count,
-            tasks,
+            tasks: TaskList::new(count),
             waiting: BTreeSet::new(),
             rank: None,
             blocked: false,
@@ -264,6 +277,22 @@
 }
 
 impl Task {
+    /// Returns a task that has not been placed.
+    pub(super) const fn new() -> Self {
+        Self {
+            done: false,
+            run: 0,
+            failed: 0,
+            crashes: 0,
+            confirmed_crashes: 0,
+            checkpoint: String::new(),
+            open_runs: Vec::new(),
+            avoided_executor: None,
+            not_before: Time::ZERO,
+            waiting_since: Time::ZERO,
+        }
+    }
+
     /// Replaces the checkpoint by one that the task has saved, unless that is empty or too long to
     /// be recorded.
     pub(super) fn set_checkpoint(&mut self, checkpoint: &str) {
--- a/crates/jobs/src/shard/evacuate.rs
+++ b/crates/jobs/src/shard/evacuate.rs
@@ -124,7 +124,7 @@
         else {
             return;
         };
-        let runs = (0..).zip(&step.tasks).flat_map(|(index, member)| {
+        let runs = step.tasks.changed().flat_map(|(index, member)| {
             member.open_runs.iter().map(move |open| (task.step.task(index), open.run))
         });
         for (member, run) in runs.collect::<Vec<_>>() {
--- a/crates/jobs/src/shard/gang.rs
+++ b/crates/jobs/src/shard/gang.rs
@@ -76,8 +76,8 @@
             return;
         };
         let checkpoint =
-            step.tasks.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
-        for task in &mut step.tasks {
+            step.tasks.changed().map(|(_, task)| task.checkpoint.clone()).max().unwrap_or_default();
+        for (_, task) in step.tasks.changed_mut() {
             task.checkpoint.clone_from(&checkpoint);
         }
     }
@@ -93,7 +93,9 @@
             .and_then(|entry| entry.step_mut(task.step.occurrence, task.step.step));
         if let Some(step) = found {
             step.waiting.insert(task.index);
-            step.tasks[task.index as usize].run = previous.0;
+            if let Some(found) = step.tasks.get_mut(task.index) {
+                found.run = previous.0;
+            }
         }
         self.remove_run(task, run);
     }
--- a/crates/jobs/src/shard/lifecycle.rs
+++ b/crates/jobs/src/shard/lifecycle.rs
@@ -120,8 +120,8 @@
         step.ready_since = now;
         step.rank = Some(rank);
         let idle = |task: &super::entry::Task| !task.done && task.open_runs.is_empty();
-        step.waiting =
-            (0..).zip(&step.tasks).filter(|(_, task)| idle(task)).map(|(index, _)| index).collect();
+        let waiting = step.tasks.iter().filter(|(_, task)| idle(task)).map(|(index, _)| index);
+        step.waiting = waiting.collect();
         if !step.waiting.is_empty() {
             self.waiting.insert((rank, id));
             self.placement_due = true;
@@ -162,7 +162,7 @@
                 if let Some(rank) = step.rank {
                     steps.push((rank, step_id));
                 }
-                for (task, found) in (0..).zip(&mut step.tasks) {
+                for (task, found) in step.tasks.changed_mut() {
                     for open in &mut found.open_runs {
                         match open.stage {
                             Stage::Recording => dropped.push((step_id.task(task), open.run)),
@@ -181,6 +181,9 @@
             self.close(now, &task, run, Closing::NotRecorded);
         }
         self.mark_job_changed(id);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.occurrences.retain(|_, occurrence| occurrence.has_open_runs());
+        }
         let took = Span::from_ms(self.wall_ms.saturating_sub(accepted_ms));
         self.out.push(Command::Log(Decision::Finished { job: id, state, took }));
         self.send_requested_stops(now, id);
@@ -251,7 +254,7 @@
         };
         let mut others = Vec::new();
         let mut done = Vec::new();
-        for (index, task) in (0..).zip(&mut step.tasks) {
+        for (index, task) in step.tasks.changed_mut() {
             let member = index == id.index || gang;
             if !member || task.done {
                 continue;
@@ -302,16 +305,14 @@
         self.complete_if_done(now, id.job);
     }
 
-    /// Removes an occurrence that is finished and has no open runs.
+    /// Removes an occurrence that is finished, or whose job has ended, and that has no open runs.
     pub(super) fn remove_finished_occurrence(&mut self, id: JobId, number: u32) {
-        let Some(entry) = self.jobs.get_mut(&id).filter(|entry| entry.finished.contains(number))
-        else {
+        let is_over =
+            |entry: &&mut Entry| entry.finished.contains(number) || entry.state.is_terminal();
+        let Some(entry) = self.jobs.get_mut(&id).filter(is_over) else {
             return;
         };
-        let has_open_runs = |occurrence: &super::entry::Occurrence| {
-            occurrence.steps.iter().flat_map(|s| &s.tasks).any(|t| !t.open_runs.is_empty())
-        };
-        if entry.occurrences.get(&number).is_some_and(|found| !has_open_runs(found)) {
+        if entry.occurrences.get(&number).is_some_and(|found| !found.has_open_runs()) {
             entry.occurrences.remove(&number);
             self.mark_occurrence_changed(id, number);
         }
@@ -366,7 +367,9 @@
         let Some(step) = entry.step_mut(id.step.occurrence, id.step.step) else {
             return;
         };
-        let task = &mut step.tasks[id.index as usize];
+        let Some(task) = step.tasks.get_mut(id.index) else {
+            return;
+        };
         if !active || task.done || !task.open_runs.is_empty() || !step.begun {
             return;
         }
--- a/crates/jobs/src/shard/mod.rs
+++ b/crates/jobs/src/shard/mod.rs
@@ -44,6 +44,7 @@
 mod settings;
 mod share;
 mod split;
+mod task_list;
 mod throttle;
 mod unschedulable;
 mod witness;
--- a/crates/jobs/src/shard/order.rs
+++ b/crates/jobs/src/shard/order.rs
@@ -243,7 +243,7 @@
         for (number, occurrence) in &entry.occurrences {
             for (index, step) in (0..).zip(&occurrence.steps) {
                 let id = crate::id::StepId { job, occurrence: *number, step: index };
-                for (task, found) in (0..).zip(&step.tasks) {
+                for (task, found) in step.tasks.changed() {
                     let stops = found.open_runs.iter().filter(|open| open.stop == Stop::Requested);
                     wanted.extend(stops.map(|open| (id.task(task), open.run)));
                 }
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -220,7 +220,7 @@
             return None;
         }
         let step = self.jobs.get(&id.job)?.step(id)?;
-        let open = step.tasks.iter().flat_map(|task| &task.open_runs).next()?;
+        let open = step.tasks.changed().flat_map(|(_, task)| &task.open_runs).next()?;
         self.executors.get(&open.executor)?.registration.rack().cloned()
     }
 
@@ -307,19 +307,21 @@
         else {
             return;
         };
+        let Some(found) = step.tasks.get_mut(task.index) else {
+            return;
+        };
         executor.reserve(*task, spec);
         if self.reservations.get(&task.step) == Some(&id) {
             executor.reservation = None;
             self.reservations.remove(&task.step);
         }
         executor.last_placed = now;
-        if step.tasks[task.index as usize].is_suspect() {
+        if found.is_suspect() {
             executor.trial_until = now + super::crash::TRIAL;
         }
         step.waiting.remove(&task.index);
         let incarnation = executor.registration.incarnation;
         let waited_ms = now.since(step.ready_since).as_ms();
-        let found = &mut step.tasks[task.index as usize];
         found.run = run.0;
         found.open_runs.push(OpenRun {
             run,
--- a/crates/jobs/src/shard/rank.rs
+++ b/crates/jobs/src/shard/rank.rs
@@ -104,7 +104,7 @@
 impl Step {
     /// Returns whether a task that has run before has waited for at least `wait`.
     fn has_restart(&self, now: Time, wait: Span) -> bool {
-        self.tasks.iter().any(|task| {
+        self.tasks.changed().any(|(_, task)| {
             task.run > 0
                 && !task.done
                 && task.open_runs.is_empty()
--- a/crates/jobs/src/shard/restore.rs
+++ b/crates/jobs/src/shard/restore.rs
@@ -263,10 +263,10 @@
     let Some(step) = entry.step_mut(occurrence, step) else {
         return;
     };
-    let all = 0..step.tasks.len() as u32;
+    let all = 0..step.tasks.len();
     let indices = if indices.is_empty() { all.collect() } else { indices.to_vec() };
     for index in indices {
-        if let Some(task) = step.tasks.get_mut(index as usize)
+        if let Some(task) = step.tasks.get_mut(index)
             && !task.done
         {
             task.done = true;
--- a/crates/jobs/src/shard/write.rs
+++ b/crates/jobs/src/shard/write.rs
@@ -134,10 +134,13 @@
         self.dirty.insert(self.record_of(task));
     }
 
-    /// Notes that all tasks of an occurrence have changed, or that it is removed.
+    /// Notes that all tasks of an occurrence that are recorded have changed, or that it is removed.
     pub(super) fn mark_occurrence_changed(&mut self, id: JobId, occurrence: u32) {
         let tasks_per_record = self.settings.tasks_per_record;
-        if let Some(entry) = self.jobs.get(&id) {
+        let is_recorded = |entry: &&Entry| {
+            entry.occurrences.get(&occurrence).is_none_or(|found| !found.is_unchanged())
+        };
+        if let Some(entry) = self.jobs.get(&id).filter(is_recorded) {
             let records = RecordId::of_occurrence(id, &entry.job, occurrence, tasks_per_record);
             self.dirty.extend(records);
         }
@@ -262,7 +265,7 @@
 }
 
 fn has_started(occurrence: &super::entry::Occurrence) -> bool {
-    occurrence.steps.iter().flat_map(|step| &step.tasks).any(|task| task.run > 0)
+    occurrence.steps.iter().flat_map(|step| step.tasks.changed()).any(|(_, task)| task.run > 0)
 }
 
 /// Returns the record `id` of a job. Of a job that has ended, only open runs are recorded.
@@ -282,10 +285,7 @@
     };
     let ranges = id.tasks(&entry.job, tasks_per_record);
     for ((number, step), range) in (0..).zip(&occurrence.steps).zip(ranges) {
-        let tasks = || {
-            let covered = &step.tasks[range.start as usize..range.end as usize];
-            range.clone().zip(covered)
-        };
+        let tasks = || step.tasks.changed_in(range.clone());
         if !has_ended && !range.is_empty() {
             let all = step.left == 0;
             let done = tasks().filter(|(_, task)| task.done && !all);
