jobs: a wait for a rack ends when no executor can run the step any more

What users would see (a test, not the field): steps that arrive later run far from their data, or wait longer, for places behind a step that will never take one.

Cause: a step that is kept apart from the queue is not tried, so nothing reviewed its wait for a rack, which goes on to count as one that is ahead.

Change: keeping a step apart ends its wait.

Evidence: a_wait_for_a_rack_ends_with_the_last_executor_of_the_step fails without the change.

--- a/crates/jobs/src/shard/locality/mod.rs
+++ b/crates/jobs/src/shard/locality/mod.rs
@@ -295,6 +295,13 @@
         }
     }
 
+    /// Ends the wait of a step that no executor can run any more, if it waits.
+    pub(super) fn abandon_wait(&mut self, now: Time, id: StepId) {
+        if self.locality.waits.get(&id).is_some_and(|wait| wait.tasks > 0) {
+            self.end_wait(now, id, WaitState::RackLost);
+        }
+    }
+
     fn end_wait(&mut self, now: Time, id: StepId, state: WaitState) {
         self.note_end(now, id, state);
         if let Some(wait) = self.locality.waits.get_mut(&id) {
--- a/crates/jobs/src/shard/place.rs
+++ b/crates/jobs/src/shard/place.rs
@@ -52,7 +52,7 @@
         }
         let blocked = step.blocked;
         if (!blocked || pass.is_full())
-            && self.set_aside_unschedulable(id, spec, &service, needs_ticket)
+            && self.set_aside_unschedulable(now, id, spec, &service, needs_ticket)
         {
             return Placed::Unschedulable;
         }
--- a/crates/jobs/src/shard/unschedulable.rs
+++ b/crates/jobs/src/shard/unschedulable.rs
@@ -177,6 +177,7 @@
     /// Keeps a step apart from the queue if no listed executor could run it. Returns whether it did.
     pub(super) fn set_aside_unschedulable(
         &mut self,
+        now: Time,
         id: StepId,
         spec: &Step,
         service: &ServiceName,
@@ -191,6 +192,7 @@
             _ => Wanted::Executor(service.clone(), spec.label.clone()),
         };
         self.end_reservation(id);
+        self.abandon_wait(now, id);
         self.unschedulable.add(id, wanted, needs);
         let Some(entry) = self.jobs.get_mut(&id.job) else {
             return true;
--- a/crates/jobs/tests/unschedulable.rs
+++ b/crates/jobs/tests/unschedulable.rs
@@ -9,7 +9,7 @@
 use sycamorerill_jobs::config::{Config, Queue};
 use sycamorerill_jobs::id::{Label, QueueName};
 use sycamorerill_jobs::progress::State;
-use sycamorerill_jobs::shard::{Decision, Event, Obstacle};
+use sycamorerill_jobs::shard::{Decision, Event, Obstacle, WaitState};
 use sycamorerill_jobs::spec::{Job, MAX_STEPS, Resources, Step};
 
 /// Number of the first job that can be run.
@@ -252,3 +252,30 @@
     sim.advance(Span::from_ms(200));
     assert_eq!(sim.run_count(), 1);
 }
+
+/// A step that waits for a rack loses all executors that could run it: its wait must end, or later
+/// steps would wait for places behind it.
+#[test]
+fn a_wait_for_a_rack_ends_with_the_last_executor_of_the_step() {
+    let mut sim = Simulation::new(2);
+    sim.executor("x1").rack = Label::from("r2");
+    sim.list_executor(&"x1".into());
+    sim.submit(job(1), vec![Step { label: label("r2"), ..step(8) }]);
+    sim.advance(Span::from_ms(900));
+    sim.submit(job(2), vec![Step { data_rack: label("r2"), ..step(1) }]);
+    sim.advance(Span::from_ms(20));
+    for id in ["x0", "x1"] {
+        sim.executor(id).unlisted = true;
+        sim.handle(Event::Unlisted(id.into()));
+    }
+    sim.advance(Span::from_ms(200));
+    let states: Vec<WaitState> = sim.decisions.iter().filter_map(wait_state).collect();
+    assert_eq!(states, [WaitState::Begun, WaitState::RackLost]);
+}
+
+fn wait_state(decision: &Decision) -> Option<WaitState> {
+    match decision {
+        Decision::Locality(wait) => Some(wait.state),
+        _ => None,
+    }
+}
