--- a/crates/jobs/src/shard/unschedulable.rs
+++ b/crates/jobs/src/shard/unschedulable.rs
@@ -3,8 +3,8 @@
 //! Load pattern: jobs that ask for a label that no executor has, or for more than any executor
 //! holds, with thousands of steps. In the placement queue they would use up the budgets of each
 //! pass, count as work ahead of other jobs in the outlook and as a lack of room against other
-//! queues. They are kept apart and return to the queue once the list of executors, or the queue's
-//! service, has changed so that an executor could run them. Their jobs end by a cancellation only.
+//! queues. They are kept apart and put back once the list of executors, or the configuration, has
+//! changed so that an executor could run them. Their jobs end by a cancellation only.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -138,7 +138,7 @@
 }
 
 impl Shard {
-    /// Returns the steps that an executor could run now to the queue, if the list has changed.
+    /// Puts the steps that an executor could run now back into the queue, if the list has changed.
     pub(super) fn requeue_schedulable(&mut self, now: Time) {
         if self.unschedulable.hosts.is_some() {
             return;
@@ -152,13 +152,14 @@
         self.requeue_steps(now, &steps);
     }
 
-    /// Returns all steps to the queue, as the services of their queues may have changed.
+    /// Puts all steps back into the queue, as the services of their queues may have changed.
     pub(super) fn requeue_unschedulable(&mut self, now: Time) {
         let steps: Vec<StepId> = self.unschedulable.steps.keys().copied().collect();
         self.unschedulable = Unschedulable::default();
         self.requeue_steps(now, &steps);
     }
 
+    /// Puts steps into the queue at their present ranks.
     fn requeue_steps(&mut self, now: Time, steps: &[StepId]) {
         for id in steps {
             let rank = self.current_rank(now, *id);
--- a/crates/jobs/tests/support/mod.rs
+++ b/crates/jobs/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 #![allow(clippy::expect_used, reason = "an unknown name is a fault of the test")]
 
+mod entries;
 pub(crate) mod executor;
 mod orders;
 pub(crate) mod owners;
@@ -12,16 +13,13 @@
 pub(crate) mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use sycamorerill_core::clock::{Span, Time};
 use sycamorerill_jobs::admission::Outlook;
 use sycamorerill_jobs::config::{Config, Limits, Queue, Service, Terms};
-use sycamorerill_jobs::executor::{Availability, EndReason, Incarnation, Outcome, Registration};
-use sycamorerill_jobs::id::{
-    DomainName, ExecutorId, JobId, Label, QueueName, Run, ServiceName, TaskId,
-};
+use sycamorerill_jobs::executor::{EndReason, Outcome, Registration};
+use sycamorerill_jobs::id::{DomainName, ExecutorId, JobId, QueueName, Run, ServiceName, TaskId};
 use sycamorerill_jobs::progress::{Progress, State};
 use sycamorerill_jobs::record::RecordId;
 use sycamorerill_jobs::shard::{
@@ -193,43 +191,6 @@
         sim
     }
 
-    pub(crate) fn add_executor(&mut self, number: u32) {
-        let id = ExecutorId::from(format!("x{number}").as_str());
-        let executor = FakeExecutor {
-            id: id.clone(),
-            address: SocketAddr::from(([10, 0, 0, 1], 1_000 + number as u16)),
-            incarnation: self.wall_ms() + u64::from(number),
-            started: self.now - Span::from_ms(100),
-            clock_at_start: 0,
-            clock_percent: 100,
-            fence: 0,
-            deadline: 0,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            end_count: 0,
-            lapsed_end: 0,
-            highest_runs: BTreeMap::new(),
-            capacity: Resources { cpu: 8_000, memory: 32_000, accelerators: 0 },
-            domain: "d",
-            warm_at: Time::ZERO,
-            reachable: true,
-            unreached_by: BTreeSet::new(),
-            loses_answers: false,
-            delays_orders: false,
-            unlisted: false,
-            refuses_probes: false,
-            replaced: false,
-            run_time: Span::from_ms(1_000),
-            rack: Label::from("r1"),
-            foreign_end: 0,
-            checkpoint: String::new(),
-            tail_ms: 20,
-            list_age: Span::ZERO,
-        };
-        self.executors.insert(id.clone(), executor);
-        self.list_executor(&id);
-    }
-
     pub(crate) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now.as_ms()
     }
@@ -238,35 +199,6 @@
         self.executors.get_mut(&ExecutorId::from(id)).expect("executor of the simulation")
     }
 
-    /// Reports the list entry of an executor to the shard, as the platform's store does.
-    pub(crate) fn list_executor(&mut self, id: &ExecutorId) {
-        let entry = self.stale_entries.get(id).cloned();
-        let registration = entry.unwrap_or_else(|| self.registration(id));
-        self.handle(Event::Listed(Box::new(registration)));
-    }
-
-    fn registration(&self, id: &ExecutorId) -> Registration {
-        let executor = &self.executors[id];
-        Registration {
-            id: id.clone(),
-            incarnation: Incarnation(executor.incarnation),
-            address: executor.address,
-            service: ServiceName::from("s"),
-            domain: DomainName::from(executor.domain),
-            availability: Availability::Ready,
-            warm_up: executor.warm_at.since(self.now),
-            remaining: None,
-            capacity: executor.capacity,
-            labels: vec![Label::from("a"), executor.rack.clone()],
-            clock: executor.clock(self.now - executor.list_age),
-        }
-    }
-
-    /// Returns the list entry of an executor.
-    pub(crate) fn registration_of(&self, id: &str) -> Registration {
-        self.registration(&ExecutorId::from(id))
-    }
-
     pub(crate) fn handle(&mut self, event: Event) {
         let wall_ms = self.wall_ms();
         self.shard.handle(self.now, wall_ms, event);
