jobs: no reported processor time ends an owner that checks inherited limits

What operators would see (a test): an executor that reports an absurd processor time for a run ends an owner that has inherited it, in builds that check arithmetic.

Cause: the reported number was multiplied without a bound.

Change: the products saturate. Besides, runs are moved as before once the executor has answered the latest limit, also while an earlier order may still come late.

Evidence: absurd_reports_of_processor_time_do_no_harm fails without the change.

--- a/crates/jobs/src/shard/limit.rs
+++ b/crates/jobs/src/shard/limit.rs
@@ -48,9 +48,9 @@
         self.percent
     }
 
-    /// Returns whether the limit last ordered is in force.
-    pub(super) const fn is_certain(&self) -> bool {
-        self.is_answered && self.disputed_until.is_none()
+    /// Returns whether the executor has answered the latest order.
+    pub(super) const fn is_answered(&self) -> bool {
+        self.is_answered
     }
 
     /// Returns whether the limit is to be ordered again, given whether a task next to the run is
@@ -85,7 +85,9 @@
     /// nearly all of it is not limited.
     pub(super) fn note_use(&mut self, used: u64, requested: u64) {
         let is_inherited = self.sent == Time::ZERO;
-        let is_unlimited = used * UNLIMITED_USE.0 >= requested * UNLIMITED_USE.1;
+        // Both are numbers of other processes.
+        let (divisor, factor) = UNLIMITED_USE;
+        let is_unlimited = used.saturating_mul(divisor) >= requested.saturating_mul(factor);
         self.is_answered |= is_inherited && is_unlimited;
     }
 }
--- a/crates/jobs/src/shard/relocate.rs
+++ b/crates/jobs/src/shard/relocate.rs
@@ -82,7 +82,7 @@
 fn is_throttled(open: &OpenRun, now: Time) -> bool {
     matches!(open.stage, Stage::Running { .. })
         && open.stop == Stop::NotRequested
-        && open.limit.is_certain()
+        && open.limit.is_answered()
         && open.limit.percent() <= THROTTLED_PERCENT
         && open.throttled_since.is_some_and(|since| now.since(since) >= MIN_THROTTLED)
         && open.progress.0 < MAX_PROGRESS_PERCENT
--- a/crates/jobs/tests/limits.rs
+++ b/crates/jobs/tests/limits.rs
@@ -96,6 +96,19 @@
     assert_eq!(limit(&mut sim), 100);
 }
 
+/// No number that an executor may report ends the owner.
+#[test]
+fn absurd_reports_of_processor_time_do_no_harm() {
+    let mut sim = with_suspended_run();
+    sim.take_over();
+    sim.executor("x0").running.values_mut().for_each(|active| {
+        active.best_effort_cpu = active.best_effort_cpu.map(|_| u64::MAX / 100);
+    });
+    sim.executor("x0").tail_ms = u64::MAX;
+    sim.advance(REACTION);
+    assert_eq!(sim.run_count(), 2);
+}
+
 /// Runs without a limit get no order from a successor.
 #[test]
 fn a_successor_orders_no_limits_where_there_are_none() {
