--- a/crates/jobs/tests/renamed_queues.rs
+++ b/crates/jobs/tests/renamed_queues.rs
@@ -223,3 +223,36 @@
         assert!(sim.decisions.iter().any(is_held_back));
     }
 }
+
+/// Callers of a queue of a lower priority wait behind the work of a renamed one, whose own name has no
+/// outlook any more.
+#[test]
+fn work_of_a_renamed_queue_counts_in_outlooks() {
+    for takes_over in [false, true] {
+        let mut sim = Simulation::new(2);
+        let pattern = sim.config.queues[&QueueName::from("q")].clone();
+        configure(&mut sim, &[("q", "/q/", "s"), ("low", "/low/", "s")]);
+        let mut config = Config::clone(&sim.config);
+        let low = Queue { priority: 1, ..config.queues[&QueueName::from("low")].clone() };
+        config.queues = [pattern, low.clone()].map(|queue| (queue.name.clone(), queue)).into();
+        config.version += 1;
+        sim.handle(Event::Configured(Arc::new(config.clone())));
+        for id in 1..40 {
+            sim.submit(job(id), vec![Step { estimate_ms: 60_000, ..step(64) }]);
+        }
+        config.queues = [(low.name.clone(), low)].into();
+        config.version += 1;
+        sim.config = Arc::new(config);
+        sim.handle(Event::Configured(Arc::clone(&sim.config)));
+        if takes_over {
+            sim.take_over();
+        }
+        let (text, at_ms) = ("text".to_owned(), sim.wall_ms());
+        let waiting = Job { text, steps: vec![step(1)], schedule: None };
+        sim.submit_to("low", job(100), waiting, at_ms);
+        sim.advance(Span::from_secs(10));
+        let names: Vec<QueueName> =
+            sim.outlook.iter().flat_map(|found| found.wait_ms.keys().cloned()).collect();
+        assert_eq!(names, [QueueName::from("low")]);
+    }
+}
