jobs: the bounds of a pass name the steps that they are still for

Cause: read as a newcomer, the module on the bounds of a placement pass gave steps that no executor can run as its load pattern. These are kept apart from the queue since.

No code changes.

Result: the test of these bounds is steps_that_find_no_room_for_long_hold_up_no_others, as before.

--- a/crates/jobs/src/shard/effort.rs
+++ b/crates/jobs/src/shard/effort.rs
@@ -1,7 +1,8 @@
 //! Bounds on the steps for which a placement pass finds no executor.
 //!
-//! Load pattern: many steps that no executor can ever run, such as those of a job with a label that
-//! no executor has, before others that wait for room. A step with the requirements of one that was
+//! Load pattern: many steps that find no room for long, such as those that need a whole executor while
+//! a long-running task has a part of each, before others that wait for less. Steps that no executor
+//! could run whatever room it had are not in the queue (`unschedulable`). A step with the requirements of one that was
 //! just rejected costs little and counts little. Each full pass tries the steps of the highest rank,
 //! and then some from where the previous full pass ended, so that all are reached in turn.
 
