--- /dev/null
+++ b/review/standin-3/memory.rs
@@ -0,0 +1,124 @@
+//! Memory: a client hands in many jobs that are small in bytes and made of very many short fields.
+//!
+//! The platform's part is played here: a process that exceeds the memory of its machine is killed,
+//! and started again after a short delay.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::site::{Site, Verdict, request};
+
+/// Memory of the machine, as in the settings.
+const MEMORY_KIB: u64 = 260 * 1_024;
+const STEPS: usize = 256;
+/// Most requests of the client, and the time in which it sends.
+const REQUESTS: usize = 2_400;
+const SENDS: Duration = Duration::from_secs(40);
+/// Connections of the client that are open at the same time.
+const CONNECTIONS: usize = 4;
+/// `recovery_s` and `finish_s`.
+const AFTER: Duration = Duration::from_secs(26);
+const RESTART: Duration = Duration::from_millis(300);
+
+pub fn run(case: &Path, trouble: bool) -> std::io::Result<Verdict> {
+    let mut site = Site::start(75, 4, 3, case)?;
+    let work = "{\"task_spec\":\"ms=500\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256}]}";
+    if !site.submit("00000000000000a1", work)
+        || !site.wait_for("00000000000000a1", Duration::from_secs(8))
+    {
+        return Err(std::io::Error::other("a job was not run in calm"));
+    }
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let sending = Instant::now();
+    if trouble {
+        site.record.line("disruption: a client begins to send");
+        for number in 0..CONNECTIONS {
+            let (fronts, accepted) = (site.fronts(), Arc::clone(&accepted));
+            let record = Arc::clone(&site.record);
+            thread::spawn(move || {
+                let body = body();
+                for at in (number..REQUESTS).step_by(CONNECTIONS) {
+                    if sending.elapsed() > SENDS {
+                        return;
+                    }
+                    let (front, id) = (fronts[at % fronts.len()], format!("{:016x}", 0x1000 + at));
+                    let answer = request(&record, front, "POST", &id, &body);
+                    let is_accepted = answer.is_some_and(|(status, _)| status == 200);
+                    accepted.fetch_add(usize::from(is_accepted), Ordering::Relaxed);
+                }
+            });
+        }
+    }
+    let (mut most, mut kills) = (0, vec![0; site.instances.len()]);
+    let mut restarts: Vec<Option<Instant>> = vec![None; site.instances.len()];
+    let mut first = None;
+    let mut watch = |site: &mut Site, until: Instant| -> std::io::Result<()> {
+        while Instant::now() < until {
+            for (at, instance) in site.instances.iter_mut().enumerate() {
+                if restarts[at].take_if(|due| *due <= Instant::now()).is_some() {
+                    instance.spawn()?;
+                }
+                let resident = instance.resident_kib();
+                most = most.max(resident);
+                if resident > MEMORY_KIB || (resident > 0 && instance.has_ended()) {
+                    let count = accepted.load(Ordering::Relaxed);
+                    first.get_or_insert(count);
+                    let name = &instance.name;
+                    let text = format!("memory: {name} has {resident} KiB, {count} jobs accepted");
+                    site.record.line(&text);
+                    instance.kill();
+                    kills[at] += 1;
+                    restarts[at] = Some(Instant::now() + RESTART);
+                }
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    };
+    watch(&mut site, sending + SENDS)?;
+    // The client has gone; an ordinary requester hands in a job.
+    site.record.line("an ordinary requester hands in a job");
+    let (record, fronts) = (Arc::clone(&site.record), site.fronts());
+    let ordinary = thread::spawn(move || {
+        let until = Instant::now() + AFTER;
+        let (mut handed_in, mut state) = (false, String::new());
+        let mut at = 0;
+        while Instant::now() < until && !state.contains("completed") {
+            at += 1;
+            let (front, id) = (fronts[at % fronts.len()], "00000000000000b2");
+            let answer = match handed_in {
+                false => request(&record, front, "POST", id, work),
+                true => request(&record, front, "GET", id, ""),
+            };
+            match answer {
+                Some((200, _)) if !handed_in => handed_in = true,
+                Some((200, body)) => state = body,
+                _ => {}
+            }
+            thread::sleep(Duration::from_millis(500));
+        }
+        (handed_in, state)
+    });
+    watch(&mut site, sending + SENDS + AFTER)?;
+    let (handed_in, state) = ordinary.join().unwrap_or_default();
+    let text = format!(
+        "result: {} requests of {} bytes accepted, the first process over its memory after {}; \
+         most memory {most} KiB of {MEMORY_KIB}; processes killed for it: {kills:?}; an ordinary \
+         job: accepted {handed_in}, state {state}",
+        accepted.load(Ordering::Relaxed),
+        body().len(),
+        first.map_or("none".to_owned(), |count| count.to_string()),
+    );
+    site.record.line(&text);
+    println!("{text}");
+    let is_broken = kills.iter().any(|count| *count > 0);
+    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+}
+
+fn body() -> String {
+    let step = "{\"count\":39,\"required_label\":\"none\"}";
+    format!("{{\"task_spec\":\"x\",\"steps\":[{}]}}", vec![step; STEPS].join(","))
+}
