--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod memory;
+mod scheduled;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -27,6 +28,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = Path::new(folder);
     let result = match case.as_str() {
+        "scheduled" => scheduled::run(folder, trouble),
         "memory" => memory::run(folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
