review: case 13, jobs with very many dependencies keep every owner from renewing its claim

The rank of each waiting step is computed in each full pass, and goes through all steps and dependencies of its job. Some 150 requests of 43 KB make a turn of the owner longer than the 1.5 s after which its shard is claimed; each successor does the same, so nothing starts any more.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod memory;
+mod overload;
 mod scheduled;
 
 use std::path::Path;
@@ -29,6 +30,7 @@
     let folder = Path::new(folder);
     let result = match case.as_str() {
         "scheduled" => scheduled::run(folder, trouble),
+        "overload" => overload::run(folder, trouble),
         "memory" => memory::run(folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -8,12 +8,14 @@
 
 use crate::executor::Executor;
 use crate::http;
-use crate::instance::Instance;
+use crate::instance::{Instance, Machine};
 use crate::record::Record;
 use crate::store::Store;
 
 pub const HOST: &str = "ropes.example";
 pub const PREFIX: &str = "/knots/";
+/// Kind of the first executor; the others are of the kind `k1`.
+pub const FIRST_KIND: &str = "k9";
 /// Time limit of the requesters.
 const TIME_LIMIT: Duration = Duration::from_millis(3_000);
 
@@ -32,25 +34,42 @@
 }
 
 impl Site {
-    /// Starts a site on loopback addresses of its own (`127.N.x.y`), and waits until it is ready.
+    /// Starts a site on loopback addresses of its own (`127.N.x.y`), and waits until it is ready. The
+    /// first executor is of the kind [`FIRST_KIND`].
     pub fn start(
         number: u8,
         executors: usize,
         instances: usize,
         case: &Path,
+    ) -> std::io::Result<Self> {
+        let kind = |at| if at == 0 { FIRST_KIND } else { "k1" };
+        let places = (0..executors).map(|at| (kind(at), format!("r1-{}", at / 4))).collect();
+        Self::start_with(number, places, instances, Machine::default(), case)
+    }
+
+    /// The same with executors of these kinds in these racks, and instances on such machines.
+    pub fn start_with(
+        number: u8,
+        places: Vec<(&'static str, String)>,
+        instances: usize,
+        machine: Machine,
+        case: &Path,
     ) -> std::io::Result<Self> {
         let record = Arc::new(Record::create(&case.join("record.txt"))?);
         let folder = std::env::temp_dir().join(format!("review-3-{number}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let store = Store::start(&format!("127.{number}.0.1"))?;
         store.put("op", "", "config", Some(MANIFEST));
-        let executors = (0..executors)
-            .map(|at| Executor::start(at, &format!("127.{number}.1.{}", at + 1), &store, &record))
+        let executors = (0..)
+            .zip(places)
+            .map(|(at, place)| {
+                Executor::start(at, place, &format!("127.{number}.1.{}", at + 1), &store, &record)
+            })
             .collect::<std::io::Result<Vec<_>>>()?;
         let mut site = Self { store, executors, instances: Vec::new(), record, folder };
         for at in 1..=instances {
             let (ip, store) = (format!("127.{number}.2.{at}"), site.store.address);
-            let mut instance = Instance::create(at, &ip, store, &site.folder, &site.record)?;
+            let mut instance = Instance::create(at, &ip, machine, store, &site.folder, &site.record)?;
             instance.spawn()?;
             site.instances.push(instance);
         }
