review: case 15, a task that crashes executors before they answer is started without end

A crash counts towards giving a task up only if the start was answered, so a task whose executors crash as they begin it is never given up.

One job with one task is started 32 times in 70 s and crashes an executor each time; its state stays running.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2024 -O -A dead_code review/standin-3/main.rs -o target/review-3/rig.new && mv target/review-3/rig.new target/review-3/rig
+rustc --edition 2024 -O review/standin-3/main.rs -o target/review-3/rig.new && mv target/review-3/rig.new target/review-3/rig
--- a/review/standin-3/instance.rs
+++ b/review/standin-3/instance.rs
@@ -12,20 +12,6 @@
 
 const METRICS_PORT: &str = "9102";
 
-/// What the settings say of an instance's machine.
-#[derive(Clone, Copy)]
-pub struct Machine {
-    pub cpu_share: f64,
-    pub memory_mb: u64,
-    pub link_mbps: f64,
-}
-
-impl Default for Machine {
-    fn default() -> Self {
-        Self { cpu_share: 0.25, memory_mb: 260, link_mbps: 1_000.0 }
-    }
-}
-
 pub struct Instance {
     pub name: String,
     pub front: SocketAddr,
@@ -40,7 +26,6 @@
     pub fn create(
         number: usize,
         ip: &str,
-        machine: Machine,
         store: SocketAddr,
         folder: &Path,
         record: &Arc<Record>,
@@ -52,9 +37,6 @@
         let text = include_str!("settings.toml")
             .replace("{name}", &name)
             .replace("{ip}", ip)
-            .replace("{share}", &machine.cpu_share.to_string())
-            .replace("{memory}", &machine.memory_mb.to_string())
-            .replace("{link}", &format!("{:.1}", machine.link_mbps))
             .replace("{front}", &front.to_string())
             .replace("{ready}", &ready.to_string())
             .replace("{store}", &store.to_string());
@@ -79,14 +61,6 @@
         Ok(())
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) {
-        self.record.line(&format!("instance: {} gets {name}", self.name));
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
-        }
-    }
-
     /// Kills the process, and waits for its end.
     pub fn kill(&mut self) {
         self.record.line(&format!("instance: {} is killed", self.name));
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -11,6 +11,7 @@
 mod site;
 mod store;
 
+mod deadly;
 mod memory;
 mod overload;
 mod scheduled;
@@ -31,6 +32,7 @@
     let result = match case.as_str() {
         "scheduled" => scheduled::run(folder, trouble),
         "overload" => overload::run(folder, trouble),
+        "deadly" => deadly::run(folder, trouble),
         "memory" => memory::run(folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-3/scheduled.rs
+++ b/review/standin-3/scheduled.rs
@@ -62,8 +62,11 @@
         state = site.state(ID);
     }
     let runs = site.record.runs();
-    let done = runs.iter().filter(|run| run.task.starts_with(ID))
-        .filter(|run| run.end.is_some_and(|(_, how)| how == "done")).count();
+    let done = runs
+        .iter()
+        .filter(|run| run.task.starts_with(ID))
+        .filter(|run| run.end.is_some_and(|(_, how)| how == "done"))
+        .count();
     let text = format!(
         "result: state `{state}`, {done} of {TIMES} occurrences done, nothing at work for {} ms on \
          8 idle executors; another job completed: {served}",
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -8,7 +8,7 @@
 
 use crate::executor::Executor;
 use crate::http;
-use crate::instance::{Instance, Machine};
+use crate::instance::Instance;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -41,19 +41,6 @@
         executors: usize,
         instances: usize,
         case: &Path,
-    ) -> std::io::Result<Self> {
-        let kind = |at| if at == 0 { FIRST_KIND } else { "k1" };
-        let places = (0..executors).map(|at| (kind(at), format!("r1-{}", at / 4))).collect();
-        Self::start_with(number, places, instances, Machine::default(), case)
-    }
-
-    /// The same with executors of these kinds in these racks, and instances on such machines.
-    pub fn start_with(
-        number: u8,
-        places: Vec<(&'static str, String)>,
-        instances: usize,
-        machine: Machine,
-        case: &Path,
     ) -> std::io::Result<Self> {
         let record = Arc::new(Record::create(&case.join("record.txt"))?);
         let folder = std::env::temp_dir().join(format!("review-3-{number}-{}", std::process::id()));
@@ -61,15 +48,16 @@
         let store = Store::start(&format!("127.{number}.0.1"))?;
         store.put("op", "", "config", Some(MANIFEST));
         let executors = (0..)
-            .zip(places)
-            .map(|(at, place)| {
-                Executor::start(at, place, &format!("127.{number}.1.{}", at + 1), &store, &record)
+            .take(executors)
+            .map(|at| {
+                let kind = if at == 0 { FIRST_KIND } else { "k1" };
+                Executor::start(at, kind, &format!("127.{number}.1.{}", at + 1), &store, &record)
             })
             .collect::<std::io::Result<Vec<_>>>()?;
         let mut site = Self { store, executors, instances: Vec::new(), record, folder };
         for at in 1..=instances {
             let (ip, store) = (format!("127.{number}.2.{at}"), site.store.address);
-            let mut instance = Instance::create(at, &ip, machine, store, &site.folder, &site.record)?;
+            let mut instance = Instance::create(at, &ip, store, &site.folder, &site.record)?;
             instance.spawn()?;
             site.instances.push(instance);
         }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -25,8 +25,6 @@
     /// Keys by the version of their latest change.
     changes: BTreeMap<u64, Vec<Key>>,
     ver: u64,
-    /// Whether all calls are answered with 503.
-    is_down: bool,
 }
 
 pub struct Store {
@@ -59,12 +57,6 @@
         self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Answers all calls with 503, or serves again.
-    pub fn set_down(&self, is_down: bool) {
-        self.lock().is_down = is_down;
-        self.changed.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut to) = stream.try_clone() else { return };
@@ -79,9 +71,6 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
-        if self.lock().is_down {
-            return (503, "{}".to_owned());
-        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/rows-tx") => self.transact(&request.body),
             ("GET", "/rows-get") => self.get(request),
@@ -94,7 +83,8 @@
         let Some(call) = parse(body) else { return (400, "{}".to_owned()) };
         let (expected, writes, removes) =
             (call.get("expected_rev").list(), call.get("writes").list(), call.get("remove").list());
-        let too_large = writes.iter().any(|row| row.get("value").text().len() / 4 * 3 > ROW_BYTES + 3);
+        let too_large =
+            writes.iter().any(|row| row.get("value").text().len() / 4 * 3 > ROW_BYTES + 3);
         let entries = expected.len() + writes.len() + removes.len();
         let mut parts: Vec<&str> =
             expected.iter().chain(writes).chain(removes).map(|e| e.get("part").text()).collect();
@@ -161,9 +151,6 @@
                 }
             }
             let left = until.saturating_duration_since(Instant::now());
-            if state.is_down {
-                return (503, "{}".to_owned());
-            }
             if !rows.is_empty() || left.is_zero() {
                 return (200, self.answer_with(&rows, false, state.ver));
             }
