review: case 12, a gang whose executor crashes once is never placed again and keeps others waiting

The tasks of the gang become suspects, each of which puts its executor on trial for 1 s, so that the gang finds no executors for all of them. The placements of a failed try are reverted, the trials are not: steps that rank behind the gang find no executor either.

After one crash of one of 8 executors the gang stands still, and so does the second step of another job, with nothing at work.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -12,6 +12,7 @@
 mod store;
 
 mod deadly;
+mod gang;
 mod memory;
 mod overload;
 mod scheduled;
@@ -33,6 +34,7 @@
         "scheduled" => scheduled::run(folder, trouble),
         "overload" => overload::run(folder, trouble),
         "deadly" => deadly::run(folder, trouble),
+        "gang" => gang::run(folder, trouble),
         "memory" => memory::run(folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
