--- a/review/standin-3/instance.rs
+++ b/review/standin-3/instance.rs
@@ -80,12 +80,12 @@
         answer.is_some_and(|(status, _)| status == 200)
     }
 
-    /// Memory of the process in KiB.
+    /// Memory of the process in KiB, without pages of its program file.
     pub fn resident_kib(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
         let text = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
         let line = text.unwrap_or_default();
-        let line = line.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+        let line = line.lines().find(|line| line.starts_with("RssAnon:")).unwrap_or_default();
         line.split_whitespace().nth(1).and_then(|number| number.parse().ok()).unwrap_or(0)
     }
 
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -16,6 +16,12 @@
 const MAX_ROWS: usize = 500;
 const MAX_ANSWER_BYTES: usize = 1_000_000;
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Calls a second of all nodes together, and the time that a part takes for each transaction.
+const WRITES_PER_S: u32 = 600;
+const READS_PER_S: u32 = 2_000;
+const TX_TIME: Duration = Duration::from_millis(5);
+/// Longest queue of transactions in a part.
+const MAX_QUEUE: Duration = Duration::from_secs(1);
 
 type Key = (String, String, String);
 
@@ -25,6 +31,34 @@
     /// Keys by the version of their latest change.
     changes: BTreeMap<u64, Vec<Key>>,
     ver: u64,
+    /// Writes and reads in the second that began then.
+    counts: Option<(Instant, u32, u32)>,
+    /// When each part has done the transactions that wait.
+    busy: BTreeMap<String, Instant>,
+}
+
+impl State {
+    /// Counts a call; returns whether it is beyond the rate.
+    fn is_beyond_rate(&mut self, is_write: bool) -> bool {
+        let now = Instant::now();
+        let is_old = |begun: Instant| now.duration_since(begun) >= Duration::from_secs(1);
+        let (begun, writes, reads) =
+            self.counts.filter(|(begun, ..)| !is_old(*begun)).unwrap_or((now, 0, 0));
+        let (writes, reads) = if is_write { (writes + 1, reads) } else { (writes, reads + 1) };
+        self.counts = Some((begun, writes, reads));
+        writes > WRITES_PER_S || reads > READS_PER_S
+    }
+
+    /// Queues a transaction in a part; returns when it is done, or none if too many wait.
+    fn queue(&mut self, part: &str) -> Option<Instant> {
+        let now = Instant::now();
+        let free = self.busy.get(part).copied().unwrap_or(now).max(now);
+        if free.duration_since(now) > MAX_QUEUE {
+            return None;
+        }
+        self.busy.insert(part.to_owned(), free + TX_TIME);
+        Some(free + TX_TIME)
+    }
 }
 
 pub struct Store {
@@ -71,6 +105,9 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
+        if self.lock().is_beyond_rate(request.method == "POST") {
+            return (429, "{}".to_owned());
+        }
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/rows-tx") => self.transact(&request.body),
             ("GET", "/rows-get") => self.get(request),
@@ -92,6 +129,10 @@
         if too_large || entries > MAX_ENTRIES || body.len() > MAX_CALL_BYTES || parts.len() > 1 {
             return (400, "{}".to_owned());
         }
+        let Some(done) = self.lock().queue(parts.first().copied().unwrap_or_default()) else {
+            return (429, "{}".to_owned());
+        };
+        thread::sleep(done.saturating_duration_since(Instant::now()));
         let mut state = self.lock();
         let ver_of = |entry: &Value| state.rows.get(&key(entry)).map_or(0, |(_, ver)| *ver);
         if !expected.iter().all(|entry| ver_of(entry) == entry.get("ver").number()) {
